--- /dev/null
+++ b/internal/ring/loop.go
@@ -0,0 +1,55 @@
+package ring
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Abandoner is a message whose sender waits for an answer. Reply implements
+// it, so a message that embeds a Reply is an Abandoner.
+type Abandoner interface {
+	Abandon(err error)
+}
+
+// Loop is the body of a duty without a timer: it hands each message to
+// handle until the context ends or handle fails. If handle panics, the
+// waiter of the message in hand is told before the panic goes on to the
+// supervisor.
+func Loop[T any](ctx context.Context, inbox *Ring[T], handle func(T) error) error {
+	return LoopUntil(ctx, inbox, handle, func() time.Time { return time.Time{} }, nil)
+}
+
+// LoopUntil is the body of a duty with a timer. next returns when the duty
+// next has something to do by itself (zero for never) and tick is called at
+// that time. Both run on the duty's own goroutine.
+func LoopUntil[T any](ctx context.Context, inbox *Ring[T], handle func(T) error,
+	next func() time.Time, tick func() error) error {
+	for {
+		message, err := inbox.TakeUntil(ctx, next())
+		switch {
+		case errors.Is(err, ErrTimeout):
+			err = tick()
+		case err == nil:
+			err = handleGuarded(message, handle)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func handleGuarded[T any](message T, handle func(T) error) error {
+	done := false
+	defer func() {
+		if done {
+			return
+		}
+		if waiter, ok := any(message).(Abandoner); ok {
+			waiter.Abandon(ErrAbandoned)
+		}
+	}()
+	err := handle(message)
+	done = true
+	return err
+}
--- /dev/null
+++ b/internal/ring/metrics.go
@@ -0,0 +1,92 @@
+package ring
+
+import (
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+var (
+	depthDesc = prometheus.NewDesc("kingcup_ring_depth",
+		"Messages waiting in the ring.", []string{"ring"}, nil)
+	refusedTotal = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_ring_refused_total",
+		Help: "Messages refused because the ring was full.",
+	}, []string{"ring"})
+	waitedTotal = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_ring_waited_total",
+		Help: "Messages whose producer had to wait for room.",
+	}, []string{"ring"})
+)
+
+// gauge counts what happens at the rings of one name.
+type gauge struct {
+	mu     sync.Mutex
+	depths []func() int
+
+	refusals prometheus.Counter
+	waits    prometheus.Counter
+}
+
+func (g *gauge) register(depth func() int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.depths = append(g.depths, depth)
+}
+
+func (g *gauge) depth() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	total := 0
+	for _, depth := range g.depths {
+		total += depth()
+	}
+	return total
+}
+
+func (g *gauge) refused() { g.refusals.Inc() }
+func (g *gauge) waited()  { g.waits.Inc() }
+
+var gauges = struct {
+	sync.Mutex
+	byName map[string]*gauge
+}{byName: map[string]*gauge{}}
+
+func gaugeFor(name string) *gauge {
+	gauges.Lock()
+	defer gauges.Unlock()
+	if g, ok := gauges.byName[name]; ok {
+		return g
+	}
+	g := &gauge{
+		refusals: refusedTotal.WithLabelValues(name),
+		waits:    waitedTotal.WithLabelValues(name),
+	}
+	gauges.byName[name] = g
+	return g
+}
+
+// Collector exports the depth, refusals and waits of every ring by name.
+type Collector struct{}
+
+// Describe implements prometheus.Collector.
+func (Collector) Describe(out chan<- *prometheus.Desc) {
+	out <- depthDesc
+	refusedTotal.Describe(out)
+	waitedTotal.Describe(out)
+}
+
+// Collect implements prometheus.Collector.
+func (Collector) Collect(out chan<- prometheus.Metric) {
+	gauges.Lock()
+	depths := make(map[string]*gauge, len(gauges.byName))
+	for name, g := range gauges.byName {
+		depths[name] = g
+	}
+	gauges.Unlock()
+	for name, g := range depths {
+		out <- prometheus.MustNewConstMetric(depthDesc, prometheus.GaugeValue, float64(g.depth()), name)
+	}
+	refusedTotal.Collect(out)
+	waitedTotal.Collect(out)
+}
--- /dev/null
+++ b/internal/supervisor/supervisor.go
@@ -0,0 +1,223 @@
+// Package supervisor builds the tree that every process of kingcupcourse
+// runs as. A supervisor starts its children in order, restarts a child that
+// fails or panics, gives up with ErrRestartStorm when failures come too
+// fast, and stops its children one by one in reverse order.
+//
+// It is the only package, besides ring, that starts goroutines.
+package supervisor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/zap"
+)
+
+// ErrRestartStorm is returned by Serve when children fail faster than the
+// intensity allows. The parent counts it as one failure of this supervisor.
+var ErrRestartStorm = errors.New("supervisor: children fail too fast")
+
+// ErrDone is returned by a duty that has finished for good and must not be
+// restarted.
+var ErrDone = suture.ErrDoNotRestart
+
+// ErrUnknownChild is returned by Kill and Remove for a name that is not in
+// the tree.
+var ErrUnknownChild = errors.New("supervisor: unknown child")
+
+// Duty is one goroutine's work for the life of the process. Serve returns
+// when ctx ends, after it has finished what it had begun. It may be called
+// again after it returned an error or panicked, and goes on from the state
+// that the duty kept.
+type Duty interface {
+	Serve(ctx context.Context) error
+}
+
+// Child is a named duty or supervisor.
+type Child struct {
+	Name string
+	Duty Duty
+	// StopTimeout bounds how long the child may take to finish after its
+	// context ended. Default DefaultStopTimeout.
+	StopTimeout time.Duration
+}
+
+const (
+	// DefaultStopTimeout bounds how long a child may take to stop.
+	DefaultStopTimeout = 30 * time.Second
+	// DefaultMaxFailures is how many failures within DefaultFailureDecay a
+	// supervisor tolerates.
+	DefaultMaxFailures = 5
+	// DefaultFailureDecay is the time over which a failure is forgotten.
+	DefaultFailureDecay = 10 * time.Second
+)
+
+// Spec lists a supervisor's children and its restart intensity.
+type Spec struct {
+	Name string
+	// Children are started in this order and stopped in the reverse order.
+	Children []Child
+	// MaxFailures is the count of decaying failures above which the
+	// supervisor gives up. Default DefaultMaxFailures.
+	MaxFailures float64
+	// FailureDecay is the time constant of the failure count. Default
+	// DefaultFailureDecay.
+	FailureDecay time.Duration
+}
+
+// Supervisor runs children and is itself a Duty.
+type Supervisor struct {
+	spec Spec
+	log  *zap.Logger
+
+	mu       sync.Mutex
+	children []*entry
+	running  *suture.Supervisor
+}
+
+// entry is a child and its place in the running suture supervisor.
+type entry struct {
+	child  Child
+	guard  *guard
+	token  suture.ServiceToken
+	nested *Supervisor
+}
+
+// New returns a supervisor that is not yet running.
+func New(spec Spec, log *zap.Logger) *Supervisor {
+	if spec.MaxFailures == 0 {
+		spec.MaxFailures = DefaultMaxFailures
+	}
+	if spec.FailureDecay == 0 {
+		spec.FailureDecay = DefaultFailureDecay
+	}
+	s := &Supervisor{spec: spec, log: log.With(zap.String("supervisor", spec.Name))}
+	for _, child := range spec.Children {
+		s.children = append(s.children, newEntry(child))
+	}
+	return s
+}
+
+func newEntry(child Child) *entry {
+	if child.StopTimeout == 0 {
+		child.StopTimeout = DefaultStopTimeout
+	}
+	nested, _ := child.Duty.(*Supervisor)
+	return &entry{child: child, guard: &guard{duty: child.Duty, name: child.Name}, nested: nested}
+}
+
+// Serve runs the children until ctx ends, then stops them in reverse order.
+// It returns ErrRestartStorm if the children fail too fast.
+func (s *Supervisor) Serve(ctx context.Context) error {
+	// The children's context must outlive ctx, so that they are stopped in
+	// order and not all at once.
+	inner, stopAll := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer stopAll(nil)
+	running := suture.New(s.spec.Name, suture.Spec{
+		EventHook:                s.eventHook(stopAll),
+		FailureThreshold:         s.spec.MaxFailures,
+		FailureDecay:             s.spec.FailureDecay.Seconds(),
+		Timeout:                  DefaultStopTimeout,
+		DontPropagateTermination: true,
+	})
+	s.start(running)
+	ended := running.ServeBackground(inner)
+	select {
+	case <-ctx.Done():
+		s.stopInOrder()
+		stopAll(nil)
+		<-ended
+		return ctx.Err()
+	case <-inner.Done():
+		s.forget()
+		<-ended
+		return context.Cause(inner)
+	}
+}
+
+func (s *Supervisor) start(running *suture.Supervisor) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running = running
+	for _, e := range s.children {
+		e.token = running.Add(e.guard)
+	}
+}
+
+func (s *Supervisor) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running = nil
+}
+
+func (s *Supervisor) stopInOrder() {
+	s.mu.Lock()
+	children, running := s.children, s.running
+	s.running = nil
+	s.mu.Unlock()
+	for i := len(children) - 1; i >= 0; i-- {
+		e := children[i]
+		if err := running.RemoveAndWait(e.token, e.child.StopTimeout); errors.Is(err, suture.ErrTimeout) {
+			s.log.Error("child did not stop in time", zap.String("child", e.child.Name),
+				zap.Duration("timeout", e.child.StopTimeout))
+		}
+	}
+}
+
+// Add starts one more child. It is started last and stopped first.
+func (s *Supervisor) Add(child Child) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := newEntry(child)
+	if s.running != nil {
+		e.token = s.running.Add(e.guard)
+	}
+	s.children = append(s.children, e)
+}
+
+// Remove stops a child for good and waits until it has stopped. It returns
+// ErrUnknownChild if there is no direct child of that name.
+func (s *Supervisor) Remove(name string) error {
+	s.mu.Lock()
+	e := s.takeOut(name)
+	running := s.running
+	s.mu.Unlock()
+	if e == nil {
+		return fmt.Errorf("%w: %s/%s", ErrUnknownChild, s.spec.Name, name)
+	}
+	if running == nil {
+		return nil
+	}
+	return running.RemoveAndWait(e.token, e.child.StopTimeout)
+}
+
+func (s *Supervisor) takeOut(name string) *entry {
+	for i, e := range s.children {
+		if e.child.Name == name {
+			s.children = append(s.children[:i:i], s.children[i+1:]...)
+			return e
+		}
+	}
+	return nil
+}
+
+func (s *Supervisor) eventHook(giveUp context.CancelCauseFunc) suture.EventHook {
+	return func(event suture.Event) {
+		switch e := event.(type) {
+		case suture.EventServicePanic:
+			s.log.Error("child panicked", zap.String("child", e.ServiceName),
+				zap.String("panic", e.PanicMsg), zap.String("stack", e.Stacktrace))
+		case suture.EventServiceTerminate:
+			s.log.Warn("child failed", zap.String("child", e.ServiceName), zap.Any("error", e.Err))
+		case suture.EventBackoff:
+			s.log.Error("children fail too fast, giving up")
+			giveUp(fmt.Errorf("%w: %s", ErrRestartStorm, s.spec.Name))
+		case suture.EventStopTimeout:
+			s.log.Error("child did not stop in time", zap.String("child", e.ServiceName))
+		}
+	}
+}
--- /dev/null
+++ b/internal/supervisor/supervisor_test.go
@@ -0,0 +1,124 @@
+package supervisor
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/ring"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// recorder is a duty that reports its starts and stops.
+type recorder struct {
+	name   string
+	events *ring.Ring[string]
+	crash  bool
+}
+
+func (d *recorder) Serve(ctx context.Context) error {
+	_ = d.events.TryPut("start " + d.name)
+	if d.crash {
+		panic("planted")
+	}
+	<-ctx.Done()
+	_ = d.events.TryPut("stop " + d.name)
+	return ctx.Err()
+}
+
+func serve(t *testing.T, s *Supervisor) (stop func() error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := ring.NewReply[error]()
+	go func() { ended.Send(s.Serve(ctx)) }()
+	return func() error {
+		cancel()
+		err, _ := ended.Wait(context.Background())
+		return err
+	}
+}
+
+func await(t *testing.T, events *ring.Ring[string], want string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	for {
+		got, err := events.Take(ctx)
+		if err != nil {
+			t.Fatalf("waiting for %q: %v", want, err)
+		}
+		if got == want {
+			return
+		}
+	}
+}
+
+func TestStopsChildrenInReverseOrder(t *testing.T) {
+	events := ring.New[string]("events", 16)
+	s := New(Spec{Name: "root", Children: []Child{
+		{Name: "a", Duty: &recorder{name: "a", events: events}},
+		{Name: "b", Duty: &recorder{name: "b", events: events}},
+	}}, zap.NewNop())
+	stop := serve(t, s)
+	for range 2 {
+		if _, err := events.Take(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := stop(); !errors.Is(err, context.Canceled) {
+		t.Fatalf("got %v", err)
+	}
+	var stops []string
+	for e, ok := events.TryTake(); ok; e, ok = events.TryTake() {
+		stops = append(stops, e)
+	}
+	if !slices.Equal(stops, []string{"stop b", "stop a"}) {
+		t.Fatalf("stops %v", stops)
+	}
+}
+
+func TestKillRestartsANestedChild(t *testing.T) {
+	events := ring.New[string]("events", 16)
+	inner := New(Spec{Name: "inner", Children: []Child{
+		{Name: "a", Duty: &recorder{name: "a", events: events}}}}, zap.NewNop())
+	root := New(Spec{Name: "root", Children: []Child{{Name: "inner", Duty: inner}}}, zap.NewNop())
+	stop := serve(t, root)
+	await(t, events, "start a")
+	if err := root.Kill("inner/a"); err != nil {
+		t.Fatal(err)
+	}
+	await(t, events, "start a")
+	if err := root.Kill("inner/none"); !errors.Is(err, ErrUnknownChild) {
+		t.Fatalf("got %v, want ErrUnknownChild", err)
+	}
+	_ = stop()
+}
+
+func TestRestartStormEscalatesToTheRoot(t *testing.T) {
+	events := ring.New[string]("events", 4096)
+	inner := New(Spec{Name: "inner", Children: []Child{
+		{Name: "a", Duty: &recorder{name: "a", events: events, crash: true}}}}, zap.NewNop())
+	root := New(Spec{Name: "root", Children: []Child{{Name: "inner", Duty: inner}}}, zap.NewNop())
+	if err := root.Serve(t.Context()); !errors.Is(err, ErrRestartStorm) {
+		t.Fatalf("got %v, want ErrRestartStorm", err)
+	}
+}
+
+func TestAddAndRemoveWhileServing(t *testing.T) {
+	events := ring.New[string]("events", 16)
+	s := New(Spec{Name: "root"}, zap.NewNop())
+	stop := serve(t, s)
+	s.Add(Child{Name: "late", Duty: &recorder{name: "late", events: events}})
+	await(t, events, "start late")
+	if err := s.Remove("late"); err != nil {
+		t.Fatal(err)
+	}
+	await(t, events, "stop late")
+	_ = stop()
+}
