--- /dev/null
+++ b/internal/decision/ownership/ownership.go
@@ -0,0 +1,47 @@
+// Package ownership decides which scheduler owns a pool shard. Every process
+// that knows the same live members comes to the same owner.
+package ownership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/message"
+)
+
+// Shard is the unit of ownership: one pool in one region. One queue per pool
+// and region sees all tiers, so that a lower tier is never served before a
+// higher one that waits in another queue.
+type Shard struct {
+	Pool   string
+	Region core.Region
+}
+
+// Rank returns the live schedulers of the shard's region by rendezvous
+// hashing, the owner first. Members that leave are left out. The order among
+// the rest does not change when one member comes or goes.
+func Rank(shard Shard, members []message.Member) []message.Member {
+	type scored struct {
+		member message.Member
+		score  uint64
+	}
+	var ranked []scored
+	for _, m := range members {
+		if m.Role != message.RoleScheduler || m.Leaving || m.Region != shard.Region {
+			continue
+		}
+		score := xxhash.Sum64String(string(shard.Region) + "/" + shard.Pool + "/" + m.Host)
+		ranked = append(ranked, scored{m, score})
+	}
+	slices.SortFunc(ranked, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member.Host, b.member.Host))
+	})
+	out := make([]message.Member, len(ranked))
+	for i, s := range ranked {
+		out[i] = s.member
+	}
+	return out
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,70 @@
+// Package settings holds what a process learns from its settings file: its
+// own addresses and place, and where the platform and its peers are.
+package settings
+
+import "kingcupcourse/internal/core"
+
+// Common is the part of the settings that every role has.
+type Common struct {
+	// Host is the name of the entry host that the process runs on.
+	Host string `json:"host"`
+	// Region and AvailabilityZone are where the host is.
+	Region           core.Region           `json:"region"`
+	AvailabilityZone core.AvailabilityZone `json:"availability_zone"`
+	// Control is the listener for other processes of the system, as
+	// host:port by IP number; peers reach it at the same address.
+	Control string `json:"control"`
+	// Admin is the listener for metrics, health and readiness.
+	Admin string `json:"admin"`
+	// Peers are control addresses of other processes, tried when none is
+	// known otherwise.
+	Peers []string `json:"peers"`
+	// Platform is the base URL of the platform's object API.
+	Platform string `json:"platform"`
+	// Log sets the log output.
+	Log Log `json:"log"`
+	// DrainMS bounds how long requests in progress may take to finish after
+	// SIGTERM, in milliseconds. Default 120,000.
+	DrainMS int64 `json:"drain_ms,omitempty"`
+	// FaultInjection opens POST /debug/kill?child=PATH on the admin
+	// listener. Never set it in production. Default false.
+	FaultInjection bool `json:"fault_injection,omitempty"`
+}
+
+// Log sets the log output.
+type Log struct {
+	// Level is debug, info, warn or error. Default info.
+	Level string `json:"level,omitempty"`
+	// Format is json or console. Default json.
+	Format string `json:"format,omitempty"`
+}
+
+// Entry is the settings of kingcup-entry.
+type Entry struct {
+	Common
+	// Callers is the listener for callers.
+	Callers string `json:"callers"`
+	// FallbackFraction is the share of each endpoint's slots that this host
+	// may use by itself while no scheduler answers. Default 1 divided by
+	// the number of entry hosts known.
+	FallbackFraction float64 `json:"fallback_fraction,omitempty"`
+	// MaxRequests bounds the requests in progress at this host. Default
+	// 4,096.
+	MaxRequests int `json:"max_requests,omitempty"`
+}
+
+// Scheduler is the settings of kingcup-scheduler.
+type Scheduler struct {
+	Common
+	// JournalFlushMS is the shortest time between two writes of one pool's
+	// journal, in milliseconds. Default 10.
+	JournalFlushMS int64 `json:"journal_flush_ms,omitempty"`
+}
+
+// Rollout is the settings of kingcup-rollout.
+type Rollout struct {
+	Common
+	// LeaseMS is how long a move's lease lasts, in milliseconds. Default
+	// 5,000.
+	LeaseMS int64 `json:"lease_ms,omitempty"`
+}
