Codec, strict JSON with places, settings

Findings carry line, column and JSON path; unknown, duplicate, missing and mistyped fields and the semantic findings are reported in one go. A field is required unless its tag says omitempty or omitzero, so the types alone tell what is required.

--- /dev/null
+++ b/internal/codec/handle.go
@@ -0,0 +1,79 @@
+package codec
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"kingcupcourse/internal/ring"
+)
+
+// StatusError is an error that Handle answers with its HTTP status.
+type StatusError struct {
+	Status  int
+	Message string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return e.Message }
+
+// Handle returns the handler of a typed message: it decodes a POST body into
+// Req, calls serve with the request's context and encodes its answer. A
+// *StatusError is answered with its status, a full ring or a duty that
+// crashed or stopped with 503, and any other error with 500.
+func Handle[Req, Rep any](serve func(context.Context, *Req) (*Rep, error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost {
+			w.Header().Set("Allow", http.MethodPost)
+			http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
+			return
+		}
+		request := new(Req)
+		if err := Decode(r.Body, MaxMessageBytes, request); err != nil {
+			http.Error(w, err.Error(), decodeStatus(err))
+			return
+		}
+		reply, err := serve(r.Context(), request)
+		if err != nil {
+			WriteError(w, err)
+			return
+		}
+		Write(w, reply)
+	})
+}
+
+// Write answers with the JSON of reply.
+func Write(w http.ResponseWriter, reply any) {
+	body, err := Encode(reply)
+	if err != nil {
+		WriteError(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body) // the caller is gone; there is nobody to tell
+}
+
+// WriteError answers with the status that belongs to the error.
+func WriteError(w http.ResponseWriter, err error) {
+	http.Error(w, err.Error(), errorStatus(err))
+}
+
+func decodeStatus(err error) int {
+	if errors.Is(err, ErrTooLarge) {
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusBadRequest
+}
+
+func errorStatus(err error) int {
+	var status *StatusError
+	switch {
+	case errors.As(err, &status):
+		return status.Status
+	case errors.Is(err, ring.ErrFull), errors.Is(err, ring.ErrAbandoned),
+		errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusInternalServerError
+	}
+}
--- a/internal/findings/findings.go
+++ b/internal/findings/findings.go
@@ -3,19 +3,32 @@
 package findings
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 )
 
 // Finding is one problem. Place is a file with line, or a JSON path such as
 // "pools[0].endpoints[2].address".
 type Finding struct {
-	Place   string `json:"place"`
+	Place string `json:"place"`
+	// Path is the JSON path when Place is a position in a file.
+	Path    string `json:"path,omitempty"`
 	Message string `json:"message"`
+	// Line and Column are the position in the input, counted from 1; zero
+	// if the finding has none.
+	Line   int `json:"line,omitempty"`
+	Column int `json:"column,omitempty"`
 }
 
-// String returns "place: message".
-func (f Finding) String() string { return f.Place + ": " + f.Message }
+// String returns "place: path: message".
+func (f Finding) String() string {
+	if f.Path == "" {
+		return f.Place + ": " + f.Message
+	}
+	return f.Place + ": " + f.Path + ": " + f.Message
+}
 
 // List is the error that holds all findings of one input.
 type List []Finding
@@ -25,6 +38,33 @@
 	*l = append(*l, Finding{Place: place, Message: fmt.Sprintf(format, args...)})
 }
 
+// AddAt appends a finding with its position in the input and its JSON path.
+func (l *List) AddAt(line, column int, path, format string, args ...any) {
+	*l = append(*l, Finding{
+		Place:   fmt.Sprintf("%d:%d", line, column),
+		Path:    path,
+		Message: fmt.Sprintf(format, args...),
+		Line:    line,
+		Column:  column,
+	})
+}
+
+// InFile returns the findings with the file's name before each place.
+func (l List) InFile(name string) List {
+	named := slices.Clone(l)
+	for i := range named {
+		named[i].Place = name + ":" + named[i].Place
+	}
+	return named
+}
+
+// Sort orders the findings by their position in the input.
+func (l List) Sort() {
+	slices.SortStableFunc(l, func(a, b Finding) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+}
+
 // Error returns one line a finding.
 func (l List) Error() string {
 	lines := make([]string, len(l))
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,145 @@
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"slices"
+
+	"kingcupcourse/internal/strictjson"
+)
+
+// Defaults of the settings.
+const (
+	DefaultDrainMS        = 120_000 // milliseconds
+	DefaultDrainDelayMS   = 2_000   // milliseconds
+	DefaultLogLevel       = "info"
+	DefaultLogFormat      = "json"
+	DefaultMaxRequests    = 4096
+	DefaultJournalFlushMS = 10    // milliseconds
+	DefaultLeaseMS        = 5_000 // milliseconds
+	minLeaseMS            = 1_000 // milliseconds
+)
+
+func (c *Common) setDefaults() {
+	setDefault(&c.DrainMS, DefaultDrainMS)
+	setDefault(&c.DrainDelayMS, DefaultDrainDelayMS)
+	setDefault(&c.Log.Level, DefaultLogLevel)
+	setDefault(&c.Log.Format, DefaultLogFormat)
+}
+
+func (e *Entry) setDefaults() {
+	e.Common.setDefaults()
+	setDefault(&e.MaxRequests, DefaultMaxRequests)
+}
+
+func (s *Scheduler) setDefaults() {
+	s.Common.setDefaults()
+	setDefault(&s.JournalFlushMS, DefaultJournalFlushMS)
+}
+
+func (r *Rollout) setDefaults() {
+	r.Common.setDefaults()
+	setDefault(&r.LeaseMS, DefaultLeaseMS)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (c *Common) check(report *strictjson.Document) {
+	checkName(report, "host", c.Host)
+	checkName(report, "region", string(c.Region))
+	checkName(report, "availability_zone", string(c.AvailabilityZone))
+	checkReachable(report, "control", c.Control)
+	checkListener(report, "admin", c.Admin)
+	for i, peer := range c.Peers {
+		checkReachable(report, strictjson.Item("peers", i), peer)
+	}
+	checkPlatform(report, c.Platform)
+	checkOneOf(report, "log.level", c.Log.Level, "debug", "info", "warn", "error")
+	checkOneOf(report, "log.format", c.Log.Format, "json", "console")
+	checkNotNegative(report, "drain_ms", c.DrainMS)
+	checkNotNegative(report, "drain_delay_ms", c.DrainDelayMS)
+	checkDistinct(report, "admin", c.Admin, "control", c.Control)
+}
+
+func (e *Entry) check(report *strictjson.Document) {
+	e.Common.check(report)
+	checkListener(report, "callers", e.Callers)
+	checkDistinct(report, "callers", e.Callers, "control", e.Control)
+	checkDistinct(report, "callers", e.Callers, "admin", e.Admin)
+	checkNotNegative(report, "max_requests", int64(e.MaxRequests))
+	if e.FallbackFraction < 0 || e.FallbackFraction > 1 {
+		report.Add("fallback_fraction", "must be from 0 to 1")
+	}
+}
+
+func (s *Scheduler) check(report *strictjson.Document) {
+	s.Common.check(report)
+	checkNotNegative(report, "journal_flush_ms", s.JournalFlushMS)
+}
+
+func (r *Rollout) check(report *strictjson.Document) {
+	r.Common.check(report)
+	if r.LeaseMS < minLeaseMS {
+		report.Add("lease_ms", "must be at least %d", minLeaseMS)
+	}
+}
+
+func checkName(report *strictjson.Document, path, value string) {
+	if value == "" {
+		report.Add(path, "must not be empty")
+	}
+}
+
+func checkNotNegative(report *strictjson.Document, path string, value int64) {
+	if value < 0 {
+		report.Add(path, "must not be negative")
+	}
+}
+
+func checkOneOf(report *strictjson.Document, path, value string, allowed ...string) {
+	if !slices.Contains(allowed, value) {
+		report.Add(path, "must be one of %v", allowed)
+	}
+}
+
+func checkListener(report *strictjson.Document, path, value string) (netip.AddrPort, bool) {
+	address, err := netip.ParseAddrPort(value)
+	if err != nil || address.Port() == 0 {
+		report.Add(path, "must be host:port by IP number, not %q", value)
+		return address, false
+	}
+	return address, true
+}
+
+// checkReachable checks an address that other processes call.
+func checkReachable(report *strictjson.Document, path, value string) {
+	address, ok := checkListener(report, path, value)
+	if ok && address.Addr().IsUnspecified() {
+		report.Add(path, "must be an address that peers can reach, not %q", value)
+	}
+}
+
+func checkDistinct(report *strictjson.Document, path, value, otherPath, other string) {
+	if value != "" && value == other {
+		report.Add(path, "is the same address as %s", otherPath)
+	}
+}
+
+func checkPlatform(report *strictjson.Document, value string) {
+	base, err := url.Parse(value)
+	if err != nil || (base.Scheme != "http" && base.Scheme != "https") {
+		report.Add("platform", "must be an http or https URL, not %q", value)
+		return
+	}
+	if _, err := netip.ParseAddr(base.Hostname()); err != nil {
+		report.Add("platform", "must name its host by IP number, not %q", base.Hostname())
+	}
+	if base.RawQuery != "" || base.Fragment != "" {
+		report.Add("platform", "must have no query or fragment")
+	}
+}
--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,50 @@
+package settings
+
+import (
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"kingcupcourse/internal/findings"
+	"kingcupcourse/internal/strictjson"
+)
+
+// section is a settings type that knows its defaults and checks.
+type section interface {
+	setDefaults()
+	check(report *strictjson.Document)
+}
+
+// Load reads the settings of one role, such as Load[Entry], from a JSON file,
+// checks them and fills in the defaults. If the file is readable but wrong,
+// the error is a findings.List with every problem and its file, line, column
+// and path.
+func Load[T any, P interface {
+	*T
+	section
+}](path string) (*T, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "read settings")
+	}
+	loaded, list := Parse[T, P](text)
+	if len(list) > 0 {
+		return nil, list.InFile(path)
+	}
+	return loaded, nil
+}
+
+// Parse is Load for settings in memory.
+func Parse[T any, P interface {
+	*T
+	section
+}](text []byte) (*T, findings.List) {
+	loaded := new(T)
+	report := strictjson.Decode(text, loaded)
+	P(loaded).setDefaults()
+	P(loaded).check(report)
+	if list := report.Findings(); len(list) > 0 {
+		return nil, list
+	}
+	return loaded, nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,14 +18,18 @@
 	Admin string `json:"admin"`
 	// Peers are control addresses of other processes, tried when none is
 	// known otherwise.
-	Peers []string `json:"peers"`
+	Peers []string `json:"peers,omitempty"`
 	// Platform is the base URL of the platform's object API.
 	Platform string `json:"platform"`
 	// Log sets the log output.
-	Log Log `json:"log"`
+	Log Log `json:"log,omitzero"`
 	// DrainMS bounds how long requests in progress may take to finish after
 	// SIGTERM, in milliseconds. Default 120,000.
 	DrainMS int64 `json:"drain_ms,omitempty"`
+	// DrainDelayMS is how long the process goes on taking work after SIGTERM,
+	// so that the balancer sees it unready and its peers learn that it
+	// leaves, in milliseconds. Default 2,000.
+	DrainDelayMS int64 `json:"drain_delay_ms,omitempty"`
 	// FaultInjection opens POST /debug/kill?child=PATH on the admin
 	// listener. Never set it in production. Default false.
 	FaultInjection bool `json:"fault_injection,omitempty"`
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,81 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `{
+  "host": "h1", "region": "pk-north", "availability_zone": "a",
+  "control": "127.0.0.1:7001", "admin": "127.0.0.1:7002",
+  "peers": ["127.0.0.1:7003"], "platform": "http://127.0.0.1:9000",
+  "callers": "127.0.0.1:7004"
+}`
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestLoadFillsDefaults(t *testing.T) {
+	s, err := Load[Entry](write(t, good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.DrainMS != DefaultDrainMS || s.Log.Level != "info" || s.MaxRequests != DefaultMaxRequests {
+		t.Fatalf("defaults missing: %+v", s)
+	}
+}
+
+func TestLoadReportsAllFindingsTogether(t *testing.T) {
+	path := write(t, `{
+  "host": "", "region": 7, "Control": "x",
+  "admin": "localhost:80", "peers": ["127.0.0.1:1", "0.0.0.0:2"],
+  "platform": "ftp://127.0.0.1", "callers": "127.0.0.1:0",
+  "log": {"level": "loud", "colour": true},
+  "fallback_fraction": 2
+}`)
+	_, err := Load[Entry](path)
+	if err == nil {
+		t.Fatal("accepted")
+	}
+	if strings.Contains(err.Error(), "control: must") {
+		t.Errorf("a missing field is reported twice:\n%v", err)
+	}
+	for _, want := range []string{
+		path + ":2:11: host: must not be empty",
+		":2:25: region: must be a string",
+		":2:28: Control: unknown field; did you mean control?",
+		":1:1: control: missing",
+		":1:1: availability_zone: missing",
+		":3:12: admin: must be host:port by IP number",
+		":3:53: peers[1]: must be an address that peers can reach",
+		"platform: must be an http or https URL",
+		"callers: must be host:port",
+		"log.level: must be one of",
+		":5:28: log.colour: unknown field",
+		"fallback_fraction: must be from 0 to 1",
+	} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("no finding %q in\n%v", want, err)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(`{"log":[{}],"peers":{}}`))
+	f.Add([]byte(`{"host":"a"`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, list := Parse[Entry](text)
+		if (s == nil) == (len(list) == 0) {
+			t.Fatalf("settings %v with findings %v", s, list)
+		}
+	})
+}
--- /dev/null
+++ b/internal/strictjson/check.go
@@ -0,0 +1,145 @@
+package strictjson
+
+import (
+	"encoding/json"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// checker compares a node tree with a type.
+type checker struct{ document *Document }
+
+// member is one JSON field of a struct type.
+type member struct {
+	typ      reflect.Type
+	required bool
+}
+
+func typeOf(target any) reflect.Type { return reflect.TypeOf(target).Elem() }
+
+func (c checker) check(n *node, typ reflect.Type, path string) {
+	c.document.places[path] = n.offset
+	switch {
+	case typ == reflect.TypeFor[json.RawMessage]():
+	case typ.Kind() == reflect.Pointer:
+		c.check(n, typ.Elem(), path)
+	case typ.Kind() == reflect.Struct:
+		c.checkObject(n, typ, path)
+	case typ.Kind() == reflect.Slice:
+		c.checkArray(n, typ, path)
+	default:
+		c.checkScalar(n, typ, path)
+	}
+}
+
+func (c checker) checkObject(n *node, typ reflect.Type, path string) {
+	if !n.object {
+		c.mistyped(n, "an object", path)
+		return
+	}
+	known := members(typ)
+	seen := map[string]bool{}
+	for _, f := range n.fields {
+		m, ok := known[f.name]
+		switch {
+		case !ok:
+			c.document.addFault(f.offset, Field(path, f.name), "unknown field%s", suggestion(f.name, known))
+		case seen[f.name]:
+			c.document.addFault(f.offset, Field(path, f.name), "given twice")
+		default:
+			c.check(f.value, m.typ, Field(path, f.name))
+		}
+		seen[f.name] = true
+	}
+	c.checkMissing(n, known, seen, path)
+}
+
+func (c checker) checkMissing(n *node, known map[string]member, seen map[string]bool, path string) {
+	var missing []string
+	for name, m := range known {
+		if m.required && !seen[name] {
+			missing = append(missing, name)
+		}
+	}
+	slices.Sort(missing)
+	for _, name := range missing {
+		c.document.addFault(n.offset, Field(path, name), "missing")
+	}
+}
+
+func (c checker) checkArray(n *node, typ reflect.Type, path string) {
+	if !n.array {
+		c.mistyped(n, "an array", path)
+		return
+	}
+	for i, item := range n.items {
+		c.check(item, typ.Elem(), Item(path, i))
+	}
+}
+
+func (c checker) checkScalar(n *node, typ reflect.Type, path string) {
+	if n.object || n.array || !fits(n.value, typ) {
+		c.mistyped(n, scalarName(typ), path)
+	}
+}
+
+func (c checker) mistyped(n *node, want, path string) {
+	c.document.addFault(n.offset, path, "must be %s", want)
+}
+
+// fits tells whether a scalar decodes into the type without loss.
+func fits(value json.Token, typ reflect.Type) bool {
+	text, err := json.Marshal(value)
+	if err != nil || value == nil {
+		return false
+	}
+	return json.Unmarshal(text, reflect.New(typ).Interface()) == nil
+}
+
+func scalarName(typ reflect.Type) string {
+	switch typ.Kind() {
+	case reflect.Bool:
+		return "true or false"
+	case reflect.String:
+		return "a string"
+	case reflect.Float32, reflect.Float64:
+		return "a number"
+	default:
+		return "a whole number"
+	}
+}
+
+// members returns the JSON fields of a struct type, with those of embedded
+// structs.
+func members(typ reflect.Type) map[string]member {
+	known := map[string]member{}
+	for i := range typ.NumField() {
+		f := typ.Field(i)
+		if f.Anonymous {
+			for name, m := range members(f.Type) {
+				known[name] = m
+			}
+			continue
+		}
+		name, options, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if !f.IsExported() || name == "-" {
+			continue
+		}
+		known[name] = member{f.Type, options == ""}
+	}
+	return known
+}
+
+// suggestion names a known field that differs only in case or separators.
+func suggestion(name string, known map[string]member) string {
+	plain := func(s string) string {
+		return strings.NewReplacer("_", "", "-", "").Replace(strings.ToLower(s))
+	}
+	for candidate := range known {
+		if plain(candidate) == plain(name) {
+			return "; did you mean " + candidate + "?"
+		}
+	}
+	return ""
+}
