--- a/internal/findings/findings.go
+++ b/internal/findings/findings.go
@@ -61,7 +61,8 @@
 // Sort orders the findings by their position in the input.
 func (l List) Sort() {
 	slices.SortStableFunc(l, func(a, b Finding) int {
-		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column),
+			strings.Compare(a.Path, b.Path), strings.Compare(a.Message, b.Message))
 	})
 }
 
--- /dev/null
+++ b/internal/manifest/check_moves.go
@@ -0,0 +1,78 @@
+package manifest
+
+import (
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/findings"
+	"kingcupcourse/internal/strictjson"
+)
+
+func (c *checker) move(path string, i int) {
+	move := c.m.Moves[i]
+	c.name(path+".name", "move", move.Name)
+	if move.DeadlineUnixMS <= 0 {
+		c.report.Add(path+".deadline_unix_ms", "must be a time in Unix milliseconds, not %d", move.DeadlineUnixMS)
+	}
+	if move.MaxShare <= 0 || move.MaxShare > 1 {
+		c.report.Add(path+".max_share", "must be above 0 and at most 1, not %v", move.MaxShare)
+	}
+	c.positive(path+".soak_ms", float64(move.SoakMS))
+	if move.FromVersion == move.ToVersion {
+		c.report.Add(path+".to_version", "is the same as from_version")
+	}
+	c.moveInPool(path, move)
+	c.conflictingMove(path, i)
+}
+
+func (c *checker) moveInPool(path string, move Move) {
+	pool := c.pools[move.Pool]
+	if pool == nil {
+		c.report.Add(path+".pool", "there is no pool %q", move.Pool)
+		return
+	}
+	for field, version := range map[string]core.Version{
+		"from_version": move.FromVersion, "to_version": move.ToVersion,
+	} {
+		if !pool.hasVersion(version) {
+			c.report.Add(strictjson.Field(path, field), "no endpoint of pool %q has version %q", move.Pool, version)
+		}
+	}
+}
+
+// conflictingMove reports a move whose versions another move of the pool
+// also moves to, or back from.
+func (c *checker) conflictingMove(path string, i int) {
+	move := c.m.Moves[i]
+	for j, other := range c.m.Moves[:i] {
+		if other.Pool != move.Pool {
+			continue
+		}
+		if other.ToVersion == move.ToVersion {
+			c.report.Add(path+".to_version", "%s already moves to %q", strictjson.Item("moves", j), move.ToVersion)
+		}
+		if other.FromVersion == move.ToVersion && other.ToVersion == move.FromVersion {
+			c.report.Add(path, "goes back on %s", strictjson.Item("moves", j))
+		}
+	}
+}
+
+func (p *Pool) hasVersion(version core.Version) bool {
+	for _, e := range p.Endpoints {
+		if e.Version == version {
+			return true
+		}
+	}
+	return false
+}
+
+// Check reports what is wrong with a manifest in the light of the versions
+// judged bad so far: a move to one of them.
+func Check(m *Manifest, bad map[core.EndpointVersion]bool) findings.List {
+	var list findings.List
+	for i, move := range m.Moves {
+		if bad[core.EndpointVersion{Pool: move.Pool, Version: move.ToVersion}] {
+			list.Add(strictjson.Field(strictjson.Item("moves", i), "to_version"),
+				"version %q of pool %q was judged bad", move.ToVersion, move.Pool)
+		}
+	}
+	return list
+}
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -4,7 +4,8 @@
 
 import "kingcupcourse/internal/core"
 
-// Manifest is one accepted configuration.
+// Manifest is one accepted configuration. It comes from Parse and does not
+// change afterwards, so that duties may share it.
 type Manifest struct {
 	// Deployment names the installation in logs and reports.
 	Deployment string `json:"deployment"`
@@ -21,6 +22,8 @@
 	Routes []Route `json:"routes"`
 	// Moves lists the planned version moves.
 	Moves []Move `json:"moves,omitempty"`
+
+	index index
 }
 
 // Region is a group of availability zones.
