Control duties, the shared process frame, rollout skeleton

First usable version. Control: configuration, members, exchange, three push and three fetch duties, and the platform watchers. Process: command line, log, admin and control listeners, ordered drain, exit codes.

Only the first 24 members by hash hold long watches; the sum of the calls is in the package comment of control. Ruled out: a watch in every process, which at 380 hosts of 3 processes and two prefixes is 2,280 calls a second, above what the platform allows.

--- /dev/null
+++ b/cmd/kingcup-rollout/main.go
@@ -0,0 +1,21 @@
+// Command kingcup-rollout is the process that carries out planned version
+// moves. So far it only logs the stage of each move.
+package main
+
+import (
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/process"
+	"kingcupcourse/internal/rollout"
+	"kingcupcourse/internal/settings"
+)
+
+func main() {
+	process.Main(process.Role[settings.Rollout]{
+		Program:     "kingcup-rollout",
+		Description: "Follows the planned version moves of the manifest.",
+		Role:        message.RoleRollout,
+		Load:        settings.Load[settings.Rollout],
+		Common:      func(s *settings.Rollout) *settings.Common { return &s.Common },
+		Build:       rollout.Build,
+	})
+}
--- a/internal/codec/handle.go
+++ b/internal/codec/handle.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 
 	"kingcupcourse/internal/ring"
 )
@@ -50,6 +51,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body) // the caller is gone; there is nobody to tell
 }
 
--- /dev/null
+++ b/internal/control/configuration.go
@@ -0,0 +1,199 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/ring"
+)
+
+// logger is short for the log that every duty has.
+type logger = *zap.Logger
+
+// change is a message to the configuration duty.
+type change interface{ isChange() }
+
+// offered is a manifest that somebody holds.
+type offered struct {
+	version uint64
+	text    json.RawMessage
+	// source is the platform or the address of a peer, for the log.
+	source string
+}
+
+// peersAsked tells that a fetcher has asked its share of the peers at start;
+// answered tells whether any answered.
+type peersAsked struct{ answered bool }
+
+// platformAsked tells how the newest call of the manifest watch ended.
+type platformAsked struct{ up bool }
+
+// shared is what the processes of the system agree on, from members.
+type shared struct{ snapshot snapshot }
+
+// manifestRequest asks for the manifest in force.
+type manifestRequest struct {
+	ring.Reply[*message.ManifestVersion]
+}
+
+// statusRequest asks for the status of the process.
+type statusRequest struct {
+	ring.Reply[*message.Status]
+}
+
+func (offered) isChange()         {}
+func (peersAsked) isChange()      {}
+func (platformAsked) isChange()   {}
+func (shared) isChange()          {}
+func (manifestRequest) isChange() {}
+func (statusRequest) isChange()   {}
+
+// configuration is the duty that owns the manifest in force. It keeps the
+// highest version that it has ever seen and takes in a manifest only whole.
+// It publishes the View.
+type configuration struct {
+	inbox       *ring.Ring[change]
+	members     *ring.Ring[event]
+	subscribers []Subscription
+	log         logger
+	metrics     *metrics
+	self        message.Member
+	ready       *atomic.Bool
+
+	view     View
+	text     json.RawMessage
+	rejected uint64 // highest version refused because of its findings
+
+	fetchersDone  int
+	platformTried bool
+	answered      bool // the platform or a peer has answered
+}
+
+// Serve implements supervisor.Duty.
+func (c *configuration) Serve(ctx context.Context) error {
+	c.publish()
+	if err := c.announce(ctx); err != nil {
+		return err
+	}
+	return ring.Loop(ctx, c.inbox, func(m change) error { return c.handle(ctx, m) })
+}
+
+func (c *configuration) handle(ctx context.Context, m change) error {
+	switch m := m.(type) {
+	case offered:
+		return c.consider(ctx, m)
+	case peersAsked:
+		c.fetchersDone++
+		c.answered = c.answered || m.answered
+	case platformAsked:
+		c.platformAnswered(m.up)
+	case shared:
+		c.adopt(m.snapshot)
+	case manifestRequest:
+		m.Send(&message.ManifestVersion{Version: c.view.ManifestVersion, Manifest: c.text})
+	case statusRequest:
+		m.Send(c.status())
+	}
+	c.updateReady()
+	return nil
+}
+
+// consider takes in a manifest that is newer than the one in force and has
+// no findings.
+func (c *configuration) consider(ctx context.Context, m offered) error {
+	if m.version <= c.view.ManifestVersion || m.version <= c.rejected {
+		return nil
+	}
+	parsed, list := manifest.Parse(m.text)
+	if len(list) > 0 {
+		c.rejected = m.version
+		c.metrics.manifestsRejected.Inc()
+		c.log.Error("manifest refused", zap.Uint64("version", m.version), zap.String("source", m.source),
+			zap.Strings("findings", findingLines(list)))
+		return c.announce(ctx)
+	}
+	c.log.Info("manifest in force", zap.Uint64("version", m.version),
+		zap.Uint64("previous", c.view.ManifestVersion), zap.String("source", m.source))
+	c.view.Manifest, c.view.ManifestVersion, c.text = parsed, m.version, m.text
+	c.metrics.manifestVersion.Set(float64(m.version))
+	c.updateReady()
+	c.publish()
+	return c.announce(ctx)
+}
+
+// announce lets the members duty offer the manifest in force to the peers and
+// look for higher ones.
+func (c *configuration) announce(ctx context.Context) error {
+	return c.members.Put(ctx, manifestTaken{version: c.view.ManifestVersion, rejected: c.rejected})
+}
+
+func (c *configuration) platformAnswered(up bool) {
+	c.platformTried = true
+	c.answered = c.answered || up
+	if c.view.PlatformUp == up {
+		return
+	}
+	c.log.Info("platform state", zap.Bool("up", up))
+	c.view.PlatformUp = up
+	c.publish()
+}
+
+func (c *configuration) adopt(s snapshot) {
+	c.view.Members = s.members
+	c.view.Leaving = s.leaving
+	c.view.BadVersions = s.badVersions
+	c.view.PoisonMarks = s.poisonMarks
+	c.view.Moves = s.moves
+	c.publish()
+}
+
+// updateReady makes the process ready once it has a manifest and has asked
+// everybody who may hold a newer one. It stays ready afterwards.
+func (c *configuration) updateReady() {
+	asked := c.platformTried && c.fetchersDone >= fetchers && c.answered
+	if c.view.Manifest == nil || !asked || c.ready.Load() {
+		return
+	}
+	c.ready.Store(true)
+	c.log.Info("configuration ready", zap.Uint64("version", c.view.ManifestVersion))
+}
+
+// publish hands a copy of the view to every subscriber.
+func (c *configuration) publish() {
+	view := c.view
+	for _, s := range c.subscribers {
+		s.Publish(&view)
+	}
+}
+
+func (c *configuration) status() *message.Status {
+	status := &message.Status{
+		Member:          c.self,
+		Ready:           c.ready.Load(),
+		PlatformUp:      c.view.PlatformUp,
+		ManifestVersion: c.view.ManifestVersion,
+		RejectedVersion: c.rejected,
+		Members:         c.view.Members,
+		Moves:           sortedValues(c.view.Moves),
+	}
+	for _, m := range c.view.Members {
+		if m.Host == c.self.Host && m.Role == c.self.Role {
+			status.Member = m
+		}
+	}
+	for _, bad := range c.view.BadVersions {
+		status.BadVersions = append(status.BadVersions, bad)
+	}
+	slices.SortFunc(status.BadVersions, compareBadVersions)
+	if c.view.Manifest != nil {
+		status.Deployment = c.view.Manifest.Deployment
+		status.Pools = poolStatuses(&c.view)
+	}
+	return status
+}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,135 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/codec"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/platform"
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/settings"
+	"kingcupcourse/internal/supervisor"
+)
+
+// Sizes of the rings, in messages.
+const (
+	membersRing       = 1024
+	configurationRing = 256
+	outgoingRing      = 32
+	fetchRing         = 8
+	watchRing         = 16
+)
+
+// Options is what a Control needs from its process.
+type Options struct {
+	Settings settings.Common
+	Role     message.Role
+	Log      *zap.Logger
+	// Metrics receives the metrics of the duties.
+	Metrics prometheus.Registerer
+	// Platform is the process's client of the object API.
+	Platform *platform.Client
+}
+
+// Control is the front of the control duties for the rest of the process.
+// Its methods may be called by any duty.
+type Control struct {
+	self       message.Member
+	supervisor *supervisor.Supervisor
+
+	configuration *configuration
+	members       *members
+	ready         atomic.Bool
+}
+
+// New builds the duties, which begin when Supervisor is served.
+func New(options Options) *Control {
+	return build(options)
+}
+
+// Supervisor returns the control supervisor, a child of the process's root.
+func (c *Control) Supervisor() *supervisor.Supervisor { return c.supervisor }
+
+// Subscribe returns a ring that always holds the newest View. It must be
+// called before the supervisor is served.
+func (c *Control) Subscribe() Subscription {
+	subscription := ring.NewLatest[*View]()
+	c.configuration.subscribers = append(c.configuration.subscribers, subscription)
+	return subscription
+}
+
+// Report tells a fact to all processes. It does not wait: it fails with
+// ring.ErrFull when too many facts are on their way, and the caller may
+// report again. For FactLeaving and FactPoison a zero rank stands for now,
+// and a FactPoison without expiry expires after PoisonLifetime.
+func (c *Control) Report(fact message.Fact) error {
+	return c.members.inbox.TryPut(reported{fact: fact})
+}
+
+// ReportLeaving tells all processes that an endpoint refused work because it
+// is leaving.
+func (c *Control) ReportLeaving(endpoint string) error {
+	return c.Report(message.Fact{Kind: message.FactLeaving, Key: endpoint})
+}
+
+// Leave tells the other processes that this one drains and must get no new
+// work.
+func (c *Control) Leave(ctx context.Context) error {
+	return c.members.inbox.Put(ctx, leave{})
+}
+
+// Ready tells whether the process has a manifest that is as new as what the
+// platform or a peer had when it started.
+func (c *Control) Ready() bool { return c.ready.Load() }
+
+// Self returns the process as its peers see it.
+func (c *Control) Self() message.Member { return c.self }
+
+// Register adds the handlers of PathGossip, PathManifest and PathStatus.
+func (c *Control) Register(mux *http.ServeMux) {
+	mux.Handle(message.PathGossip, codec.Handle(c.serveGossip))
+	mux.Handle(message.PathStatus, codec.Handle(c.serveStatus))
+	mux.HandleFunc("GET "+message.PathManifest, c.serveManifest)
+}
+
+// handlerTimeout bounds how long a peer's call waits for a duty.
+const handlerTimeout = 2 * time.Second
+
+func (c *Control) serveGossip(ctx context.Context, gossip *message.Gossip) (*message.Gossip, error) {
+	request := incoming{gossip: gossip, Reply: ring.NewReply[*message.Gossip]()}
+	return ask(ctx, c.members.inbox, event(request), request.Reply)
+}
+
+func (c *Control) serveStatus(ctx context.Context, _ *message.StatusRequest) (*message.Status, error) {
+	request := statusRequest{Reply: ring.NewReply[*message.Status]()}
+	return ask(ctx, c.configuration.inbox, change(request), request.Reply)
+}
+
+func (c *Control) serveManifest(w http.ResponseWriter, r *http.Request) {
+	request := manifestRequest{Reply: ring.NewReply[*message.ManifestVersion]()}
+	held, err := ask(r.Context(), c.configuration.inbox, change(request), request.Reply)
+	if err != nil {
+		codec.WriteError(w, err)
+		return
+	}
+	codec.Write(w, held)
+}
+
+// ask puts a message into a duty's ring, refusing when it is full, and waits
+// for the reply.
+func ask[T, R any](ctx context.Context, inbox *ring.Ring[T], message T, reply ring.Reply[R]) (R, error) {
+	ctx, cancel := context.WithTimeout(ctx, handlerTimeout)
+	defer cancel()
+	if err := inbox.TryPut(message); err != nil {
+		var none R
+		return none, errors.Join(err, errors.New("control: busy"))
+	}
+	return reply.Wait(ctx)
+}
--- /dev/null
+++ b/internal/control/members.go
@@ -0,0 +1,279 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/decision/facts"
+	"kingcupcourse/internal/decision/leaving"
+	"kingcupcourse/internal/decision/membership"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/ring"
+)
+
+const (
+	// exchangePeriod is how often a process compares its facts with those
+	// of one random peer.
+	exchangePeriod = 500 * time.Millisecond
+	// fetchAgainAfter is how long a fetch of a manifest may take before
+	// another peer is asked for the same version.
+	fetchAgainAfter = 500 * time.Millisecond
+	// maxFactsPerMessage limits the facts, and the entries wanted, in one
+	// gossip message.
+	maxFactsPerMessage = 2048
+)
+
+// event is a message to the members duty.
+type event interface{ isEvent() }
+
+// reported is a fact found by this process.
+type reported struct{ fact message.Fact }
+
+// incoming is gossip that a peer sent; it is answered at once.
+type incoming struct {
+	gossip *message.Gossip
+	ring.Reply[*message.Gossip]
+}
+
+// answered is a peer's answer to gossip of this process.
+type answered struct{ gossip *message.Gossip }
+
+// hostsListed is a newer list of hosts and endpoints from the platform.
+type hostsListed struct{ list message.HostList }
+
+// manifestTaken names the manifest version in force and the highest that was
+// refused, zero for none.
+type manifestTaken struct{ version, rejected uint64 }
+
+// leave tells that the process drains.
+type leave struct{}
+
+func (reported) isEvent()      {}
+func (incoming) isEvent()      {}
+func (answered) isEvent()      {}
+func (hostsListed) isEvent()   {}
+func (manifestTaken) isEvent() {}
+func (leave) isEvent()         {}
+
+// members is the duty that owns the shared facts. It keeps its own heartbeat,
+// compares facts with a random peer each period, pushes urgent facts on, and
+// tells configuration what has changed. It never waits for another duty.
+type members struct {
+	inbox         *ring.Ring[event]
+	configuration *ring.Ring[change]
+	exchanges     *ring.Ring[outgoing]
+	pushes        []*ring.Ring[outgoing]
+	fetches       []*ring.Ring[fetch]
+	watches       []*ring.Ring[watchOrder]
+	log           logger
+	metrics       *metrics
+
+	self  message.Member
+	seeds []string // addresses to try besides the members
+
+	store *facts.Store
+	list  *leaving.List
+	known map[string]message.Member // decoded member facts, by name
+	alive map[string]bool           // names of the members that are alive
+
+	manifest    manifestTaken
+	lastFetch   fetch
+	lastFetchAt time.Time
+	watching    bool
+	changed     bool // the snapshot must be published
+
+	nextHeartbeat, nextExchange time.Time
+}
+
+// Serve implements supervisor.Duty.
+func (m *members) Serve(ctx context.Context) error {
+	m.nextHeartbeat, m.nextExchange = time.Now(), time.Now()
+	return ring.LoopUntil(ctx, m.inbox, m.handle, m.next, m.tick)
+}
+
+func (m *members) next() time.Time {
+	if m.nextHeartbeat.Before(m.nextExchange) {
+		return m.nextHeartbeat
+	}
+	return m.nextExchange
+}
+
+// tick does what is due by the time.
+func (m *members) tick() error {
+	now := time.Now()
+	if !now.Before(m.nextHeartbeat) {
+		m.nextHeartbeat = now.Add(membership.HeartbeatPeriod)
+		m.heartbeat(now)
+		m.expire(now)
+		m.judgeListed(now)
+	}
+	if !now.Before(m.nextExchange) {
+		m.nextExchange = now.Add(exchangePeriod)
+		m.updateAlive(now)
+		m.exchange()
+	}
+	m.publish()
+	return nil
+}
+
+func (m *members) handle(e event) error {
+	now := time.Now()
+	switch e := e.(type) {
+	case reported:
+		m.report(e.fact, now)
+	case incoming:
+		m.receive(e.gossip, now)
+		e.Send(m.answer(e.gossip))
+	case answered:
+		m.receive(e.gossip, now)
+		m.sendWanted(e.gossip)
+	case hostsListed:
+		m.adoptList(e.list, now)
+	case manifestTaken:
+		m.manifest = e
+		m.push(nil)
+	case leave:
+		m.self.Leaving = true
+		m.push([]message.Fact{m.heartbeat(now)})
+	}
+	m.publish()
+	return nil
+}
+
+// heartbeat renews the process's own member fact.
+func (m *members) heartbeat(now time.Time) message.Fact {
+	name := membership.Name(m.self)
+	seen, _ := m.store.Get(message.FactMember, name)
+	rank := membership.NextRank(now, seen.Rank)
+	fact := message.Fact{
+		Kind:          message.FactMember,
+		Key:           name,
+		Rank:          rank,
+		ExpiresUnixMS: int64(rank) + membership.FactLifetime.Milliseconds(),
+		Value:         encodeValue(m.self),
+	}
+	m.take([]message.Fact{fact}, now)
+	return fact
+}
+
+// report takes in a fact of this process.
+func (m *members) report(fact message.Fact, now time.Time) {
+	fact = completed(fact, now)
+	if m.isRepeatedRefusal(fact, now) {
+		return
+	}
+	m.push(m.take([]message.Fact{fact}, now))
+}
+
+// receive takes in the facts of a peer and pushes on those that are urgent.
+func (m *members) receive(gossip *message.Gossip, now time.Time) {
+	var taken []message.Fact
+	for _, fact := range gossip.Facts {
+		if fact.Kind == message.FactManifest {
+			m.considerManifest(fetch{address: gossip.From, version: fact.Rank}, now)
+			continue
+		}
+		taken = append(taken, fact)
+	}
+	m.push(urgent(m.take(taken, now)))
+}
+
+// take merges facts into the store and returns those that were news.
+func (m *members) take(incoming []message.Fact, now time.Time) []message.Fact {
+	news := m.store.Merge(incoming, now)
+	for _, fact := range news {
+		if fact.Kind == message.FactMember {
+			m.learnMember(fact)
+			continue
+		}
+		m.changed = true
+		m.log.Debug("fact learned", zap.String("kind", string(fact.Kind)),
+			zap.String("key", fact.Key), zap.Uint64("rank", fact.Rank))
+	}
+	return news
+}
+
+func (m *members) learnMember(fact message.Fact) {
+	member, err := decodeValue[message.Member](fact.Value)
+	if err != nil {
+		m.log.Warn("malformed member", zap.String("member", fact.Key), zap.Error(err))
+		return
+	}
+	if m.known[fact.Key] != member {
+		m.known[fact.Key] = member
+		m.changed = true
+	}
+	m.setAlive(fact.Key, true)
+}
+
+func (m *members) setAlive(name string, alive bool) {
+	if m.alive[name] == alive {
+		return
+	}
+	m.changed = true
+	if alive {
+		m.alive[name] = true
+		m.log.Info("member found", zap.String("member", name))
+		return
+	}
+	delete(m.alive, name)
+	m.log.Warn("member unheard, taken for dead", zap.String("member", name))
+}
+
+// updateAlive drops the members that were unheard for too long.
+func (m *members) updateAlive(now time.Time) {
+	for name := range m.alive {
+		heard := m.store.RaisedAt(message.FactMember, name)
+		if name != membership.Name(m.self) && !membership.Alive(heard, now) {
+			m.setAlive(name, false)
+		}
+	}
+}
+
+func (m *members) expire(now time.Time) {
+	for _, fact := range m.store.Expire(now) {
+		if fact.Kind == message.FactMember {
+			delete(m.known, fact.Key)
+			continue
+		}
+		m.changed = true
+	}
+}
+
+// publish tells the other duties what has changed. If a ring is full, it is
+// told at the next chance.
+func (m *members) publish() {
+	if !m.changed {
+		return
+	}
+	s := m.snapshot()
+	m.metrics.members.Set(float64(len(s.members)))
+	m.metrics.facts.Set(float64(len(m.store.All())))
+	m.orderWatches(s.members)
+	err := m.configuration.TryPut(shared{snapshot: s})
+	m.changed = errors.Is(err, ring.ErrFull)
+}
+
+func (m *members) orderWatches(members []message.Member) {
+	watching := membership.Watches(membership.Name(m.self), members, membership.MaxWatchers)
+	if watching == m.watching {
+		return
+	}
+	for _, orders := range m.watches {
+		if orders.TryPut(watchOrder{long: watching}) != nil {
+			return
+		}
+	}
+	m.watching = watching
+}
+
+// pick returns up to count distinct random peers.
+func (m *members) pick(count int) []string {
+	peers := m.peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(count, len(peers))]
+}
--- /dev/null
+++ b/internal/control/snapshot.go
@@ -0,0 +1,98 @@
+package control
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/membership"
+	"kingcupcourse/internal/message"
+)
+
+// snapshot is what the processes of the system agree on. It is immutable.
+type snapshot struct {
+	members     []message.Member
+	leaving     map[string]bool
+	badVersions map[core.EndpointVersion]message.BadVersion
+	poisonMarks map[string]int
+	moves       map[string]message.MoveStage
+}
+
+func (m *members) snapshot() snapshot {
+	s := snapshot{
+		members:     m.liveMembers(),
+		leaving:     map[string]bool{},
+		badVersions: map[core.EndpointVersion]message.BadVersion{},
+		poisonMarks: map[string]int{},
+		moves:       map[string]message.MoveStage{},
+	}
+	for _, fact := range m.store.All() {
+		s.add(fact)
+	}
+	return s
+}
+
+func (s *snapshot) add(fact message.Fact) {
+	switch fact.Kind {
+	case message.FactLeaving:
+		if isLeaving(fact) {
+			s.leaving[fact.Key] = true
+		}
+	case message.FactBadVersion:
+		s.addBadVersion(fact)
+	case message.FactPoison:
+		fingerprint, _, _ := strings.Cut(fact.Key, "/")
+		s.poisonMarks[fingerprint]++
+	case message.FactMove:
+		if stage, err := decodeValue[message.MoveStage](fact.Value); err == nil {
+			s.moves[fact.Key] = stage
+		}
+	}
+}
+
+// addBadVersion takes the version from the key, so that a verdict counts
+// even if its value does not decode.
+func (s *snapshot) addBadVersion(fact message.Fact) {
+	pool, version, ok := strings.Cut(fact.Key, "/")
+	if !ok {
+		return
+	}
+	bad, _ := decodeValue[message.BadVersion](fact.Value)
+	bad.Pool, bad.Version = pool, core.Version(version)
+	s.badVersions[core.EndpointVersion{Pool: pool, Version: bad.Version}] = bad
+}
+
+// liveMembers returns this process and the others that are alive, by role and
+// host.
+func (m *members) liveMembers() []message.Member {
+	live := []message.Member{m.self}
+	for name := range m.alive {
+		if member, ok := m.known[name]; ok && name != membership.Name(m.self) {
+			live = append(live, member)
+		}
+	}
+	slices.SortFunc(live, func(a, b message.Member) int {
+		return cmp.Or(cmp.Compare(a.Role, b.Role), cmp.Compare(a.Host, b.Host))
+	})
+	return live
+}
+
+// encodeValue returns the value of a fact. The types of values always encode.
+func encodeValue(value any) json.RawMessage {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return nil
+	}
+	return text
+}
+
+// decodeValue decodes the value of a fact; no value is the zero value.
+func decodeValue[T any](text json.RawMessage) (value T, err error) {
+	if len(text) == 0 {
+		return value, nil
+	}
+	err = json.Unmarshal(text, &value)
+	return value, err
+}
--- /dev/null
+++ b/internal/control/supervisor.go
@@ -0,0 +1,154 @@
+package control
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"kingcupcourse/internal/codec"
+	"kingcupcourse/internal/decision/facts"
+	"kingcupcourse/internal/decision/leaving"
+	"kingcupcourse/internal/decision/membership"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/supervisor"
+)
+
+const (
+	// pushers is how many duties push urgent facts, and so how many peers a
+	// fact is pushed to by each process that learns it.
+	pushers = 3
+	// fetchers is how many duties fetch manifests from peers.
+	fetchers = 3
+	// stopTimeout bounds how long a control duty may take to stop. The
+	// longest step of a duty is a call that ends with its context.
+	stopTimeout = 5 * time.Second
+)
+
+// Periods of the platform watches; see the package documentation.
+const (
+	watchWait      = 5 * time.Second
+	watchPause     = 50 * time.Millisecond // between two long watches
+	pollPeriod     = 30 * time.Second
+	watchManifest  = "manifest"
+	watchHosts     = "hosts"
+	prefixVerdicts = "verdicts/"
+	prefixMoves    = "status/moves/"
+)
+
+// build lists the children of the control supervisor. They are started in
+// this order and stopped in the reverse: what feeds a duty starts after it
+// and stops before it. A child that fails is restarted alone and goes on from
+// its state; a restart storm is passed on to the root.
+func build(options Options) *Control {
+	c := &Control{self: selfOf(options)}
+	counters := newMetrics(options.Metrics)
+	transport := codec.NewTransport(fetchTimeout)
+	client := &http.Client{Transport: countingTransport{transport, counters}}
+	c.configuration = newConfiguration(c, options.Log, counters)
+	c.members = newMembers(c, options.Log, counters, options.Settings.Peers)
+	c.configuration.members = c.members.inbox
+	c.members.configuration = c.configuration.inbox
+
+	children := []supervisor.Child{
+		{Name: "configuration", Duty: c.configuration},
+		{Name: "members", Duty: c.members},
+	}
+	caller := caller{self: c.self.Address, client: client, members: c.members.inbox, metrics: counters}
+	c.members.exchanges = ring.New[outgoing]("control_exchange", outgoingRing)
+	children = append(children, supervisor.Child{Name: "exchange",
+		Duty: &exchanger{caller: caller, inbox: c.members.exchanges}})
+	for i := range pushers {
+		inbox := ring.New[outgoing]("control_push", outgoingRing)
+		c.members.pushes = append(c.members.pushes, inbox)
+		children = append(children, supervisor.Child{Name: fmt.Sprintf("push-%d", i),
+			Duty: &exchanger{caller: caller, inbox: inbox}})
+	}
+	for i := range fetchers {
+		children = append(children, supervisor.Child{Name: fmt.Sprintf("fetch-%d", i),
+			Duty: c.newFetcher(i, &http.Client{Transport: transport}, options)})
+	}
+	children = append(children, c.watchers(options, counters)...)
+	for i := range children {
+		children[i].StopTimeout = stopTimeout
+	}
+	c.supervisor = supervisor.New(supervisor.Spec{Name: "control", Children: children}, options.Log)
+	return c
+}
+
+func selfOf(options Options) message.Member {
+	return message.Member{
+		Host:             options.Settings.Host,
+		Role:             options.Role,
+		Region:           options.Settings.Region,
+		AvailabilityZone: options.Settings.AvailabilityZone,
+		Address:          options.Settings.Control,
+	}
+}
+
+// newFetcher returns the fetcher that asks its share of the configured peers
+// at start.
+func (c *Control) newFetcher(number int, client *http.Client, options Options) *fetcher {
+	f := &fetcher{
+		client:        client,
+		inbox:         ring.New[fetch]("control_fetch", fetchRing),
+		configuration: c.configuration.inbox,
+		log:           options.Log,
+	}
+	for i, peer := range options.Settings.Peers {
+		if i%fetchers == number && peer != c.self.Address {
+			f.unasked = append(f.unasked, peer)
+		}
+	}
+	c.members.fetches = append(c.members.fetches, f.inbox)
+	return f
+}
+
+func (c *Control) watchers(options Options, counters *metrics) []supervisor.Child {
+	var children []supervisor.Child
+	for _, spec := range []watchSpec{
+		{name: "watch-manifest", prefix: watchManifest, long: true, deliver: c.deliverManifest, answered: c.platformAnswered},
+		{name: "watch-hosts", prefix: watchHosts, long: true, deliver: c.deliverHosts},
+		{name: "poll-verdicts", prefix: prefixVerdicts, deliver: c.deliverVerdict},
+		{name: "poll-moves", prefix: prefixMoves, deliver: c.deliverMove},
+	} {
+		w := &watcher{
+			watchSpec: spec,
+			platform:  options.Platform,
+			orders:    ring.New[watchOrder]("control_"+spec.name, watchRing),
+			log:       options.Log,
+			metrics:   counters,
+		}
+		if spec.long {
+			c.members.watches = append(c.members.watches, w.orders)
+		}
+		children = append(children, supervisor.Child{Name: spec.name, Duty: w})
+	}
+	return children
+}
+
+func newMembers(c *Control, log logger, counters *metrics, seeds []string) *members {
+	return &members{
+		inbox:   ring.New[event]("control_members", membersRing),
+		log:     log,
+		metrics: counters,
+		self:    c.self,
+		seeds:   slices.Clone(seeds),
+		store:   facts.NewStore(),
+		list:    leaving.NewList(),
+		known:   map[string]message.Member{},
+		alive:   map[string]bool{membership.Name(c.self): true},
+	}
+}
+
+func newConfiguration(c *Control, log logger, counters *metrics) *configuration {
+	return &configuration{
+		inbox:   ring.New[change]("control_configuration", configurationRing),
+		log:     log,
+		metrics: counters,
+		self:    c.self,
+		ready:   &c.ready,
+		view:    View{Members: []message.Member{c.self}},
+	}
+}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -1,6 +1,21 @@
 // Package control is the supervisor of the duties that every process runs
 // to know the configuration, the other processes, and the facts that they
 // share. Its duties publish one immutable View to the rings of subscribers.
+//
+// The duties are: configuration, which owns the manifest in force and
+// publishes the View; members, which owns the shared facts; exchange and
+// push, which call peers for members; fetch, which gets manifests from peers;
+// and watchers, which follow the platform.
+//
+// # Calls to the platform
+//
+// The platform counts each call, and a waiting watch as one a second, and
+// allows about 2,000 reads a second. Only the first 24 members by hash hold
+// long watches, on "manifest" and "hosts"; the others learn by gossip and
+// poll all four prefixes about every 22 s, as the 24 do with "verdicts/" and
+// "status/moves/". With 380 hosts of 3 processes that comes to
+// 24 x 2 + (1140 x 4 - 24 x 2) / 22 = 253 calls a second, an eighth of what
+// is allowed; with 7 hosts to 21 x 2 + 21 x 2 / 22 = 44.
 package control
 
 import (
--- /dev/null
+++ b/internal/process/log.go
@@ -0,0 +1,45 @@
+package process
+
+import (
+	"io"
+	"runtime/debug"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/settings"
+)
+
+// newLog returns the log of a process, which has a line for each decision and
+// so is not sampled. Each line names the host and role.
+func newLog(common settings.Common, role message.Role, out io.Writer) *zap.Logger {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.ISO8601TimeEncoder
+	encoder := zapcore.NewJSONEncoder(config)
+	if common.Log.Format == "console" {
+		encoder = zapcore.NewConsoleEncoder(config)
+	}
+	level, err := zapcore.ParseLevel(common.Log.Level)
+	if err != nil {
+		level = zapcore.InfoLevel // settings were checked before
+	}
+	core := zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(out)), level)
+	return zap.New(core).With(zap.String("host", common.Host), zap.String("role", string(role)))
+}
+
+// Version returns the module version and commit that the program was built
+// from.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	version := info.Main.Version
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			version += " " + setting.Value
+		}
+	}
+	return version + " " + info.GoVersion
+}
--- /dev/null
+++ b/internal/process/supervisor.go
@@ -0,0 +1,124 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/control"
+	"kingcupcourse/internal/platform"
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/settings"
+	"kingcupcourse/internal/supervisor"
+)
+
+const (
+	// listenerGrace is how long the admin and control listeners give calls
+	// in progress to finish.
+	listenerGrace = 5 * time.Second
+	// stopMargin is added to the drain time of the settings, so that a duty
+	// can tell that its drain ended before its supervisor gives it up.
+	stopMargin = 5 * time.Second
+)
+
+// tree is the root supervisor of a process and what belongs to it.
+type tree struct {
+	root     *supervisor.Supervisor
+	draining atomic.Bool
+	// stop ends the tree after the drain delay.
+	stop context.CancelFunc
+}
+
+// serve builds the tree and runs it until ctx ends or the tree gives up.
+func serve[T any](ctx context.Context, role Role[T], loaded *T, log *zap.Logger) int {
+	treeCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	t := &tree{stop: stop}
+	if err := buildTree(ctx, t, role, loaded, log); err != nil {
+		log.Error("start failed", zap.String("error", eris.ToString(err, false)))
+		return ExitFailed
+	}
+	log.Info("starting", zap.String("version", Version()), zap.Strings("duties", t.root.Names()))
+	err := t.root.Serve(treeCtx)
+	if errors.Is(err, supervisor.ErrRestartStorm) {
+		log.Error("giving up", zap.Error(err))
+		return ExitRestartStorm
+	}
+	log.Info("stopped")
+	return ExitOK
+}
+
+// buildTree lists the children of the root. They are started in this order
+// and stopped in the reverse: the role's front duties drain first, while the
+// rest still serves them, and metrics can be read to the end. A child that
+// fails is restarted alone; a restart storm ends the process.
+func buildTree[T any](signalled context.Context, t *tree, role Role[T], loaded *T, log *zap.Logger) error {
+	common := *role.Common(loaded)
+	env := newEnvironment(t, role, common, log)
+	duties, err := role.Build(env, loaded)
+	if err != nil {
+		return eris.Wrap(err, "build duties")
+	}
+	admin, err := supervisor.Listen(common.Admin, t.adminHandler(env), listenerGrace)
+	if err != nil {
+		return eris.Wrap(err, "listen for operators")
+	}
+	peers, err := supervisor.Listen(common.Control, env.ControlMux, listenerGrace)
+	if err != nil {
+		return eris.Wrap(err, "listen for peers")
+	}
+	drain := time.Duration(common.DrainMS)*time.Millisecond + stopMargin
+	t.root = supervisor.New(supervisor.Spec{Name: role.Program, Children: slices.Concat(
+		[]supervisor.Child{
+			{Name: "admin", Duty: admin},
+			{Name: "control", Duty: env.Control.Supervisor()},
+		},
+		withStopTimeout(duties.Behind, drain),
+		[]supervisor.Child{{Name: "peers", Duty: peers}},
+		withStopTimeout(duties.Front, drain),
+		[]supervisor.Child{{Name: "drain", Duty: t.newDrain(signalled, env)}},
+	)}, log)
+	return nil
+}
+
+func newEnvironment[T any](t *tree, role Role[T], common settings.Common, log *zap.Logger) *Environment {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(ring.Collector{}, collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	env := &Environment{
+		Settings:   common,
+		Log:        log,
+		Metrics:    registry,
+		Platform:   platform.New(common.Platform),
+		ControlMux: http.NewServeMux(),
+		Draining:   t.draining.Load,
+	}
+	env.Control = control.New(control.Options{
+		Settings: common,
+		Role:     role.Role,
+		Log:      log,
+		Metrics:  registry,
+		Platform: env.Platform,
+	})
+	env.Control.Register(env.ControlMux)
+	return env
+}
+
+// withStopTimeout fills in the stop timeout of children that name none.
+func withStopTimeout(children []supervisor.Child, timeout time.Duration) []supervisor.Child {
+	children = slices.Clone(children)
+	for i := range children {
+		if children[i].StopTimeout == 0 {
+			children[i].StopTimeout = timeout
+		}
+	}
+	return children
+}
