--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -107,12 +107,13 @@
 // consider takes in a manifest that is newer than the one in force and has
 // no findings.
 func (c *configuration) consider(ctx context.Context, m offered) error {
-	if m.version <= c.view.ManifestVersion || m.version <= c.rejected {
+	// A version below a refused one may still be the newest that is good.
+	if m.version <= c.view.ManifestVersion || m.version == c.rejected {
 		return nil
 	}
 	parsed, list := manifest.Parse(m.text)
 	if len(list) > 0 {
-		c.rejected = m.version
+		c.rejected = max(c.rejected, m.version)
 		c.metrics.manifestsRejected.Inc()
 		c.log.Error("manifest refused", zap.Uint64("version", m.version), zap.String("source", m.source),
 			zap.Strings("findings", findingLines(list)))
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -87,9 +87,9 @@
 }
 
 // considerManifest fetches a manifest from a peer that claims a version above
-// those known.
+// the one in force that was not refused.
 func (m *members) considerManifest(f fetch, now time.Time) {
-	if f.version <= max(m.manifest.version, m.manifest.rejected) {
+	if f.version <= m.manifest.version || f.version == m.manifest.rejected {
 		return
 	}
 	if f.version <= m.lastFetch.version && now.Sub(m.lastFetchAt) < fetchAgainAfter {
