--- /dev/null
+++ b/internal/ctl/moves.go
@@ -0,0 +1,128 @@
+package ctl
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/message"
+)
+
+// prefixMoves is where the status of each move is kept.
+const prefixMoves = "status/moves/"
+
+// movesCommand prints how far the moves have come.
+type movesCommand struct {
+	JSON bool `help:"Print JSON." name:"json"`
+}
+
+// moveStatus is one planned move and its stage.
+type moveStatus struct {
+	Move        string        `json:"move"`
+	Pool        string        `json:"pool"`
+	FromVersion core.Version  `json:"from_version,omitempty"`
+	ToVersion   core.Version  `json:"to_version,omitempty"`
+	Stage       message.Stage `json:"stage"`
+	Share       float64       `json:"share"`
+	// DeadlineUnixMS is zero for a move that the manifest no longer has.
+	DeadlineUnixMS int64  `json:"deadline_unix_ms,omitempty"`
+	Reason         string `json:"reason,omitempty"`
+}
+
+// Run implements the command.
+func (c *movesCommand) Run(env *environment) error {
+	if err := env.requirePlatform(); err != nil {
+		return err
+	}
+	moves, err := readMoves(env)
+	if err != nil {
+		return err
+	}
+	var text bytes.Buffer
+	if c.JSON {
+		err = writeJSON(&text, moves)
+	} else {
+		err = writeMoves(&text, moves)
+	}
+	if err != nil {
+		return err
+	}
+	return env.print(&text)
+}
+
+// readMoves returns the moves of the manifest and then those that only have
+// a status.
+func readMoves(env *environment) ([]moveStatus, error) {
+	object, err := env.current()
+	if err != nil {
+		return nil, err
+	}
+	changes, err := env.platform.Watch(env.ctx, prefixMoves, 0, 0)
+	if err != nil {
+		return nil, err
+	}
+	stages := map[string]message.MoveStage{}
+	for _, o := range changes.Objects {
+		var stage message.MoveStage
+		if err := json.Unmarshal(o.Value, &stage); err != nil {
+			return nil, fmt.Errorf("%s: %w", o.Key, err)
+		}
+		stages[strings.TrimPrefix(o.Key, prefixMoves)] = stage
+	}
+	return joinMoves(object.Value, stages), nil
+}
+
+func joinMoves(text json.RawMessage, stages map[string]message.MoveStage) []moveStatus {
+	moves := []moveStatus{}
+	if parsed, list := manifest.Parse(text); len(list) == 0 {
+		for _, planned := range parsed.Moves {
+			moves = append(moves, plannedStatus(planned, stages))
+			delete(stages, planned.Name)
+		}
+	}
+	var unplanned []moveStatus
+	for name, stage := range stages {
+		unplanned = append(unplanned, moveStatus{Move: name, Pool: stage.Pool, Stage: stage.Stage,
+			Share: stage.Share, Reason: stage.Reason})
+	}
+	slices.SortFunc(unplanned, func(a, b moveStatus) int { return strings.Compare(a.Move, b.Move) })
+	return append(moves, unplanned...)
+}
+
+func plannedStatus(planned manifest.Move, stages map[string]message.MoveStage) moveStatus {
+	status := moveStatus{
+		Move:           planned.Name,
+		Pool:           planned.Pool,
+		FromVersion:    planned.FromVersion,
+		ToVersion:      planned.ToVersion,
+		Stage:          message.StagePending,
+		DeadlineUnixMS: planned.DeadlineUnixMS,
+	}
+	if stage, ok := stages[planned.Name]; ok {
+		status.Stage, status.Share, status.Reason = stage.Stage, stage.Share, stage.Reason
+	}
+	return status
+}
+
+func writeMoves(out *bytes.Buffer, moves []moveStatus) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "MOVE\tPOOL\tFROM\tTO\tSTAGE\tSHARE\tDEADLINE\tREASON")
+	for _, m := range moves {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%.2f\t%s\t%s\n", m.Move, m.Pool, m.FromVersion, m.ToVersion,
+			m.Stage, m.Share, deadline(m.DeadlineUnixMS), m.Reason)
+	}
+	return table.Flush()
+}
+
+func deadline(unixMS int64) string {
+	if unixMS == 0 {
+		return "not in the manifest"
+	}
+	return time.UnixMilli(unixMS).UTC().Format(time.RFC3339)
+}
--- /dev/null
+++ b/internal/ctl/supervisor.go
@@ -0,0 +1,61 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/alecthomas/kong"
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/codec"
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/supervisor"
+)
+
+// askerCount is how many processes are asked at the same time.
+const askerCount = 8
+
+// errCrashed means that the command's duty panicked.
+var errCrashed = errors.New("the command crashed")
+
+// runTree runs the chosen command as a duty beside the duties that ask
+// processes, which start first and stop last. A command that crashed is not
+// run again; an asker that crashed is.
+func runTree(env *environment, chosen *kong.Context) error {
+	ctx, stop := context.WithCancel(context.WithoutCancel(env.ctx))
+	defer stop()
+	env.askers = newAskers(codec.NewTransport(askTimeout))
+	c := &command{env: env, chosen: chosen, stop: stop, ended: ring.NewReply[error]()}
+	var children []supervisor.Child
+	for i := range askerCount {
+		children = append(children, supervisor.Child{Name: fmt.Sprintf("ask-%d", i), Duty: env.askers.duty()})
+	}
+	children = append(children, supervisor.Child{Name: "command", Duty: c})
+	tree := supervisor.New(supervisor.Spec{Name: program, Children: children}, zap.NewNop())
+	_ = tree.Serve(ctx)       // ends when the command has ended
+	c.ended.Send(errCrashed) // counts only if the command has not answered
+	err, _ := c.ended.Wait(context.Background())
+	return err
+}
+
+// command is the duty that runs the chosen command once.
+type command struct {
+	env    *environment
+	chosen *kong.Context
+	stop   context.CancelFunc
+	ended  ring.Reply[error]
+	begun  bool
+}
+
+// Serve implements supervisor.Duty.
+func (c *command) Serve(context.Context) error {
+	defer c.stop()
+	if c.begun {
+		c.ended.Send(errCrashed)
+		return supervisor.ErrDone
+	}
+	c.begun = true
+	c.ended.Send(c.chosen.Run(c.env))
+	return supervisor.ErrDone
+}
