Check the shape of the code with three analyzers

Cause: nothing kept goroutines, channels, locks and sleeps out of the packages other than ring and supervisor, nor clocks and encodings out of the decision packages.

Ruled out: a text search, which misses dot imports, renamed imports and named channel types; the analyzers resolve each name by its type.

Result: planted violations of each rule are found by analysistest, and the built command exits with status 3 on a planted module; its findings are kept as a golden file.

--- /dev/null
+++ b/internal/shapecheck/decision.go
@@ -0,0 +1,65 @@
+package shapecheck
+
+import (
+	"go/token"
+	"strings"
+
+	"golang.org/x/tools/go/analysis"
+)
+
+// Decision reports what ties a decision package to the encoding of messages,
+// to a clock, to chance or to other goroutines.
+var Decision = &analysis.Analyzer{
+	Name: "shapedecision",
+	Doc:  "report imports and calls that keep internal/decision from being pure",
+	Run:  runDecision,
+}
+
+// decisionForbidden lists the packages, each with all packages below it, that
+// a decision package must not import.
+var decisionForbidden = []string{
+	"net", "os", "io", "bufio", "encoding", "log", "sync", "context",
+	"go.uber.org/zap", "github.com/prometheus", ringPath, supervisorPath,
+}
+
+var clockNames = map[string]bool{"Now": true, "Since": true, "Until": true, "NewTimer": true}
+
+func runDecision(pass *analysis.Pass) (any, error) {
+	if !within(pass.Pkg.Path(), decisionPath) {
+		return nil, nil
+	}
+	for _, file := range productFiles(pass) {
+		eachImport(file, func(path string, at token.Pos) { reportDecisionImport(pass, path, at) })
+		eachGlobalUse(pass, file, func(path, name string, at token.Pos) {
+			reportDecisionUse(pass, path, name, at)
+		})
+	}
+	return nil, nil
+}
+
+func reportDecisionImport(pass *analysis.Pass, path string, at token.Pos) {
+	for _, forbidden := range decisionForbidden {
+		if within(path, forbidden) {
+			pass.Reportf(at, "import of %s: a decision stays apart from encoding, input, output and concurrency", path)
+		}
+	}
+}
+
+func reportDecisionUse(pass *analysis.Pass, path, name string, at token.Pos) {
+	switch {
+	case path == "time" && clockNames[name]:
+		pass.Reportf(at, "time.%s: a decision gets the time as an argument", name)
+	case within(path, "math/rand") && isGlobalRandom(name):
+		pass.Reportf(at, "rand.%s: a decision gets its *rand.Rand as an argument", name)
+	}
+}
+
+// isGlobalRandom reports whether the name of package rand is a function that
+// draws from the global source. Constructors and types are not.
+func isGlobalRandom(name string) bool {
+	switch name {
+	case "Rand", "Source", "Source64", "Zipf", "PCG", "ChaCha8":
+		return false
+	}
+	return !strings.HasPrefix(name, "New")
+}
--- /dev/null
+++ b/internal/shapecheck/doc.go
@@ -0,0 +1,26 @@
+// Package shapecheck holds the static checks that keep the code base in its
+// shape: supervisor trees, duties joined by bounded rings, and decisions that
+// neither read a clock nor touch the network.
+package shapecheck
+
+import (
+	"strings"
+
+	"golang.org/x/tools/go/analysis"
+)
+
+const (
+	modulePath     = "kingcupcourse"
+	internalPath   = modulePath + "/internal"
+	ringPath       = internalPath + "/ring"
+	supervisorPath = internalPath + "/supervisor"
+	decisionPath   = internalPath + "/decision"
+)
+
+// Analyzers lists all checks of this package.
+var Analyzers = []*analysis.Analyzer{Concurrency, Decision, Tree}
+
+// within reports whether a package is the parent or lies below it.
+func within(path, parent string) bool {
+	return path == parent || strings.HasPrefix(path, parent+"/")
+}
--- /dev/null
+++ b/internal/shapecheck/shapecheck_test.go
@@ -0,0 +1,72 @@
+package shapecheck
+
+import (
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"golang.org/x/tools/go/analysis/analysistest"
+)
+
+func TestAnalyzersFindPlantedViolations(t *testing.T) {
+	for _, analyzer := range Analyzers {
+		t.Run(analyzer.Name, func(t *testing.T) {
+			analysistest.Run(t, analysistest.TestData(), analyzer, planted[analyzer.Name]...)
+		})
+	}
+}
+
+var planted = map[string][]string{
+	Concurrency.Name: {
+		"kingcupcourse/internal/entry/concurrency", "kingcupcourse/internal/ring",
+		"kingcupcourse/internal/supervisor",
+	},
+	Decision.Name: {"kingcupcourse/internal/decision/place", "kingcupcourse/internal/decisionlog"},
+	Tree.Name: {
+		"kingcupcourse/internal/entry/unbuilt", "kingcupcourse/internal/quiet",
+		"kingcupcourse/internal/supervisor",
+	},
+}
+
+// The built command must fail with each finding's place and reason, so that
+// CI can't pass over one.
+func TestCommandFailsOnAPlantedModule(t *testing.T) {
+	folder := t.TempDir()
+	command := filepath.Join(folder, "kingcup-shapecheck")
+	run(t, ".", 0, "go", "build", "-o", command, "kingcupcourse/cmd/kingcup-shapecheck")
+	module := filepath.Join(folder, "module")
+	if err := os.CopyFS(module, os.DirFS("testdata/module")); err != nil {
+		t.Fatal(err)
+	}
+	const foundSomething = 3
+	found := run(t, module, foundSomething, command, "-test=false", "./...")
+	goldie.New(t).Assert(t, "module", []byte(sorted(strings.ReplaceAll(found, module, "."))))
+}
+
+func run(t *testing.T, folder string, wantExit int, name string, arguments ...string) string {
+	t.Helper()
+	command := exec.CommandContext(t.Context(), name, arguments...)
+	command.Dir = folder
+	output, err := command.CombinedOutput()
+	var failed *exec.ExitError
+	if err != nil && !errors.As(err, &failed) {
+		t.Fatal(err)
+	}
+	if got := command.ProcessState.ExitCode(); got != wantExit {
+		t.Fatalf("%s exits with %d, want %d:\n%s", name, got, wantExit, output)
+	}
+	return string(output)
+}
+
+// sorted orders the findings, which the checker prints package by package as
+// they finish.
+func sorted(output string) string {
+	lines := strings.Split(strings.TrimSpace(output), "\n")
+	slices.Sort(lines)
+	return strings.Join(lines, "\n") + "\n"
+}
--- /dev/null
+++ b/internal/shapecheck/testdata/src/github.com/prometheus/client_golang/prometheus/prometheus.go
@@ -0,0 +1,1 @@
+package prometheus
--- /dev/null
+++ b/internal/shapecheck/testdata/src/go.uber.org/zap/zap.go
@@ -0,0 +1,1 @@
+package zap
--- /dev/null
+++ b/internal/shapecheck/testdata/src/golang.org/x/sync/errgroup/errgroup.go
@@ -0,0 +1,5 @@
+package errgroup
+
+type Group struct{}
+
+func (Group) Wait() {}
--- /dev/null
+++ b/internal/shapecheck/testdata/src/kingcupcourse/internal/supervisor/supervisor.go
@@ -0,0 +1,8 @@
+// Package supervisor stands in for the real one, which may start goroutines.
+package supervisor
+
+type Supervisor struct{}
+
+func New() *Supervisor { return &Supervisor{} }
+
+func (s *Supervisor) Start(work func()) { go work() }
--- /dev/null
+++ b/internal/shapecheck/tree.go
@@ -0,0 +1,39 @@
+package shapecheck
+
+import (
+	"go/ast"
+	"go/token"
+
+	"golang.org/x/tools/go/analysis"
+)
+
+// Tree reports a file supervisor.go that builds no supervisor. Each folder
+// with duties has its supervisor in the file of that name.
+var Tree = &analysis.Analyzer{
+	Name: "shapetree",
+	Doc:  "report supervisor.go files that do not call supervisor.New",
+	Run:  runTree,
+}
+
+const treeFile = "supervisor.go"
+
+func runTree(pass *analysis.Pass) (any, error) {
+	path := pass.Pkg.Path()
+	if !within(path, internalPath) || path == supervisorPath {
+		return nil, nil
+	}
+	for _, file := range productFiles(pass) {
+		if fileName(pass, file) == treeFile && !buildsSupervisor(pass, file) {
+			pass.Reportf(file.Name.Pos(), "%s does not call supervisor.New", treeFile)
+		}
+	}
+	return nil, nil
+}
+
+func buildsSupervisor(pass *analysis.Pass, file *ast.File) bool {
+	found := false
+	eachGlobalUse(pass, file, func(path, name string, _ token.Pos) {
+		found = found || (path == supervisorPath && name == "New")
+	})
+	return found
+}
