--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -77,3 +77,14 @@
 		t.Fatalf("got %d, %v", got, err)
 	}
 }
+
+func TestPauseEndsWithItsContext(t *testing.T) {
+	if err := Pause(t.Context(), time.Millisecond); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	if err := Pause(ctx, time.Hour); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("got %v, want the context's error", err)
+	}
+}
--- a/internal/supervisor/http.go
+++ b/internal/supervisor/http.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,11 +26,13 @@
 	address  string
 	handler  http.Handler
 	grace    time.Duration
+	wrap     func(net.Conn) net.Conn
+	cut      atomic.Bool
 }
 
 // Listen binds the address at once, so that a port in use is found before
-// the tree starts. On stop the duty takes no new connection and gives those
-// in progress the grace time to finish.
+// the tree starts. On stop the duty takes no new connection, gives those in
+// progress the grace time to finish and then closes them.
 func Listen(address string, handler http.Handler, grace time.Duration) (*HTTP, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -41,6 +44,13 @@
 // Address returns the bound address with its port.
 func (h *HTTP) Address() string { return h.address }
 
+// WrapConnections makes the duty serve wrap(connection) in place of each
+// accepted connection. It must be called before Serve.
+func (h *HTTP) WrapConnections(wrap func(net.Conn) net.Conn) { h.wrap = wrap }
+
+// CutOnStop makes the next stop close every open connection at once.
+func (h *HTTP) CutOnStop() { h.cut.Store(true) }
+
 // Serve accepts connections until ctx ends, then drains. It returns nil
 // after a complete drain.
 func (h *HTTP) Serve(ctx context.Context) error {
@@ -55,7 +65,7 @@
 	}
 	drained := make(chan error, 1)
 	stop := context.AfterFunc(ctx, func() { drained <- h.drain(server) })
-	err := server.Serve(h.listener)
+	err := server.Serve(&wrappingListener{Listener: h.listener, wrap: h.wrap})
 	h.listener = nil
 	if errors.Is(err, http.ErrServerClosed) {
 		return <-drained
@@ -73,7 +83,30 @@
 }
 
 func (h *HTTP) drain(server *http.Server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), h.grace)
+	grace := h.grace
+	if h.cut.Load() {
+		grace = 0
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
-	return server.Shutdown(ctx)
+	err := server.Shutdown(ctx)
+	if err != nil {
+		_ = server.Close()
+	}
+	return err
+}
+
+// wrappingListener hands out its connections through wrap, if there is one.
+type wrappingListener struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+// Accept implements net.Listener.
+func (l *wrappingListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	if err != nil || l.wrap == nil {
+		return connection, err
+	}
+	return l.wrap(connection), nil
 }
--- a/internal/supervisor/kill.go
+++ b/internal/supervisor/kill.go
@@ -15,6 +15,8 @@
 type guard struct {
 	duty Duty
 	name string
+	// finished is called when the duty returns ErrDone.
+	finished func()
 
 	mu     sync.Mutex
 	cancel context.CancelCauseFunc
@@ -34,6 +36,9 @@
 	if errors.Is(context.Cause(inner), ErrKilled) {
 		return ErrKilled
 	}
+	if errors.Is(err, ErrDone) {
+		g.finished()
+	}
 	return err
 }
 
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,8 +22,8 @@
 // intensity allows. The parent counts it as one failure of this supervisor.
 var ErrRestartStorm = errors.New("supervisor: children fail too fast")
 
-// ErrDone is returned by a duty that has finished for good and must not be
-// restarted.
+// ErrDone is returned by a duty that has finished for good. It is not
+// restarted and its supervisor forgets it.
 var ErrDone = suture.ErrDoNotRestart
 
 // ErrUnknownChild is returned by Kill and Remove for a name that is not in
@@ -97,17 +98,27 @@
 	}
 	s := &Supervisor{spec: spec, log: log.With(zap.String("supervisor", spec.Name))}
 	for _, child := range spec.Children {
-		s.children = append(s.children, newEntry(child))
+		s.children = append(s.children, s.newEntry(child))
 	}
 	return s
 }
 
-func newEntry(child Child) *entry {
+func (s *Supervisor) newEntry(child Child) *entry {
 	if child.StopTimeout == 0 {
 		child.StopTimeout = DefaultStopTimeout
 	}
 	nested, _ := child.Duty.(*Supervisor)
-	return &entry{child: child, guard: &guard{duty: child.Duty, name: child.Name}, nested: nested}
+	e := &entry{child: child, nested: nested}
+	e.guard = &guard{duty: child.Duty, name: child.Name, finished: func() { s.drop(e) }}
+	return e
+}
+
+// drop forgets a child that has finished for good.
+func (s *Supervisor) drop(finished *entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.children = slices.DeleteFunc(slices.Clone(s.children),
+		func(e *entry) bool { return e == finished })
 }
 
 // Serve runs the children until ctx ends, then stops them in reverse order.
@@ -172,7 +183,7 @@
 func (s *Supervisor) Add(child Child) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := newEntry(child)
+	e := s.newEntry(child)
 	if s.running != nil {
 		e.token = s.running.Add(e.guard)
 	}
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -122,3 +123,54 @@
 	await(t, events, "stop late")
 	_ = stop()
 }
+
+// once is a duty that finishes for good when it is let go.
+type once struct{ letGo *ring.Ring[string] }
+
+func (d *once) Serve(ctx context.Context) error {
+	if _, err := d.letGo.Take(ctx); err != nil {
+		return err
+	}
+	return ErrDone
+}
+
+func TestForgetsAChildThatIsDone(t *testing.T) {
+	s := New(Spec{Name: "root"}, zap.NewNop())
+	stop := serve(t, s)
+	letGo := ring.New[string]("let_go", 1)
+	s.Add(Child{Name: "once", Duty: &once{letGo: letGo}})
+	_ = letGo.TryPut("go")
+	for deadline := time.Now().Add(5 * time.Second); len(s.Names()) > 0; {
+		if time.Now().After(deadline) {
+			t.Fatalf("children left: %v", s.Names())
+		}
+		time.Sleep(time.Millisecond)
+	}
+	_ = stop()
+}
+
+func TestCutOnStopClosesOpenConnections(t *testing.T) {
+	arrived := ring.New[string]("arrived", 1)
+	h, err := Listen("127.0.0.1:0", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_ = arrived.TryPut(r.URL.Path)
+		<-r.Context().Done()
+	}), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop := serve(t, New(Spec{Name: "root", Children: []Child{{Name: "http", Duty: h}}}, zap.NewNop()))
+	ended := ring.NewReply[error]()
+	go func() {
+		response, err := http.Get("http://" + h.Address() + "/hang")
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		ended.Send(err)
+	}()
+	await(t, arrived, "/hang")
+	h.CutOnStop()
+	_ = stop()
+	if err, _ := ended.Wait(t.Context()); err == nil {
+		t.Fatal("the open call was answered")
+	}
+}
