--- /dev/null
+++ b/internal/standin/front/door.go
@@ -0,0 +1,101 @@
+package front
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/supervisor"
+)
+
+// acceptName is the child that accepts connections.
+const acceptName = "accept"
+
+// door is the listener of a stand-in, which can be closed and opened again.
+// It is owned by the fault duty; only the connections read silentBelow.
+type door struct {
+	tree    *supervisor.Supervisor
+	address string
+	handler http.Handler
+	grace   time.Duration
+	accept  *supervisor.HTTP
+	log     *zap.Logger
+
+	accepted atomic.Int64
+	// silentBelow is the number of the first connection that is not silent.
+	silentBelow atomic.Int64
+}
+
+// listen binds the address and makes the accepting duty.
+func (d *door) listen() error {
+	accept, err := supervisor.Listen(d.address, d.handler, d.grace)
+	if err != nil {
+		return err
+	}
+	accept.WrapConnections(d.number)
+	d.address = accept.Address()
+	d.accept = accept
+	return nil
+}
+
+// open binds the address again. An open door stays as it is.
+func (d *door) open() error {
+	if d.accept != nil {
+		return nil
+	}
+	if err := d.listen(); err != nil {
+		return err
+	}
+	d.tree.Add(supervisor.Child{Name: acceptName, Duty: d.accept})
+	return nil
+}
+
+// close cuts all connections and gives the port back.
+func (d *door) close() {
+	if d.accept == nil {
+		return
+	}
+	d.accept.CutOnStop()
+	d.accept = nil
+	if err := d.tree.Remove(acceptName); err != nil {
+		d.log.Warn("closing the door", zap.Error(err))
+	}
+}
+
+// silence makes the connections open now silent for good.
+func (d *door) silence() { d.silentBelow.Store(d.accepted.Load() + 1) }
+
+func (d *door) number(connection net.Conn) net.Conn {
+	return &numbered{Conn: connection, number: d.accepted.Add(1), silentBelow: &d.silentBelow}
+}
+
+// numbered is a connection that can go silent: it then swallows what is
+// written, and what the other side sends is never seen.
+type numbered struct {
+	net.Conn
+	number      int64
+	silentBelow *atomic.Int64
+}
+
+func (c *numbered) silent() bool { return c.number < c.silentBelow.Load() }
+
+// Read implements net.Conn.
+func (c *numbered) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.silent() {
+			return n, err
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *numbered) Write(p []byte) (int, error) {
+	if c.silent() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
