--- /dev/null
+++ b/internal/load/caller/answer.go
@@ -0,0 +1,134 @@
+package caller
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/load/collector"
+	"kingcupcourse/internal/load/workload"
+	"kingcupcourse/internal/standin/tokens"
+)
+
+const (
+	maxAnswerBytes = 8 << 20
+	maxLineBytes   = 1 << 20
+)
+
+// refusalBody is the typed refusal of an entry host.
+type refusalBody struct {
+	Error struct {
+		Disposition core.Disposition `json:"disposition"`
+		Reason      core.Reason      `json:"reason"`
+	} `json:"error"`
+}
+
+// completionBodyAnswer is the answer of a completions call, whole or one
+// event of a stream.
+type completionBodyAnswer struct {
+	Choices []struct {
+		Text         string `json:"text"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage struct {
+		CompletionTokens int `json:"completion_tokens"`
+	} `json:"usage"`
+}
+
+func readAnswer(sample *collector.Sample, response *http.Response, a workload.Arrival, due time.Time) {
+	sample.Status = response.StatusCode
+	sample.RequestID = response.Header.Get("X-Request-Id")
+	body := io.LimitReader(response.Body, maxAnswerBytes)
+	switch {
+	case response.StatusCode >= http.StatusBadRequest:
+		readRefusal(sample, body)
+	case strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream"):
+		readStream(sample, body, a, due)
+	case a.Class.Model != "":
+		readCompletion(sample, body, a)
+	default:
+		_, err := io.Copy(io.Discard, body)
+		sample.Whole = err == nil
+		sample.Failure = text(err)
+	}
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func readRefusal(sample *collector.Sample, body io.Reader) {
+	var refusal refusalBody
+	if err := json.NewDecoder(body).Decode(&refusal); err != nil {
+		sample.Failure = "refusal: " + err.Error()
+		return
+	}
+	sample.Disposition, sample.Reason = refusal.Error.Disposition, refusal.Error.Reason
+}
+
+func readCompletion(sample *collector.Sample, body io.Reader, a workload.Arrival) {
+	var answer completionBodyAnswer
+	if err := json.NewDecoder(body).Decode(&answer); err != nil || len(answer.Choices) != 1 {
+		sample.Failure = "incomplete answer: " + text(err)
+		return
+	}
+	sample.Tokens = a.OutputTokens
+	judge(sample, answer.Choices[0].Text, a)
+}
+
+// judge compares the answer with what the stand-in engine generates for the
+// prompt.
+func judge(sample *collector.Sample, got string, a workload.Arrival) {
+	sample.Whole = true
+	sample.Wrong = got != tokens.Expected(a.Prompt, a.OutputTokens)
+}
+
+func readStream(sample *collector.Sample, body io.Reader, a workload.Arrival, due time.Time) {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	var got strings.Builder
+	var last time.Time
+	errorEvent := false
+	for scanner.Scan() {
+		line := scanner.Text()
+		switch data, isData := strings.CutPrefix(line, "data: "); {
+		case line == "event: error":
+			errorEvent = true
+		case !isData:
+		case errorEvent:
+			readRefusal(sample, strings.NewReader(data))
+			return
+		case data == "[DONE]":
+			judge(sample, got.String(), a)
+			return
+		default:
+			last = readToken(sample, &got, data, due, last)
+		}
+	}
+	sample.Failure = "stream ended early: " + text(scanner.Err())
+}
+
+// readToken adds one event of a stream and returns when it arrived.
+func readToken(sample *collector.Sample, got *strings.Builder, data string, due, last time.Time) time.Time {
+	var event completionBodyAnswer
+	if err := json.Unmarshal([]byte(data), &event); err != nil || len(event.Choices) == 0 {
+		sample.Failure = "event: " + text(err)
+		return last
+	}
+	got.WriteString(event.Choices[0].Text)
+	now := time.Now()
+	sample.Tokens++
+	if last.IsZero() {
+		sample.FirstToken = now.Sub(due)
+	} else {
+		sample.Gaps = append(sample.Gaps, now.Sub(last))
+	}
+	return now
+}
--- /dev/null
+++ b/internal/load/caller/request.go
@@ -0,0 +1,63 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"kingcupcourse/internal/load/workload"
+)
+
+// completionRequest is the body of a completions call.
+type completionRequest struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+// ledgerRequest is the body of a call of a plain service. The id lets a
+// check find every run of one request.
+type ledgerRequest struct {
+	ID string `json:"id"`
+}
+
+func buildRequest(ctx context.Context, entry string, job Job, deadline time.Time) (*http.Request, error) {
+	class := job.Arrival.Class
+	body, err := requestBody(job)
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, class.Method, entry+class.Path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+class.Key)
+	request.Header.Set("Content-Type", "application/json")
+	left := max(time.Until(deadline), time.Millisecond)
+	request.Header.Set("Kingcup-Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	request.Header.Set("Kingcup-Tier", strconv.Itoa(int(class.Tier)))
+	if job.Key != "" {
+		request.Header.Set("Idempotency-Key", job.Key)
+	}
+	return request, nil
+}
+
+func requestBody(job Job) ([]byte, error) {
+	class := job.Arrival.Class
+	switch {
+	case class.Model != "":
+		return completionBody(class.Model, class.Stream, job.Arrival)
+	case class.Method == http.MethodGet:
+		return nil, nil
+	default:
+		return json.Marshal(ledgerRequest{ID: job.Key})
+	}
+}
+
+func completionBody(model string, stream bool, a workload.Arrival) ([]byte, error) {
+	return json.Marshal(completionRequest{Model: model, Prompt: a.Prompt, MaxTokens: a.OutputTokens, Stream: stream})
+}
--- /dev/null
+++ b/internal/load/collector/collector.go
@@ -0,0 +1,75 @@
+package collector
+
+import (
+	"context"
+	"slices"
+
+	"kingcupcourse/internal/ring"
+)
+
+// message is what the collector's ring holds: a sample, or a question.
+type message struct {
+	sample Sample
+	query  *query
+}
+
+// query asks for the samples once there are so many, or for those so far.
+type query struct {
+	atLeast int
+	reply   ring.Reply[[]Sample]
+}
+
+// Collector is the duty that owns the samples of a run.
+type Collector struct {
+	inbox   *ring.Ring[message]
+	samples []Sample
+	pending []*query
+}
+
+// inboxCapacity is how many samples may wait; a caller that finds the ring
+// full waits.
+const inboxCapacity = 1024
+
+// New returns a collector with no samples.
+func New() *Collector {
+	return &Collector{inbox: ring.New[message]("load_samples", inboxCapacity)}
+}
+
+// Serve implements supervisor.Duty.
+func (c *Collector) Serve(ctx context.Context) error {
+	return ring.Loop(ctx, c.inbox, func(m message) error {
+		if m.query != nil {
+			c.pending = append(c.pending, m.query)
+		} else {
+			c.samples = append(c.samples, m.sample)
+		}
+		c.answer()
+		return nil
+	})
+}
+
+func (c *Collector) answer() {
+	c.pending = slices.DeleteFunc(c.pending, func(q *query) bool {
+		if len(c.samples) < q.atLeast {
+			return false
+		}
+		q.reply.Send(c.samples)
+		return true
+	})
+}
+
+// Add hands a sample to the collector, waiting for room in its ring. It
+// returns the context's error if the context ends first.
+func (c *Collector) Add(ctx context.Context, s Sample) error {
+	return c.inbox.Put(ctx, message{sample: s})
+}
+
+// Samples waits until at least so many samples have come and returns all. It
+// returns the context's error if the context ends first.
+func (c *Collector) Samples(ctx context.Context, atLeast int) ([]Sample, error) {
+	q := &query{atLeast: atLeast, reply: ring.NewReply[[]Sample]()}
+	if err := c.inbox.Put(ctx, message{query: q}); err != nil {
+		return nil, err
+	}
+	return q.reply.Wait(ctx)
+}
--- /dev/null
+++ b/internal/load/collector/result.go
@@ -0,0 +1,262 @@
+package collector
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"kingcupcourse/internal/core"
+)
+
+// Result is what a run of the load tool has measured.
+type Result struct {
+	Experiment string  `json:"experiment"`
+	Target     string  `json:"target,omitempty"`
+	Seed       uint64  `json:"seed"`
+	LoadFactor float64 `json:"load_factor"`
+	DurationMS int64   `json:"duration_ms"`
+	// Tiers and Classes hold the counts, the most important tier first.
+	Tiers   []Group `json:"tiers"`
+	Classes []Group `json:"classes"`
+	// Refusals counts by tier, disposition and reason.
+	Refusals []Refusals `json:"refusals"`
+	// Inversions counts requests that were shed although a request of a
+	// lower tier that came later to the same pool, within InversionWindow,
+	// was served.
+	Inversions int `json:"inversions"`
+	// LateArrivals counts requests that the tool sent late because all its
+	// callers were busy; a run with any does not count as open loop.
+	LateArrivals int `json:"late_arrivals"`
+	// Engines is what the stand-ins counted, if they were asked.
+	Engines *EngineCounts `json:"engines,omitempty"`
+	// Series is goodput by second since the start.
+	Series []Second `json:"series"`
+}
+
+// Group is what was seen of one tier or class.
+type Group struct {
+	Name    string `json:"name"`
+	Offered int    `json:"offered"`
+	// Good is how many got their whole answer in time; GoodTokens is the
+	// tokens in these answers.
+	Good       int `json:"good"`
+	GoodTokens int `json:"good_tokens"`
+	// Late is how many got a whole answer after the deadline, Refused how
+	// many a typed refusal, Broken how many neither.
+	Late    int `json:"late"`
+	Refused int `json:"refused"`
+	Broken  int `json:"broken"`
+	// Wrong is how many answers had the wrong content.
+	Wrong         int       `json:"wrong"`
+	FirstToken    Quantiles `json:"first_token_ms"`
+	BetweenTokens Quantiles `json:"between_tokens_ms"`
+	Total         Quantiles `json:"total_ms"`
+}
+
+// GoodShare is the share of the offered requests that were served well.
+func (g *Group) GoodShare() float64 {
+	if g.Offered == 0 {
+		return 0
+	}
+	return float64(g.Good) / float64(g.Offered)
+}
+
+// Quantiles are in milliseconds.
+type Quantiles struct {
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+// Refusals is how many requests of a tier were refused for one reason.
+type Refusals struct {
+	Tier        core.Tier        `json:"tier"`
+	Disposition core.Disposition `json:"disposition"`
+	Reason      core.Reason      `json:"reason"`
+	Count       int              `json:"count"`
+}
+
+// Second is the goodput in requests of one second, by tier.
+type Second struct {
+	Good map[core.Tier]int `json:"good"`
+}
+
+// EngineCounts sums what the stand-in engines counted during the run.
+type EngineCounts struct {
+	Started             int `json:"started"`
+	PrefillTokens       int `json:"prefill_tokens"`
+	WastedPrefillTokens int `json:"wasted_prefill_tokens"`
+	DecodeTokens        int `json:"decode_tokens"`
+	PeakWaiting         int `json:"peak_waiting"`
+	Crashes             int `json:"crashes"`
+	// RunTwice lists the ids of run-once requests that ran more than once.
+	RunTwice []string `json:"run_twice,omitempty"`
+	// NotRunButRan lists requests whose caller was told that they did not
+	// run, although an endpoint ran them.
+	NotRunButRan []string `json:"not_run_but_ran,omitempty"`
+}
+
+// InversionWindow is how much later than a shed request a served request of
+// a lower tier may come to count as an inversion.
+const InversionWindow = 100 * time.Millisecond
+
+// Summarise turns samples into a result. The duration is the length of the
+// run.
+func Summarise(samples []Sample, duration time.Duration) *Result {
+	r := &Result{DurationMS: duration.Milliseconds()}
+	r.Tiers = groups(samples, func(s *Sample) string { return "tier " + strconv.Itoa(int(s.Tier)) })
+	r.Classes = groups(samples, func(s *Sample) string { return s.Class })
+	r.Refusals = refusals(samples)
+	r.Inversions = inversions(samples)
+	r.Series = series(samples, duration)
+	for i := range samples {
+		if samples[i].Late > InversionWindow {
+			r.LateArrivals++
+		}
+	}
+	return r
+}
+
+const (
+	histogramMaxUS = int64(10 * time.Minute / time.Microsecond)
+	histogramDigit = 3
+)
+
+// histogram records durations with a relative error of 0.1%.
+type histogram struct{ *hdrhistogram.Histogram }
+
+func newHistogram() histogram { return histogram{hdrhistogram.New(1, histogramMaxUS, histogramDigit)} }
+
+func (h histogram) add(d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), histogramMaxUS))
+}
+
+func (h histogram) quantiles() Quantiles {
+	if h.TotalCount() == 0 {
+		return Quantiles{}
+	}
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	return Quantiles{P50: ms(h.ValueAtQuantile(50)), P95: ms(h.ValueAtQuantile(95)),
+		P99: ms(h.ValueAtQuantile(99)), Max: ms(h.Max())}
+}
+
+// accumulator builds one group.
+type accumulator struct {
+	group                 Group
+	first, between, total histogram
+}
+
+func groups(samples []Sample, name func(*Sample) string) []Group {
+	byName := map[string]*accumulator{}
+	for i := range samples {
+		key := name(&samples[i])
+		a := byName[key]
+		if a == nil {
+			a = &accumulator{group: Group{Name: key}, first: newHistogram(), between: newHistogram(), total: newHistogram()}
+			byName[key] = a
+		}
+		a.add(&samples[i])
+	}
+	var out []Group
+	for _, a := range byName {
+		a.group.FirstToken, a.group.BetweenTokens, a.group.Total = a.first.quantiles(), a.between.quantiles(), a.total.quantiles()
+		out = append(out, a.group)
+	}
+	slices.SortFunc(out, func(a, b Group) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+func (a *accumulator) add(s *Sample) {
+	if s.Resend {
+		return
+	}
+	g := &a.group
+	g.Offered++
+	switch {
+	case s.Wrong:
+		g.Wrong++
+	case s.Good():
+		g.Good++
+		g.GoodTokens += s.Tokens
+	case s.Whole:
+		g.Late++
+	case s.Disposition != "":
+		g.Refused++
+	default:
+		g.Broken++
+	}
+	if !s.Whole {
+		return
+	}
+	a.total.add(s.Total)
+	if s.FirstToken > 0 {
+		a.first.add(s.FirstToken)
+	}
+	for _, gap := range s.Gaps {
+		a.between.add(gap)
+	}
+}
+
+func refusals(samples []Sample) []Refusals {
+	counts := map[Refusals]int{}
+	for i := range samples {
+		if s := &samples[i]; s.Disposition != "" {
+			counts[Refusals{Tier: s.Tier, Disposition: s.Disposition, Reason: s.Reason}]++
+		}
+	}
+	var out []Refusals
+	for r, n := range counts {
+		r.Count = n
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b Refusals) int {
+		return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(b.Count, a.Count), cmp.Compare(a.Reason, b.Reason))
+	})
+	return out
+}
+
+func shedByLoad(s *Sample) bool {
+	return s.Disposition == core.NotRun && (s.Reason == core.ReasonShed || s.Reason == core.ReasonQueueFull)
+}
+
+func inversions(samples []Sample) int {
+	sorted := slices.Clone(samples)
+	slices.SortFunc(sorted, func(a, b Sample) int { return cmp.Compare(a.Due, b.Due) })
+	count := 0
+	for i := range sorted {
+		if shedByLoad(&sorted[i]) && lowerServedAfter(sorted[i:]) {
+			count++
+		}
+	}
+	return count
+}
+
+// lowerServedAfter tells whether a request of a lower tier than the first
+// sample, sent to the same pool within the window after it, was served.
+func lowerServedAfter(sorted []Sample) bool {
+	shed := &sorted[0]
+	for i := 1; i < len(sorted) && sorted[i].Due-shed.Due <= InversionWindow; i++ {
+		if s := &sorted[i]; s.Pool == shed.Pool && s.Tier > shed.Tier && s.Whole {
+			return true
+		}
+	}
+	return false
+}
+
+func series(samples []Sample, duration time.Duration) []Second {
+	out := make([]Second, int(duration/time.Second)+1)
+	for i := range out {
+		out[i].Good = map[core.Tier]int{}
+	}
+	for i := range samples {
+		second := int(samples[i].Due / time.Second)
+		if samples[i].Good() && second < len(out) {
+			out[second].Good[samples[i].Tier]++
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/load/experiment/experiment.go
@@ -0,0 +1,178 @@
+// Package experiment holds the description of a load experiment: who calls
+// what, how often, with which faults, and with which seed.
+package experiment
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"os"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/findings"
+)
+
+// Experiment is one run of the load tool.
+type Experiment struct {
+	Name string `json:"name"`
+	// Seed determines arrivals, sizes and callers' choices.
+	Seed uint64 `json:"seed"`
+	// DurationMS is how long requests arrive, in milliseconds.
+	DurationMS int64 `json:"duration_ms"`
+	// Entries are the base URLs of the entry hosts.
+	Entries []string `json:"entries"`
+	// StandIns is the base URL of the stand-ins' admin listener. Empty for
+	// none; prefill and runs are then not reported.
+	StandIns string `json:"stand_ins,omitempty"`
+	// Engines and Ledgers name the stand-ins whose counts are reported.
+	Engines []string `json:"engines,omitempty"`
+	Ledgers []string `json:"ledgers,omitempty"`
+	// MaxInFlight is how many callers wait at once. An arrival that finds
+	// no free caller is counted as late, never dropped. Default 1,024.
+	MaxInFlight int `json:"max_in_flight,omitempty"`
+	// LoadFactor multiplies every class's rate. Default 1.
+	LoadFactor float64 `json:"load_factor,omitempty"`
+	// OnlyTier limits the run to the classes of one tier; zero for all.
+	OnlyTier core.Tier `json:"only_tier,omitempty"`
+	Classes  []Class   `json:"classes"`
+	Faults   []Fault   `json:"faults,omitempty"`
+}
+
+// Class is a kind of request that arrives at random with a mean rate.
+type Class struct {
+	Name    string `json:"name"`
+	Account string `json:"account"`
+	// Key is the account's bearer key.
+	Key    string `json:"key"`
+	Pool   string `json:"pool"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	// Model is the model of a completions request; empty for a plain
+	// service.
+	Model string    `json:"model,omitempty"`
+	Tier  core.Tier `json:"tier"`
+	// Rate is the mean number of arrivals a second.
+	Rate float64 `json:"rate"`
+	// Burst multiplies the rate for a while, again and again.
+	Burst *Burst `json:"burst,omitempty"`
+	// PromptTokens and OutputTokens are the sizes of a completions request.
+	PromptTokens Size `json:"prompt_tokens,omitempty"`
+	OutputTokens Size `json:"output_tokens,omitempty"`
+	// SharedPrefixes is how many different beginnings the prompts share,
+	// PrefixTokens how long each is in tokens.
+	SharedPrefixes int `json:"shared_prefixes,omitempty"`
+	PrefixTokens   int `json:"prefix_tokens,omitempty"`
+	// DeadlineMS is the time to the whole answer, in milliseconds.
+	DeadlineMS int64 `json:"deadline_ms"`
+	Stream     bool  `json:"stream,omitempty"`
+	// RunOnce sends an Idempotency-Key.
+	RunOnce bool `json:"run_once,omitempty"`
+	// ResendRate is the share of run-once requests that the caller sends
+	// twice, the second time through another entry host.
+	ResendRate float64 `json:"resend_rate,omitempty"`
+}
+
+// Burst multiplies the rate by Factor for LengthMS at the start of every
+// period of EveryMS, both in milliseconds.
+type Burst struct {
+	EveryMS  int64   `json:"every_ms"`
+	LengthMS int64   `json:"length_ms"`
+	Factor   float64 `json:"factor"`
+}
+
+// Size is a log-normal distribution, cut off at Max.
+type Size struct {
+	Median int     `json:"median"`
+	Sigma  float64 `json:"sigma"`
+	Max    int     `json:"max"`
+}
+
+// Fault is set at a time after the start. Either StandIn with Set, or
+// PIDFile with Signal, or KillURL.
+type Fault struct {
+	AtMS int64 `json:"at_ms"`
+	// StandIn and Set are a fault control and the body for it.
+	StandIn string          `json:"stand_in,omitempty"`
+	Set     json.RawMessage `json:"set,omitempty"`
+	// PIDFile names a file with a process id; Signal is KILL, TERM, STOP or
+	// CONT.
+	PIDFile string `json:"pid_file,omitempty"`
+	Signal  string `json:"signal,omitempty"`
+	// KillURL is a process's fault injection URL, called with POST.
+	KillURL string `json:"kill_url,omitempty"`
+}
+
+const (
+	defaultMaxInFlight = 1024
+	maxFileBytes       = 1 << 20
+)
+
+// Load reads an experiment file. It returns findings.List with every problem
+// of the file, or an error of reading it.
+func Load(path string) (*Experiment, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "open experiment")
+	}
+	defer func() { _ = file.Close() }()
+	decoder := json.NewDecoder(io.LimitReader(file, maxFileBytes))
+	decoder.DisallowUnknownFields()
+	var e Experiment
+	if err := decoder.Decode(&e); err != nil {
+		return nil, findings.List{{Place: path, Message: err.Error()}}
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, findings.List{{Place: path, Message: "more than one JSON value"}}
+	}
+	e.setDefaults()
+	return &e, e.check(path).Err()
+}
+
+func (e *Experiment) setDefaults() {
+	if e.MaxInFlight == 0 {
+		e.MaxInFlight = defaultMaxInFlight
+	}
+	if e.LoadFactor == 0 {
+		e.LoadFactor = 1
+	}
+}
+
+func (e *Experiment) check(path string) findings.List {
+	var found findings.List
+	if e.DurationMS <= 0 {
+		found.Add(path+": duration_ms", "must be positive")
+	}
+	if len(e.Entries) == 0 {
+		found.Add(path+": entries", "must name at least one entry host")
+	}
+	if len(e.Classes) == 0 {
+		found.Add(path+": classes", "must have at least one class")
+	}
+	for _, c := range e.Classes {
+		c.check(path+": classes["+c.Name+"]", &found)
+	}
+	for _, f := range e.Faults {
+		if f.Signal != "" && !slices.Contains([]string{"KILL", "TERM", "STOP", "CONT"}, f.Signal) {
+			found.Add(path+": faults", "unknown signal %q", f.Signal)
+		}
+	}
+	return found
+}
+
+func (c *Class) check(place string, found *findings.List) {
+	if c.Rate <= 0 {
+		found.Add(place+".rate", "must be positive")
+	}
+	if c.DeadlineMS <= 0 {
+		found.Add(place+".deadline_ms", "must be positive")
+	}
+	if c.Model != "" && (c.PromptTokens.Median <= 0 || c.OutputTokens.Median <= 0) {
+		found.Add(place, "a completions class needs prompt_tokens and output_tokens")
+	}
+	if b := c.Burst; b != nil && (b.EveryMS <= 0 || b.LengthMS <= 0 || b.Factor <= 0) {
+		found.Add(place+".burst", "every_ms, length_ms and factor must be positive")
+	}
+}
--- /dev/null
+++ b/internal/load/faults/faults.go
@@ -0,0 +1,100 @@
+// Package faults holds the duty that brings about the faults of an
+// experiment at their times.
+package faults
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/load/experiment"
+	"kingcupcourse/internal/ring"
+)
+
+const callTimeout = 2 * time.Second
+
+// Injector is the duty. Faults must be in time order.
+type Injector struct {
+	start    time.Time
+	faults   []experiment.Fault
+	standIns string
+	client   *http.Client
+	log      *zap.Logger
+	idle     *ring.Ring[struct{}]
+}
+
+// New returns an injector for the faults of an experiment that starts at the
+// given time.
+func New(e *experiment.Experiment, start time.Time, client *http.Client, log *zap.Logger) *Injector {
+	return &Injector{start: start, faults: e.Faults, standIns: e.StandIns, client: client, log: log,
+		idle: ring.New[struct{}]("load_faults", 1)}
+}
+
+// Serve implements supervisor.Duty.
+func (i *Injector) Serve(ctx context.Context) error {
+	return ring.LoopUntil(ctx, i.idle, func(struct{}) error { return nil }, i.next, func() error {
+		fault := i.faults[0]
+		i.faults = i.faults[1:]
+		err := i.inject(ctx, fault)
+		i.log.Info("fault", zap.Any("fault", fault), zap.Error(err))
+		return nil
+	})
+}
+
+func (i *Injector) next() time.Time {
+	if len(i.faults) == 0 {
+		return time.Time{}
+	}
+	return i.start.Add(time.Duration(i.faults[0].AtMS) * time.Millisecond)
+}
+
+func (i *Injector) inject(ctx context.Context, f experiment.Fault) error {
+	switch {
+	case f.StandIn != "":
+		return i.post(ctx, i.standIns+"/"+f.StandIn+"/admin/fault", f.Set)
+	case f.KillURL != "":
+		return i.post(ctx, f.KillURL, nil)
+	default:
+		return signal(f.PIDFile, f.Signal)
+	}
+}
+
+func (i *Injector) post(ctx context.Context, url string, body []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "fault")
+	}
+	response, err := i.client.Do(request)
+	if err != nil {
+		return eris.Wrap(err, "fault")
+	}
+	_ = response.Body.Close()
+	if response.StatusCode >= http.StatusBadRequest {
+		return eris.Errorf("fault: %s answered %s", url, response.Status)
+	}
+	return nil
+}
+
+func signal(pidFile, name string) error {
+	text, err := os.ReadFile(pidFile)
+	if err != nil {
+		return eris.Wrap(err, "fault")
+	}
+	pid, err := strconv.Atoi(strings.TrimSpace(string(text)))
+	if err != nil {
+		return eris.Wrap(err, "fault: "+pidFile)
+	}
+	signals := map[string]syscall.Signal{"KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM,
+		"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
+	return syscall.Kill(pid, signals[name])
+}
--- /dev/null
+++ b/internal/load/workload/workload.go
@@ -0,0 +1,132 @@
+// Package workload draws the arrivals of an experiment from its seed. The
+// same experiment always gives the same arrivals.
+package workload
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"kingcupcourse/internal/load/experiment"
+)
+
+// Arrival is one request that a caller sends at a planned time.
+type Arrival struct {
+	// At is the time since the start of the run.
+	At    time.Duration
+	Class *experiment.Class
+	// Entry is the index of the entry host that the balancer chooses.
+	Entry int
+	// Prompt and OutputTokens belong to a completions request.
+	Prompt       string
+	OutputTokens int
+	// Resend tells that the caller sends the request twice, at ResendAfter
+	// after the first, through the entry host ResendEntry.
+	Resend      bool
+	ResendAfter time.Duration
+	ResendEntry int
+	// KeyBits make the random part of the idempotency key.
+	KeyBits uint64
+}
+
+// bytesPerToken is what the stand-in engines count as one prompt token.
+const bytesPerToken = 4
+
+// maxResendDelay bounds how long a caller waits before it sends again.
+const maxResendDelay = 400 * time.Millisecond
+
+// Plan returns all arrivals of the experiment in time order.
+func Plan(e *experiment.Experiment) []Arrival {
+	var arrivals []Arrival
+	for i := range e.Classes {
+		class := &e.Classes[i]
+		if e.OnlyTier != 0 && class.Tier != e.OnlyTier {
+			continue
+		}
+		random := rand.New(rand.NewPCG(e.Seed, uint64(i)))
+		arrivals = append(arrivals, planClass(e, class, random)...)
+	}
+	slices.SortStableFunc(arrivals, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+	return arrivals
+}
+
+// planClass draws a Poisson process whose rate changes with the bursts, by
+// thinning a process of the highest rate.
+func planClass(e *experiment.Experiment, class *experiment.Class, random *rand.Rand) []Arrival {
+	end := time.Duration(e.DurationMS) * time.Millisecond
+	highest := class.Rate * e.LoadFactor
+	if class.Burst != nil {
+		highest *= max(1, class.Burst.Factor)
+	}
+	var arrivals []Arrival
+	at := time.Duration(0)
+	for {
+		at += time.Duration(random.ExpFloat64() / highest * float64(time.Second))
+		if at >= end {
+			return arrivals
+		}
+		keep := random.Float64() < class.Rate*e.LoadFactor*burstFactor(class.Burst, at)/highest
+		if keep {
+			arrivals = append(arrivals, draw(e, class, at, random))
+		}
+	}
+}
+
+func burstFactor(burst *experiment.Burst, at time.Duration) float64 {
+	if burst == nil {
+		return 1
+	}
+	if at.Milliseconds()%burst.EveryMS < burst.LengthMS {
+		return burst.Factor
+	}
+	return 1
+}
+
+func draw(e *experiment.Experiment, class *experiment.Class, at time.Duration, random *rand.Rand) Arrival {
+	a := Arrival{At: at, Class: class, Entry: random.IntN(len(e.Entries)), KeyBits: random.Uint64()}
+	if class.Model != "" {
+		a.OutputTokens = size(class.OutputTokens, random)
+		a.Prompt = prompt(class, size(class.PromptTokens, random), a.OutputTokens, random)
+	}
+	if class.RunOnce && random.Float64() < class.ResendRate {
+		a.Resend = true
+		a.ResendAfter = time.Duration(random.Int64N(int64(maxResendDelay)))
+		a.ResendEntry = random.IntN(len(e.Entries))
+	}
+	return a
+}
+
+func size(s experiment.Size, random *rand.Rand) int {
+	n := int(math.Round(float64(s.Median) * math.Exp(random.NormFloat64()*s.Sigma)))
+	if s.Max > 0 {
+		n = min(n, s.Max)
+	}
+	return max(1, n)
+}
+
+// prompt returns a text of the given length in tokens. It begins with one of
+// the class's shared prefixes and tells the stand-in engine how many tokens
+// to generate.
+func prompt(class *experiment.Class, tokens, output int, random *rand.Rand) string {
+	var b strings.Builder
+	if class.SharedPrefixes > 0 {
+		which := random.IntN(class.SharedPrefixes)
+		words(&b, class.PrefixTokens*bytesPerToken, rand.New(rand.NewPCG(uint64(which), 7)), class.Name)
+	}
+	fmt.Fprintf(&b, "[tokens=%d] ", output)
+	words(&b, tokens*bytesPerToken, random, class.Name)
+	return b.String()[:max(b.Len()-b.Len()%bytesPerToken, 1)]
+}
+
+// words appends random words until the text has at least n bytes.
+func words(b *strings.Builder, n int, random *rand.Rand, start string) {
+	b.WriteString(start)
+	for b.Len() < n {
+		fmt.Fprintf(b, " %06x", random.Uint32()&0xffffff)
+	}
+	b.WriteByte('\n')
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -15,6 +15,8 @@
 
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
+
+	"kingcupcourse/internal/ring"
 )
 
 // ErrRestartStorm is returned by Serve when children fail faster than the
@@ -221,3 +223,12 @@
 		}
 	}
 }
+
+// Start serves the duty on a goroutine of its own and returns the reply that
+// will hold what Serve returned. Only a process's main uses it, for the root
+// of its tree.
+func Start(ctx context.Context, root Duty) ring.Reply[error] {
+	ended := ring.NewReply[error]()
+	go func() { ended.Send(root.Serve(ctx)) }()
+	return ended
+}
