--- /dev/null
+++ b/cmd/kingcup-load/main.go
@@ -0,0 +1,27 @@
+// Command kingcup-load sends a seeded load to entry hosts and reports what
+// the callers saw.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+
+	"kingcupcourse/internal/load/command"
+)
+
+func main() {
+	version := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version + " " + info.GoVersion
+	}
+	var cli command.CLI
+	parsed := kong.Parse(&cli, kong.Name("kingcup-load"), kong.UsageOnError(), kong.Vars{"version": version},
+		kong.Description("Send a seeded load to entry hosts and report goodput by tier, wasted prefill and latencies."))
+	if err := parsed.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/load/command/command.go
@@ -0,0 +1,185 @@
+// Package command holds the command line of the load tool.
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/load"
+	"kingcupcourse/internal/load/collector"
+	"kingcupcourse/internal/load/experiment"
+	"kingcupcourse/internal/load/report"
+)
+
+// CLI is the command line.
+type CLI struct {
+	Version kong.VersionFlag `help:"Print the version and exit."`
+	Run     Run              `cmd:"" help:"Run one experiment and report it."`
+	Compare Compare          `cmd:"" help:"Run one experiment against several systems in turn, over several seeds, and report ratios."`
+	Report  Report           `cmd:"" help:"Write the readable report of a JSON result."`
+}
+
+// Overrides change an experiment from the command line.
+type Overrides struct {
+	LoadFactor float64 `help:"Multiply every rate; 0 keeps the file's factor."`
+	OnlyTier   int     `help:"Send only the classes of this tier; 0 for all."`
+	DurationMS int64   `name:"duration-ms" help:"How long requests arrive, in milliseconds; 0 keeps the file's."`
+	NoFaults   bool    `help:"Leave the experiment's faults out."`
+}
+
+func (o *Overrides) apply(e *experiment.Experiment) {
+	if o.LoadFactor != 0 {
+		e.LoadFactor = o.LoadFactor
+	}
+	if o.OnlyTier != 0 {
+		e.OnlyTier = core.Tier(o.OnlyTier)
+	}
+	if o.DurationMS != 0 {
+		e.DurationMS = o.DurationMS
+	}
+	if o.NoFaults {
+		e.Faults = nil
+	}
+}
+
+// Run is the run command.
+type Run struct {
+	Overrides
+	Experiment string `arg:"" type:"existingfile" help:"Experiment file (JSON)."`
+	Out        string `help:"Folder for result.json and the plots; empty for none."`
+	Seed       uint64 `help:"Seed; 0 keeps the file's."`
+}
+
+// Run runs the experiment.
+func (r *Run) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	e, err := experiment.Load(r.Experiment)
+	if err != nil {
+		return err
+	}
+	r.apply(e)
+	if r.Seed != 0 {
+		e.Seed = r.Seed
+	}
+	result, err := runOnce(ctx, e)
+	if err != nil {
+		return err
+	}
+	if r.Out != "" {
+		if err := save(r.Out, result); err != nil {
+			return err
+		}
+	}
+	return report.Text(os.Stdout, result)
+}
+
+func runOnce(ctx context.Context, e *experiment.Experiment) (*collector.Result, error) {
+	before, err := load.ReadCounters(ctx, e)
+	if err != nil {
+		return nil, err
+	}
+	samples, err := load.New(e, zap.NewNop()).Run(ctx)
+	if err != nil {
+		return nil, eris.Wrap(err, "load run")
+	}
+	after, err := load.ReadCounters(ctx, e)
+	if err != nil {
+		return nil, err
+	}
+	result := collector.Summarise(samples, time.Duration(e.DurationMS)*time.Millisecond)
+	result.Experiment, result.Seed, result.LoadFactor = e.Name, e.Seed, e.LoadFactor
+	result.Engines = after.Since(before, samples)
+	return result, nil
+}
+
+func save(folder string, result *collector.Result) error {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return eris.Wrap(err, "save result")
+	}
+	text, err := json.MarshalIndent(result, "", "  ")
+	if err != nil {
+		return eris.Wrap(err, "save result")
+	}
+	if err := os.WriteFile(filepath.Join(folder, "result.json"), text, 0o644); err != nil {
+		return eris.Wrap(err, "save result")
+	}
+	return report.Plots(folder, result)
+}
+
+// Compare is the compare command.
+type Compare struct {
+	Overrides
+	Targets []string `arg:"" help:"Systems as NAME=EXPERIMENT, at least two; the first is the base of the ratios."`
+	Seeds   int      `default:"3" help:"How many seeds, from 1 up."`
+}
+
+// Run runs the comparison: for each seed every target in turn.
+func (c *Compare) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	names, files, err := c.split()
+	if err != nil {
+		return err
+	}
+	results := map[string][]*collector.Result{}
+	for seed := 1; seed <= c.Seeds; seed++ {
+		for i, name := range names {
+			e, err := experiment.Load(files[i])
+			if err != nil {
+				return err
+			}
+			c.apply(e)
+			e.Seed = uint64(seed)
+			result, err := runOnce(ctx, e)
+			if err != nil {
+				return err
+			}
+			results[name] = append(results[name], result)
+		}
+	}
+	return report.Compare(os.Stdout, names, results)
+}
+
+func (c *Compare) split() (names, files []string, err error) {
+	for _, target := range c.Targets {
+		name, file, ok := strings.Cut(target, "=")
+		if !ok {
+			return nil, nil, eris.Errorf("target %q is not NAME=EXPERIMENT", target)
+		}
+		names, files = append(names, name), append(files, file)
+	}
+	if len(names) < 2 {
+		return nil, nil, eris.New("compare needs at least two targets")
+	}
+	return names, files, nil
+}
+
+// Report is the report command.
+type Report struct {
+	Result string `arg:"" type:"existingfile" help:"A result.json of an earlier run."`
+}
+
+// Run writes the report.
+func (r *Report) Run() error {
+	text, err := os.ReadFile(r.Result)
+	if err != nil {
+		return eris.Wrap(err, "read result")
+	}
+	var result collector.Result
+	if err := json.Unmarshal(text, &result); err != nil {
+		return eris.Wrap(err, "read result")
+	}
+	return report.Text(os.Stdout, &result)
+}
