Decide verdicts on versions and the stages of planned moves

Verdict: a CUSUM of Bernoulli observations by route and kind of fault against the proved version in the same window, so that a fault that comes late or on one route only shows. Weighed: one fixed-size comparison at the end of the canary (blind to later faults) and a plain sequential probability ratio test (its long good past hides a late fault).

Move: Next is a pure function of plan, status and knowledge, so that any holder goes on where another stopped.

--- /dev/null
+++ b/internal/decision/move/move.go
@@ -0,0 +1,187 @@
+// Package move decides the next stage of a planned version move. It holds no
+// state: everything it needs is the plan, the status as the platform has it,
+// and what is known now. So any holder can go on where another stopped, and
+// deciding twice does no harm.
+package move
+
+import (
+	"fmt"
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/verdict"
+	"kingcupcourse/internal/message"
+)
+
+// Plan is a move as the manifest describes it.
+type Plan struct {
+	Name     string
+	Pool     string
+	From, To core.Version
+	Deadline time.Time
+	// MaxShare is the largest share of traffic while the version is unproved.
+	MaxShare float64
+	// Soak is how long the version is watched at the largest ramp share.
+	Soak time.Duration
+}
+
+// Status is how far a move has come.
+type Status struct {
+	Stage message.Stage
+	Share float64
+	// Since is when the stage and share were set.
+	Since time.Time
+	// Requests is how many requests the new version had had by then.
+	Requests int
+	Reason   string
+}
+
+// Knowledge is what the holder knows at a moment.
+type Knowledge struct {
+	// Bad is set once the new version has been judged bad.
+	Bad *message.BadVersion
+	// Withdrawn tells that the manifest in force has no such move any more.
+	Withdrawn bool
+	// Ready tells that every endpoint of the new version serves it.
+	Ready bool
+	// Evidence is by route; empty if the pool's owner did not answer.
+	Evidence []verdict.RouteEvidence
+}
+
+const (
+	// stepTime is the shortest time at each share of the ramp.
+	stepTime = 2 * time.Second
+	// stepRequests is how many requests the new version must have had at
+	// each share of the ramp.
+	stepRequests = 10
+	// calm is the largest alarm, as a share of the way to the verdict
+	// "bad", with which the share is raised.
+	calm = 0.5
+	// RevertTime is how long before the deadline a revert begins, so that
+	// every host has stopped using the version by the deadline.
+	RevertTime = 5 * time.Second
+)
+
+// rampShares are the shares of the ramp. The last one leaves the old version
+// enough traffic to compare with during the soak.
+func rampShares() []float64 { return []float64{0.25, 0.5, 0.9} }
+
+// Next returns the status that follows from what is known now. It returns
+// the same status if nothing is to change.
+func Next(plan Plan, status Status, now time.Time, known Knowledge) Status {
+	if finished(status.Stage) {
+		return status
+	}
+	if reason := revertReason(plan, status, now, known); reason != "" {
+		return enter(message.StageReverted, 0, now, known, reason)
+	}
+	switch status.Stage {
+	case "", message.StagePending:
+		return enter(message.StageLoading, 0, now, known, "version ordered")
+	case message.StageLoading:
+		if known.Ready {
+			return enter(message.StageCanary, plan.MaxShare, now, known, "all endpoints serve the version")
+		}
+	case message.StageCanary:
+		if provedEverywhere(known.Evidence) {
+			return enter(message.StageRamp, rampShares()[0], now, known, "proved on every route that has traffic")
+		}
+	case message.StageRamp:
+		return nextRamp(plan, status, now, known)
+	case message.StageSoak:
+		if now.Sub(status.Since) >= plan.Soak && quiet(known.Evidence) {
+			return enter(message.StageDone, 1, now, known, "soak ended without a fault")
+		}
+	}
+	return status
+}
+
+func finished(stage message.Stage) bool {
+	return stage == message.StageDone || stage == message.StageReverted
+}
+
+func enter(stage message.Stage, share float64, now time.Time, known Knowledge, reason string) Status {
+	return Status{Stage: stage, Share: share, Since: now, Requests: requests(known.Evidence), Reason: reason}
+}
+
+func revertReason(plan Plan, status Status, now time.Time, known Knowledge) string {
+	switch {
+	case known.Bad != nil:
+		return fmt.Sprintf("version judged bad on route %s: %s", known.Bad.Route, known.Bad.Reason)
+	case known.Withdrawn:
+		return "the manifest in force has no such move"
+	case now.Add(TimeNeeded(plan, status, now)).After(plan.Deadline):
+		return fmt.Sprintf("cannot be done by the deadline from stage %s", status.Stage)
+	}
+	return ""
+}
+
+// TimeNeeded returns the least time from now to the end of the move, or the
+// time of a revert if that is longer.
+func TimeNeeded(plan Plan, status Status, now time.Time) time.Duration {
+	elapsed := now.Sub(status.Since)
+	left := func(stage time.Duration) time.Duration { return max(0, stage-elapsed) }
+	steps := time.Duration(len(rampShares())) * stepTime
+	var needed time.Duration
+	switch status.Stage {
+	case message.StageRamp:
+		done := time.Duration(rampIndex(status.Share)+1) * stepTime
+		needed = left(stepTime) + steps - done + plan.Soak
+	case message.StageSoak:
+		needed = left(plan.Soak)
+	default:
+		needed = steps + plan.Soak
+	}
+	return max(needed, RevertTime)
+}
+
+func rampIndex(share float64) int {
+	for i, s := range rampShares() {
+		if share <= s {
+			return i
+		}
+	}
+	return len(rampShares()) - 1
+}
+
+func nextRamp(plan Plan, status Status, now time.Time, known Knowledge) Status {
+	ready := now.Sub(status.Since) >= stepTime && quiet(known.Evidence) &&
+		requests(known.Evidence) >= status.Requests+stepRequests
+	if !ready {
+		return status
+	}
+	if next := rampIndex(status.Share) + 1; next < len(rampShares()) {
+		return enter(message.StageRamp, rampShares()[next], now, known, "no fault at the smaller share")
+	}
+	return enter(message.StageSoak, status.Share, now, known, "ramp ended without a fault")
+}
+
+func provedEverywhere(evidence []verdict.RouteEvidence) bool {
+	proved := 0
+	for _, e := range evidence {
+		if e.ProvedVersion > 0 && !e.Proved {
+			return false
+		}
+		if e.Proved {
+			proved++
+		}
+	}
+	return proved > 0 && quiet(evidence)
+}
+
+func quiet(evidence []verdict.RouteEvidence) bool {
+	for _, e := range evidence {
+		if e.Alarm > calm {
+			return false
+		}
+	}
+	return len(evidence) > 0
+}
+
+func requests(evidence []verdict.RouteEvidence) int {
+	total := 0
+	for _, e := range evidence {
+		total += e.Requests
+	}
+	return total
+}
--- /dev/null
+++ b/internal/decision/verdict/verdict.go
@@ -0,0 +1,195 @@
+// Package verdict judges an unproved version against the proved one on the
+// same routes in the same window. For each route and kind of fault it runs a
+// cumulative sum test (CUSUM) of Bernoulli observations, which needs few
+// requests to see a fault that is there from the start and also sees one
+// that comes later.
+package verdict
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+// Kind is a kind of fault that an observation may show.
+type Kind int
+
+// The kinds of faults.
+const (
+	KindError         Kind = iota // failed, lost, cut or malformed answer
+	KindFirstToken                // first token, or whole answer of a plain service, far too late
+	KindBetweenTokens             // tokens far too slow
+	kinds
+)
+
+// String returns the kind as it appears in reasons.
+func (k Kind) String() string {
+	return [...]string{"errors", "time to first token", "time between tokens"}[k]
+}
+
+// Observation is what one finished attempt shows.
+type Observation struct {
+	Failed bool
+	// FirstToken and BetweenTokens are zero if the attempt gave none.
+	FirstToken, BetweenTokens time.Duration
+}
+
+// Settings of the test. The chance that a good version is judged bad on one
+// route and kind within N requests is at most about N times FalseAlarm.
+type Settings struct {
+	// FalseAlarm bounds the rate of false alarms per observation.
+	FalseAlarm float64
+	// MissedProof is the chance that a version as bad as the alternative is
+	// taken as proved.
+	MissedProof float64
+	// BaseRate bounds from below the share of bad observations that the
+	// proved version is believed to have.
+	BaseRate float64
+	// AddedRate is the increase in the share of bad observations that makes
+	// a version bad.
+	AddedRate float64
+	// SlowFactor is how many times the proved version's 95th percentile an
+	// observation must take to count as slow.
+	SlowFactor float64
+	// Window is how long observations of the proved version count.
+	Window time.Duration
+}
+
+// DefaultSettings return the settings in use.
+func DefaultSettings() Settings {
+	return Settings{FalseAlarm: 1e-6, MissedProof: 0.01, BaseRate: 0.01, AddedRate: 0.2,
+		SlowFactor: 1.5, Window: 30 * time.Second}
+}
+
+// Monitor holds the evidence about one unproved version. It is not safe for
+// concurrent use.
+type Monitor struct {
+	settings Settings
+	routes   map[string]*route
+}
+
+// route is the evidence about one route.
+type route struct {
+	proved   baseline
+	requests int
+	sums     [kinds]float64
+	proof    [kinds]float64
+	bad      [kinds]int
+}
+
+// New returns a monitor without evidence.
+func New(settings Settings) *Monitor {
+	return &Monitor{settings: settings, routes: map[string]*route{}}
+}
+
+func (m *Monitor) route(name string) *route {
+	r := m.routes[name]
+	if r == nil {
+		r = &route{}
+		m.routes[name] = r
+	}
+	return r
+}
+
+// ObserveProved adds an observation of the proved version.
+func (m *Monitor) ObserveProved(now time.Time, routeName string, o Observation) {
+	m.route(routeName).proved.add(now, o)
+}
+
+// ObserveUnproved adds an observation of the unproved version.
+func (m *Monitor) ObserveUnproved(now time.Time, routeName string, o Observation) {
+	r := m.route(routeName)
+	r.proved.expire(now.Add(-m.settings.Window))
+	r.requests++
+	r.step(KindError, o.Failed, r.proved.errorRate(m.settings.BaseRate), m.settings)
+	if o.Failed {
+		return
+	}
+	m.stepSlow(r, KindFirstToken, o.FirstToken)
+	m.stepSlow(r, KindBetweenTokens, o.BetweenTokens)
+}
+
+// stepSlow compares a time with the proved version's. Without enough of
+// these the time proves nothing either way.
+func (m *Monitor) stepSlow(r *route, kind Kind, took time.Duration) {
+	limit, ok := r.proved.limit(kind, m.settings.SlowFactor)
+	if took == 0 || !ok {
+		return
+	}
+	r.step(kind, took > limit, m.settings.BaseRate, m.settings)
+}
+
+// step adds the log likelihood ratio of one observation, with the base rate
+// against the base rate and the added rate.
+func (r *route) step(kind Kind, bad bool, base float64, s Settings) {
+	alternative := min(base+s.AddedRate, maxRate)
+	ratio := math.Log((1 - alternative) / (1 - base))
+	if bad {
+		ratio = math.Log(alternative / base)
+		r.bad[kind]++
+	}
+	// The sum starts again at zero, so that a long good time does not hide
+	// a fault that comes later.
+	r.sums[kind] = max(0, r.sums[kind]+ratio)
+	r.proof[kind] += ratio
+}
+
+// maxRate bounds the alternative's share of bad observations.
+const maxRate = 0.95
+
+// Bad tells whether the version is bad, on which route and why.
+func (m *Monitor) Bad() (routeName, reason string, bad bool) {
+	for _, name := range m.names() {
+		r := m.routes[name]
+		for kind := range kinds {
+			if r.sums[kind] >= -math.Log(m.settings.FalseAlarm) {
+				return name, fmt.Sprintf("%s: %d of %d requests", kind, r.bad[kind], r.requests), true
+			}
+		}
+	}
+	return "", "", false
+}
+
+// Proved tells whether the version has been shown to be no worse on the
+// route, by the sequential probability ratio test on errors. The times have
+// no proof of their own: a slow version is found by its sum.
+func (m *Monitor) Proved(routeName string) bool {
+	r := m.routes[routeName]
+	return r != nil && r.proof[KindError] <= math.Log(m.settings.MissedProof)
+}
+
+// RouteEvidence sums up the evidence about one route for people.
+type RouteEvidence struct {
+	Route         string  `json:"route"`
+	Requests      int     `json:"requests"`
+	Errors        int     `json:"errors"`
+	SlowFirst     int     `json:"slow_first_token"`
+	SlowBetween   int     `json:"slow_between_tokens"`
+	Proved        bool    `json:"proved"`
+	ProvedVersion int     `json:"requests_on_proved_version"`
+	Alarm         float64 `json:"alarm"` // share of the way to the verdict "bad"
+}
+
+// Evidence returns the evidence by route, ordered by name.
+func (m *Monitor) Evidence() []RouteEvidence {
+	var out []RouteEvidence
+	for _, name := range m.names() {
+		r := m.routes[name]
+		out = append(out, RouteEvidence{Route: name, Requests: r.requests, Errors: r.bad[KindError],
+			SlowFirst: r.bad[KindFirstToken], SlowBetween: r.bad[KindBetweenTokens],
+			Proved: m.Proved(name), ProvedVersion: len(r.proved.window),
+			Alarm: min(1, slices.Max(r.sums[:])/-math.Log(m.settings.FalseAlarm))})
+	}
+	return out
+}
+
+func (m *Monitor) names() []string {
+	names := make([]string, 0, len(m.routes))
+	for name := range m.routes {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, cmp.Compare)
+	return names
+}
--- /dev/null
+++ b/internal/decision/verdict/verdict_test.go
@@ -0,0 +1,125 @@
+package verdict
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const stepTime = 100 * time.Millisecond
+
+// run feeds both versions until the verdict or the limit and returns how
+// many requests the unproved version had, and whether it was judged bad.
+func run(random *rand.Rand, limit int, proved, unproved func(i int) Observation) (int, bool) {
+	m := New(DefaultSettings())
+	now := time.Unix(0, 0)
+	for i := range limit {
+		now = now.Add(stepTime)
+		for range 4 {
+			m.ObserveProved(now, "r", proved(i))
+		}
+		m.ObserveUnproved(now, "r", unproved(i))
+		if _, _, bad := m.Bad(); bad {
+			return i + 1, true
+		}
+	}
+	return limit, false
+}
+
+func failing(random *rand.Rand, rate float64) func(int) Observation {
+	return func(int) Observation {
+		return Observation{Failed: random.Float64() < rate,
+			FirstToken:    time.Duration((50 + 50*random.Float64()) * float64(time.Millisecond)),
+			BetweenTokens: time.Duration((20 + 5*random.Float64()) * float64(time.Millisecond))}
+	}
+}
+
+func slower(observe func(int) Observation, factor float64) func(int) Observation {
+	return func(i int) Observation {
+		o := observe(i)
+		o.FirstToken = time.Duration(float64(o.FirstToken) * factor)
+		o.BetweenTokens = time.Duration(float64(o.BetweenTokens) * factor)
+		return o
+	}
+}
+
+func TestVerdict(t *testing.T) {
+	const trials = 200
+	cases := []struct {
+		name     string
+		limit    int
+		unproved func(*rand.Rand) func(int) Observation
+		wantBad  bool
+		// within is the mean number of requests to the verdict allowed.
+		within float64
+	}{
+		{"good", 1000, func(r *rand.Rand) func(int) Observation { return failing(r, 0.002) }, false, 0},
+		{"always failing", 100, func(r *rand.Rand) func(int) Observation { return failing(r, 1) }, true, 6},
+		{"failing three in ten", 400, func(r *rand.Rand) func(int) Observation { return failing(r, 0.3) }, true, 60},
+		{"three times slower", 400, func(r *rand.Rand) func(int) Observation { return slower(failing(r, 0.002), 3) }, true, 40},
+		{"fails after 200 requests", 400, func(r *rand.Rand) func(int) Observation {
+			good, bad := failing(r, 0.002), failing(r, 0.5)
+			return func(i int) Observation {
+				if i < 200 {
+					return good(i)
+				}
+				return bad(i)
+			}
+		}, true, 240},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			judgedBad, total := 0, 0
+			for seed := range trials {
+				random := rand.New(rand.NewPCG(uint64(seed), 1))
+				n, bad := run(random, c.limit, failing(random, 0.002), c.unproved(random))
+				total += n
+				if bad {
+					judgedBad++
+				}
+			}
+			mean := float64(total) / trials
+			t.Logf("judged bad %d of %d, mean %.1f requests", judgedBad, trials, mean)
+			if c.wantBad && (judgedBad != trials || mean > c.within) {
+				t.Errorf("want all judged bad within a mean of %.0f requests", c.within)
+			}
+			if !c.wantBad && judgedBad != 0 {
+				t.Errorf("a good version was judged bad")
+			}
+		})
+	}
+}
+
+// A fault that hits both versions, such as a zone that is lost, must not
+// take a good version back.
+func TestSharedFaultIsNotBlamedOnTheVersion(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	if n, bad := run(random, 1000, failing(random, 0.4), failing(random, 0.4)); bad {
+		t.Fatalf("judged bad after %d requests", n)
+	}
+}
+
+func TestFaultOnOneRouteOnly(t *testing.T) {
+	m := New(DefaultSettings())
+	now := time.Unix(0, 0)
+	for range 20 {
+		m.ObserveUnproved(now, "good", Observation{})
+		m.ObserveUnproved(now, "wrong", Observation{Failed: true})
+	}
+	if route, reason, bad := m.Bad(); !bad || route != "wrong" {
+		t.Fatalf("got %q %q %v", route, reason, bad)
+	}
+}
+
+func TestProvedNeedsEnoughRequests(t *testing.T) {
+	m := New(DefaultSettings())
+	now := time.Unix(0, 0)
+	needed := 0
+	for !m.Proved("r") && needed < 1000 {
+		m.ObserveUnproved(now, "r", Observation{})
+		needed++
+	}
+	if needed < 10 || needed > 60 {
+		t.Fatalf("proved after %d good requests", needed)
+	}
+}
