--- /dev/null
+++ b/internal/standin/engine/completions.go
@@ -0,0 +1,187 @@
+package engine
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/standin/front"
+)
+
+// defaultMaxTokens is the length of an answer if the request names none.
+const defaultMaxTokens = 64
+
+var (
+	errNoPrompt  = errors.New("engine: a prompt is needed")
+	errMaxTokens = errors.New("engine: max_tokens must be above 0")
+)
+
+// completionsBody is the body of a request; fields that the stand-in does
+// not use are ignored.
+type completionsBody struct {
+	Model     string        `json:"model"`
+	Prompt    string        `json:"prompt"`
+	Messages  []chatMessage `json:"messages"`
+	MaxTokens *int          `json:"max_tokens"`
+	Stream    bool          `json:"stream"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// chatPrompt is the prompt of a chat: a line "role: content" per message.
+func chatPrompt(messages []chatMessage) string {
+	var prompt strings.Builder
+	for _, m := range messages {
+		prompt.WriteString(m.Role + ": " + m.Content + "\n")
+	}
+	return prompt.String()
+}
+
+func (e *Engine) completions(w http.ResponseWriter, r *http.Request)     { e.run(w, r, false) }
+func (e *Engine) chatCompletions(w http.ResponseWriter, r *http.Request) { e.run(w, r, true) }
+
+func (e *Engine) run(w http.ResponseWriter, r *http.Request, chat bool) {
+	var body completionsBody
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&body); err != nil {
+		front.WriteError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	asked, err := body.request(chat)
+	if err != nil {
+		front.WriteError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	asked.id = r.Header.Get(headerRequestID)
+	if asked.id == "" {
+		asked.id = uuid.NewString()
+	}
+	asked.wrong = front.Wrong(r)
+	e.submit(w, r, asked, body.Stream)
+}
+
+func (b completionsBody) request(chat bool) (request, error) {
+	asked := request{model: b.Model, prompt: b.Prompt, maxTokens: defaultMaxTokens, chat: chat}
+	if chat {
+		asked.prompt = chatPrompt(b.Messages)
+	}
+	if b.MaxTokens != nil {
+		asked.maxTokens = *b.MaxTokens
+	}
+	switch {
+	case asked.prompt == "":
+		return asked, errNoPrompt
+	case asked.maxTokens <= 0:
+		return asked, errMaxTokens
+	}
+	return asked, nil
+}
+
+func (e *Engine) submit(w http.ResponseWriter, r *http.Request, asked request, stream bool) {
+	m := submitAsked{Reply: ring.NewReply[progressAnswer](), request: asked}
+	begun, err := ask(r.Context(), e, m, m.Reply)
+	switch {
+	case err != nil:
+		panic(http.ErrAbortHandler)
+	case begun.err != nil:
+		refuse(w, begun.err)
+	case stream:
+		e.stream(w, r, begun.progress, 0)
+	default:
+		e.whole(w, r, begun.progress)
+	}
+}
+
+// await waits until the run has more than after tokens, or has ended.
+func (e *Engine) await(r *http.Request, id string, after int) (progress, error) {
+	m := progressAsked{Reply: ring.NewReply[progressAnswer](), id: id, after: after}
+	answer, err := ask(r.Context(), e, m, m.Reply)
+	if err != nil {
+		return progress{}, err
+	}
+	return answer.progress, answer.err
+}
+
+// whole answers with one body when the run is finished.
+func (e *Engine) whole(w http.ResponseWriter, r *http.Request, p progress) {
+	p, err := e.await(r, p.id, p.total-1)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	w.Header().Set(headerVersion, p.version)
+	front.WriteJSON(w, http.StatusOK, wholeBody(p))
+}
+
+// answerBody is the body of an answer, whole or one event of a stream.
+type answerBody struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int          `json:"index"`
+	Text         *string      `json:"text,omitempty"`
+	Delta        *delta       `json:"delta,omitempty"`
+	Message      *chatMessage `json:"message,omitempty"`
+	FinishReason *string      `json:"finish_reason"`
+}
+
+type delta struct {
+	Content string `json:"content"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+func (p progress) finishReason() *string {
+	reason := "stop"
+	if p.limited {
+		reason = "length"
+	}
+	return &reason
+}
+
+func wholeBody(p progress) answerBody {
+	var text strings.Builder
+	for i := range p.total {
+		text.WriteString(p.text(i))
+	}
+	answer := text.String()
+	body := answerBody{ID: p.id, Object: "text_completion", Model: p.model,
+		Choices: []choice{{Text: &answer, FinishReason: p.finishReason()}},
+		Usage: &usage{PromptTokens: p.promptTokens, CompletionTokens: p.total,
+			TotalTokens: p.promptTokens + p.total}}
+	if p.chat {
+		body.Object = "chat.completion"
+		body.Choices[0].Text = nil
+		body.Choices[0].Message = &chatMessage{Role: "assistant", Content: answer}
+	}
+	return body
+}
+
+// eventBody is the body of the stream event for one token.
+func eventBody(p progress, index int) answerBody {
+	text := p.text(index)
+	body := answerBody{ID: p.id, Object: "text_completion", Model: p.model, Choices: []choice{{Text: &text}}}
+	if p.chat {
+		body.Object = "chat.completion.chunk"
+		body.Choices[0] = choice{Delta: &delta{Content: text}}
+	}
+	if index == p.total-1 {
+		body.Choices[0].FinishReason = p.finishReason()
+	}
+	return body
+}
--- /dev/null
+++ b/internal/standin/engine/stream.go
@@ -0,0 +1,77 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"kingcupcourse/internal/standin/front"
+)
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	after, err := parseEventNumber(r.Header.Get(headerLastEvent))
+	if err != nil {
+		front.WriteError(w, http.StatusBadRequest, "Last-Event-ID is a whole number from 0")
+		return
+	}
+	// Asking for tokens after -1 tells at once how far the run is.
+	p, err := e.await(r, r.PathValue("id"), -1)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	e.stream(w, r, p, int(min(after, int64(p.total))))
+}
+
+// stream sends the events after a number until the run ends.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, p progress, sent int) {
+	cut, err := e.front.CutStream(r.Context())
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	last := p.total
+	if cut {
+		last = sent + (p.total-sent)/2
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
+	w.Header().Set(headerVersion, p.version)
+	w.WriteHeader(http.StatusOK)
+	flush(w)
+	for sent < last {
+		if p, err = e.await(r, p.id, sent); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		sent = sendEvents(w, p, sent, min(p.produced, last))
+	}
+	if cut {
+		panic(http.ErrAbortHandler)
+	}
+	if _, err = w.Write([]byte("data: [DONE]\n\n")); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// sendEvents sends the events from after one number up to another one
+// together, and returns the number of the last.
+func sendEvents(w http.ResponseWriter, p progress, from, to int) int {
+	var events bytes.Buffer
+	for i := from; i < to; i++ {
+		fmt.Fprintf(&events, "id: %d\ndata: ", i+1)
+		// The body has nothing that JSON cannot tell; Encode ends the line.
+		_ = json.NewEncoder(&events).Encode(eventBody(p, i))
+		events.WriteByte('\n')
+	}
+	if _, err := w.Write(events.Bytes()); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	flush(w)
+	return to
+}
+
+func flush(w http.ResponseWriter) {
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/standin/faultproxy/copy.go
@@ -0,0 +1,154 @@
+package faultproxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/supervisor"
+)
+
+const (
+	// dialTimeout bounds how long the target may take to accept.
+	dialTimeout = 5 * time.Second
+	// chunkBytes is how much is read at once.
+	chunkBytes = 32 << 10
+)
+
+// accept is the duty that accepts connections and starts a duty for each.
+type accept struct {
+	address  string
+	target   string
+	listener net.Listener
+	inbox    *ring.Ring[message]
+	copies   *supervisor.Supervisor
+	accepted int
+}
+
+func (a *accept) listen() (err error) {
+	if a.listener, err = net.Listen("tcp", a.address); err == nil {
+		a.address = a.listener.Addr().String()
+	}
+	return err
+}
+
+// Serve implements supervisor.Duty.
+func (a *accept) Serve(ctx context.Context) error {
+	if a.listener == nil {
+		if err := a.listen(); err != nil {
+			return err
+		}
+	}
+	listener := a.listener
+	defer func() { _ = listener.Close(); a.listener = nil }()
+	defer supervisor.CloseOnDone(ctx, listener)()
+	for {
+		client, err := listener.Accept()
+		if err != nil {
+			return errors.Join(ctx.Err(), err)
+		}
+		a.accepted++
+		name := fmt.Sprintf("link-%d", a.accepted)
+		a.copies.Add(supervisor.Child{Name: name, Duty: &forward{
+			name: name, target: a.target, client: client.(*net.TCPConn), inbox: a.inbox, copies: a.copies}})
+	}
+}
+
+// forward is the duty that opens a link and copies from the caller to the
+// target.
+type forward struct {
+	name   string
+	target string
+	client *net.TCPConn
+	inbox  *ring.Ring[message]
+	copies *supervisor.Supervisor
+}
+
+// Serve implements supervisor.Duty.
+func (f *forward) Serve(ctx context.Context) error {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	connection, err := dialer.DialContext(ctx, "tcp", f.target)
+	if err != nil {
+		_ = f.client.Close()
+		return supervisor.ErrDone
+	}
+	target := connection.(*net.TCPConn)
+	number, err := f.open(ctx, target)
+	if err != nil || number == 0 {
+		_ = f.client.Close()
+		_ = target.Close()
+		return supervisor.ErrDone
+	}
+	f.copies.Add(supervisor.Child{Name: f.name + "-back", Duty: &direction{
+		link: number, from: target, to: f.client, toClient: true, inbox: f.inbox}})
+	out := direction{link: number, from: f.client, to: target, inbox: f.inbox}
+	return out.Serve(ctx)
+}
+
+func (f *forward) open(ctx context.Context, target *net.TCPConn) (int, error) {
+	m := opened{Reply: ring.NewReply[int](), client: f.client, target: target}
+	if err := f.inbox.Put(ctx, m); err != nil {
+		return 0, err
+	}
+	return m.Wait(ctx)
+}
+
+// direction is the duty that copies one direction of a link.
+type direction struct {
+	link     int
+	from     *net.TCPConn
+	to       *net.TCPConn
+	toClient bool
+	inbox    *ring.Ring[message]
+}
+
+// Serve implements supervisor.Duty.
+func (d *direction) Serve(ctx context.Context) error {
+	defer supervisor.CloseOnDone(ctx, d.from)()
+	err := d.copy(ctx)
+	if errors.Is(err, io.EOF) {
+		err = d.to.CloseWrite()
+	}
+	if d.inbox.Put(ctx, directionEnded{link: d.link, broken: err != nil}) != nil {
+		_ = d.from.Close()
+		_ = d.to.Close()
+	}
+	return supervisor.ErrDone
+}
+
+// copy returns io.EOF when the other side has sent everything.
+func (d *direction) copy(ctx context.Context) error {
+	chunk := make([]byte, chunkBytes)
+	for {
+		n, err := d.from.Read(chunk)
+		if n > 0 {
+			if passErr := d.pass(ctx, chunk[:n]); passErr != nil {
+				return passErr
+			}
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// pass does with a chunk what the faults say.
+func (d *direction) pass(ctx context.Context, chunk []byte) error {
+	m := chunkRead{Reply: ring.NewReply[verdict](), link: d.link, bytes: len(chunk), toClient: d.toClient}
+	if err := d.inbox.Put(ctx, m); err != nil {
+		return err
+	}
+	v, err := m.Wait(ctx)
+	if err != nil || v.swallow {
+		return err
+	}
+	if err = ring.Pause(ctx, v.settings.delay()); err != nil {
+		return err
+	}
+	_, err = d.to.Write(chunk)
+	return err
+}
--- a/internal/standin/front/json.go
+++ b/internal/standin/front/json.go
@@ -14,8 +14,10 @@
 func WriteJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
+	encoder := json.NewEncoder(w)
+	encoder.SetEscapeHTML(false)
 	// An error here means that the caller is gone.
-	_ = json.NewEncoder(w).Encode(body)
+	_ = encoder.Encode(body)
 }
 
 // WriteError answers with a status and a JSON body that says why.
