--- /dev/null
+++ b/internal/standin/helpers_test.go
@@ -0,0 +1,155 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/ring"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// callTimeout is how long a call may take before it counts as unanswered.
+const callTimeout = 5 * time.Second
+
+// shortly is how long a test waits for an answer that must not come.
+const shortly = 150 * time.Millisecond
+
+// fleetUnderTest is a running process and a client of its own.
+type fleetUnderTest struct {
+	t       *testing.T
+	process *Process
+	client  *http.Client
+}
+
+func start(t *testing.T, fleet Fleet) *fleetUnderTest {
+	t.Helper()
+	fleet.AdminAddress = "127.0.0.1:0"
+	process, err := New(fleet, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := ring.NewReply[error]()
+	go func() { ended.Send(process.Supervisor().Serve(ctx)) }()
+	client := &http.Client{Transport: &http.Transport{}, Timeout: callTimeout}
+	t.Cleanup(func() {
+		client.CloseIdleConnections()
+		stop()
+		_, _ = ended.Wait(context.Background())
+	})
+	return &fleetUnderTest{t: t, process: process, client: client}
+}
+
+// answer is a whole response.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// try makes a call. Headers are given as "Name: value".
+func (f *fleetUnderTest) try(method, name, path, body string, headers ...string) (answer, error) {
+	return f.tryAt(method, f.process.Address(name), path, body, headers...)
+}
+
+func (f *fleetUnderTest) tryAt(method, address, path, body string, headers ...string) (answer, error) {
+	request, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for _, h := range headers {
+		name, value, _ := strings.Cut(h, ": ")
+		request.Header.Set(name, value)
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(content)}, err
+}
+
+// call makes a call that must be answered with the status.
+func (f *fleetUnderTest) call(want int, method, name, path, body string, headers ...string) answer {
+	f.t.Helper()
+	got, err := f.try(method, name, path, body, headers...)
+	if err != nil {
+		f.t.Fatalf("%s %s: %v", method, path, err)
+	}
+	if got.status != want {
+		f.t.Fatalf("%s %s: got %d %s, want %d", method, path, got.status, got.body, want)
+	}
+	return got
+}
+
+// unanswered makes a call that must not be answered shortly.
+func (f *fleetUnderTest) unanswered(method, name, path, body string) {
+	f.t.Helper()
+	client := *f.client
+	client.Timeout = shortly
+	impatient := &fleetUnderTest{t: f.t, process: f.process, client: &client}
+	if got, err := impatient.try(method, name, path, body); err == nil {
+		f.t.Fatalf("%s %s was answered %d", method, path, got.status)
+	}
+}
+
+func (f *fleetUnderTest) fault(name, order string) {
+	f.t.Helper()
+	got, err := f.tryAt(http.MethodPost, f.process.AdminAddress(), "/"+name+"/admin/fault", order)
+	if err != nil || got.status != http.StatusNoContent {
+		f.t.Fatalf("fault %s: %d %s %v", order, got.status, got.body, err)
+	}
+}
+
+func stats[T any](f *fleetUnderTest, name string) T {
+	f.t.Helper()
+	got, err := f.tryAt(http.MethodGet, f.process.AdminAddress(), "/"+name+"/admin/stats", "")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return decode[T](f.t, got)
+}
+
+func decode[T any](t *testing.T, a answer) T {
+	t.Helper()
+	var value T
+	if err := json.NewDecoder(bytes.NewBufferString(a.body)).Decode(&value); err != nil {
+		t.Fatalf("%v: %s", err, a.body)
+	}
+	return value
+}
+
+// eventually waits until the condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(callTimeout); !holds(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+// background runs a call on the side and gives its answer.
+func (f *fleetUnderTest) background(method, name, path, body string, headers ...string) ring.Reply[answer] {
+	reply := ring.NewReply[answer]()
+	go func() {
+		got, err := f.try(method, name, path, body, headers...)
+		if err != nil {
+			reply.Abandon(err)
+			return
+		}
+		reply.Send(got)
+	}()
+	return reply
+}
--- /dev/null
+++ b/internal/standin/proxy_test.go
@@ -0,0 +1,123 @@
+package standin
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/standin/faultproxy"
+	"kingcupcourse/internal/standin/ledger"
+)
+
+func startProxy(t *testing.T) *fleetUnderTest {
+	t.Helper()
+	// A port that is free now is what both the ledger and the proxy are told.
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	return start(t, Fleet{
+		Ledgers: []ledger.Config{{Name: "ledger", Address: address}},
+		Proxies: []faultproxy.Config{{Name: "proxy", Address: "127.0.0.1:0", Target: address}},
+	})
+}
+
+func (f *fleetUnderTest) ping() { f.t.Helper(); f.call(200, "GET", "proxy", "/healthz", "") }
+
+func TestProxyPassesAndForgetsItsConnections(t *testing.T) {
+	f := startProxy(t)
+	f.ping()
+	names := f.process.Supervisor().Names
+	if !slices.Contains(names(), "proxy/copies/link-1-back") {
+		t.Fatalf("children %v", names())
+	}
+	f.client.CloseIdleConnections()
+	eventually(t, "the copying duties are gone", func() bool {
+		return !slices.ContainsFunc(names(), func(n string) bool { return strings.HasPrefix(n, "proxy/copies/") })
+	})
+	if s := stats[faultproxy.Stats](f, "proxy"); s.Connections != 1 || s.Open != 0 || s.Bytes == 0 {
+		t.Fatalf("stats %+v", s)
+	}
+}
+
+func TestProxyDelays(t *testing.T) {
+	f := startProxy(t)
+	f.fault("proxy", `{"delay_ms":30}`)
+	begun := time.Now()
+	f.ping()
+	if took := time.Since(begun); took < 60*time.Millisecond {
+		t.Fatalf("both ways took %v", took)
+	}
+}
+
+func TestProxyCutsWhileItIsSet(t *testing.T) {
+	f := startProxy(t)
+	open, err := net.Dial("tcp", f.process.Address("proxy"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = open.Close() }()
+	eventually(t, "the link is open", func() bool { return stats[faultproxy.Stats](f, "proxy").Open == 1 })
+	f.fault("proxy", `{"cut":true}`)
+	if _, err := open.Read(make([]byte, 1)); err == nil {
+		t.Fatal("the open connection was not cut")
+	}
+	if _, err := f.try("GET", "proxy", "/healthz", ""); err == nil {
+		t.Fatal("a new connection was not cut")
+	}
+	f.fault("proxy", `{"cut":false}`)
+	f.ping()
+}
+
+func TestProxyBlackHoleSilencesOpenConnectionsOnly(t *testing.T) {
+	f := startProxy(t)
+	f.ping()
+	f.fault("proxy", `{"black_hole":true}`)
+	f.unanswered("GET", "proxy", "/healthz", "")
+	f.ping()
+}
+
+func TestProxyHalfCloseLeavesTheOtherDirection(t *testing.T) {
+	f := startProxy(t)
+	open, err := net.Dial("tcp", f.process.Address("proxy"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = open.Close() }()
+	eventually(t, "the link is open", func() bool { return stats[faultproxy.Stats](f, "proxy").Open == 1 })
+	f.fault("proxy", `{"half_close":true}`)
+	if _, err = bufio.NewReader(open).ReadByte(); !errors.Is(err, io.EOF) {
+		t.Fatalf("got %v, want the end", err)
+	}
+	if _, err = io.WriteString(open, "POST /v1/entries HTTP/1.1\r\nHost: x\r\nX-Request-Id: r\r\nContent-Length: 2\r\n\r\n{}"); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the request arrives", func() bool { return stats[ledger.Stats](f, "ledger").Runs["r"] == 1 })
+}
+
+func TestProxyRefuses(t *testing.T) {
+	f := startProxy(t)
+	f.fault("proxy", `{"refuse":true}`)
+	if connection, err := net.Dial("tcp", f.process.Address("proxy")); err == nil {
+		_ = connection.Close()
+		t.Fatal("the connection was accepted")
+	}
+	f.fault("proxy", `{"refuse":false}`)
+	f.ping()
+}
+
+func TestFleetRefusesTwoOfOneName(t *testing.T) {
+	twice := []faultproxy.Config{{Name: "p", Address: "127.0.0.1:0"}, {Name: "p", Address: "127.0.0.1:0"}}
+	if _, err := New(Fleet{Proxies: twice}, zap.NewNop()); err == nil {
+		t.Fatal("the fleet was made")
+	}
+}
