--- /dev/null
+++ b/integration/call_test.go
@@ -0,0 +1,179 @@
+package integration
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/standin/tokens"
+)
+
+// answer is what a caller got.
+type answer struct {
+	status      int
+	disposition core.Disposition
+	reason      core.Reason
+	retryAfter  int
+	requestID   string
+	version     string
+	replayed    bool
+	body        string // the answer's text, or the refusal's body
+	whole       bool
+	err         error
+	took        time.Duration
+}
+
+// call is one request of a caller.
+type call struct {
+	method, path string
+	body         []byte
+	key          string
+	bearer       string
+	deadline     time.Duration
+	tier         string
+	stream       bool
+}
+
+// newKey returns a fresh idempotency key.
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+// completion is a streamed completions call with an answer of so many tokens.
+func completion(model, prompt string, length int, key string) call {
+	body, _ := json.Marshal(map[string]any{"model": model, "prompt": prompt, "max_tokens": length, "stream": true})
+	return call{method: http.MethodPost, path: "/v1/completions", body: body, key: key, stream: true}
+}
+
+// filing is a call of the ledger that must run at most once.
+func filing(key string) call {
+	body, _ := json.Marshal(map[string]string{"id": key})
+	return call{method: http.MethodPost, path: "/v1/entries", body: body, key: key}
+}
+
+// read is a call of the ledger that may be repeated.
+func read(path string) call { return call{method: http.MethodGet, path: path} }
+
+// send sends the call to an entry host and reads the whole answer.
+func (c *cluster) send(ctx context.Context, h *host, k call) answer {
+	began := time.Now()
+	a := c.exchange(ctx, h, k)
+	a.took = time.Since(began)
+	return a
+}
+
+func (c *cluster) exchange(ctx context.Context, h *host, k call) answer {
+	request, err := http.NewRequestWithContext(ctx, k.method, h.callers+k.path, bytes.NewReader(k.body))
+	if err != nil {
+		return answer{err: err}
+	}
+	bearer := k.bearer
+	if bearer == "" {
+		bearer = accountKey
+	}
+	request.Header.Set("Authorization", "Bearer "+bearer)
+	request.Header.Set("Content-Type", "application/json")
+	if k.key != "" {
+		request.Header["Idempotency-Key"] = []string{k.key}
+	}
+	if k.deadline != 0 {
+		request.Header.Set("Kingcup-Deadline-Ms", itoa(k.deadline.Milliseconds()))
+	}
+	if k.tier != "" {
+		request.Header.Set("Kingcup-Tier", k.tier)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	return readAnswer(response, k.stream)
+}
+
+func itoa(n int64) string { b, _ := json.Marshal(n); return string(b) }
+
+func readAnswer(response *http.Response, stream bool) answer {
+	a := answer{status: response.StatusCode, requestID: response.Header.Get("X-Request-Id"),
+		version: response.Header.Get("X-Engine-Version"), retryAfter: retryAfter(response),
+		replayed: response.Header.Get("Kingcup-Replayed") != ""}
+	if stream && response.StatusCode == http.StatusOK {
+		readStream(&a, response.Body)
+		return a
+	}
+	text, err := io.ReadAll(response.Body)
+	a.body, a.err = string(text), err
+	if response.StatusCode >= http.StatusBadRequest {
+		a.refuse(text)
+		return a
+	}
+	a.whole = err == nil
+	return a
+}
+
+func (a *answer) refuse(body []byte) {
+	var refusal struct {
+		Error struct {
+			Disposition core.Disposition `json:"disposition"`
+			Reason      core.Reason      `json:"reason"`
+		} `json:"error"`
+	}
+	if err := json.Unmarshal(body, &refusal); err != nil {
+		a.err = err
+		return
+	}
+	a.disposition, a.reason, a.body = refusal.Error.Disposition, refusal.Error.Reason, string(body)
+}
+
+var errNoEndMarker = errors.New("the stream ended without its end marker")
+
+func readStream(a *answer, body io.Reader) {
+	scanner := bufio.NewScanner(body)
+	var text strings.Builder
+	failed := false
+	for scanner.Scan() {
+		data, isData := strings.CutPrefix(scanner.Text(), "data: ")
+		switch {
+		case scanner.Text() == "event: error":
+			failed = true
+		case !isData:
+		case failed:
+			a.refuse([]byte(data))
+			return
+		case data == "[DONE]":
+			a.body, a.whole = text.String(), true
+			return
+		default:
+			text.WriteString(eventText(data))
+		}
+	}
+	a.body, a.err = text.String(), errors.Join(errNoEndMarker, scanner.Err())
+}
+
+func eventText(data string) string {
+	var event struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal([]byte(data), &event) != nil || len(event.Choices) == 0 {
+		return "(bad event)"
+	}
+	return event.Choices[0].Text
+}
+
+// wantText fails the test unless the answer is whole and every byte is right.
+func wantText(t *testing.T, a answer, prompt string, length int) {
+	t.Helper()
+	if !a.whole || a.body != tokens.Expected(prompt, length) {
+		t.Errorf("answer not whole: status %d, %s %s, %v, %d bytes of %d", a.status, a.disposition, a.reason,
+			a.err, len(a.body), len(tokens.Expected(prompt, length)))
+	}
+}
--- /dev/null
+++ b/integration/path_test.go
@@ -0,0 +1,50 @@
+// Package integration tests the system as real processes on the stand-ins.
+package integration
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// One streamed model request and one filing through each of three entry
+// hosts, every byte read back; then one host drains under traffic and cuts
+// nothing off.
+func TestPathThroughThreeHosts(t *testing.T) {
+	c := startCluster(t, options{})
+	for i, h := range c.hosts {
+		prompt := fmt.Sprintf("dossier %d", i)
+		wantText(t, c.send(t.Context(), h, completion(answerModel, prompt, 40, "")), prompt, 40)
+		wantText(t, c.send(t.Context(), h, completion(draftModel, prompt, 40, newKey())), prompt, 40)
+		if a := c.send(t.Context(), h, filing(newKey())); a.status != http.StatusCreated || !a.whole {
+			t.Errorf("filing: %+v", a)
+		}
+		if a := c.send(t.Context(), h, read("/v1/balances/member-1")); a.status != http.StatusOK || !a.whole {
+			t.Errorf("read: %+v", a)
+		}
+	}
+	drainUnderTraffic(t, c)
+}
+
+// drainUnderTraffic starts requests on a host, drains its processes while
+// the requests run, and wants every answer whole.
+func drainUnderTraffic(t *testing.T, c *cluster) {
+	t.Helper()
+	const requests, length = 12, 120
+	var running sync.WaitGroup
+	for i := range requests {
+		running.Go(func() {
+			prompt := fmt.Sprintf("during the drain %d", i)
+			wantText(t, c.send(t.Context(), c.hosts[0], completion(answerModel, prompt, length, "")), prompt, length)
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	c.hosts[0].entry.drain(20 * time.Second)
+	c.hosts[0].scheduler.drain(20 * time.Second)
+	c.hosts[0].rollout.drain(20 * time.Second)
+	running.Wait()
+	prompt := "after the drain"
+	wantText(t, c.send(t.Context(), c.hosts[1], completion(answerModel, prompt, 10, "")), prompt, 10)
+}
--- /dev/null
+++ b/integration/process_test.go
@@ -0,0 +1,168 @@
+package integration
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// binaries is the folder that TestMain builds the programs into.
+var binaries string
+
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+// buildAndRun builds the programs with the race detector, so that a data
+// race in a real process fails the test that met it.
+func buildAndRun(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "kingcup")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	binaries = folder
+	build := exec.Command("go", "build", "-race", "-o", folder, "./cmd/...")
+	build.Dir = ".."
+	build.Stdout, build.Stderr = os.Stderr, os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "build:", err)
+		return 1
+	}
+	return m.Run()
+}
+
+// nextPort counts up from a range that the kernel does not hand out itself.
+var nextPort atomic.Int32
+
+const firstPort = 24000
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		return address
+	}
+}
+
+// process is one program under test. Its output goes to a log file.
+type process struct {
+	t       *testing.T
+	name    string
+	command []string
+	log     string
+	running *exec.Cmd
+	ended   chan error
+}
+
+func newProcess(t *testing.T, folder, name, program string, arguments ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, log: filepath.Join(folder, name+".log"),
+		command: append([]string{filepath.Join(binaries, program)}, arguments...)}
+	t.Cleanup(p.cleanUp)
+	return p
+}
+
+// start starts the program, also again after it ended.
+func (p *process) start() {
+	p.t.Helper()
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer func() { _ = log.Close() }()
+	p.running = exec.Command(p.command[0], p.command[1:]...)
+	p.running.Stdout, p.running.Stderr = log, log
+	if err := p.running.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	p.ended = ended
+	go func(cmd *exec.Cmd) { ended <- cmd.Wait() }(p.running)
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.running.Process.Signal(s); err != nil {
+		p.t.Logf("%s: signal %v: %v", p.name, s, err)
+	}
+}
+
+// kill ends the program at once, as a host that fails would.
+func (p *process) kill() {
+	p.t.Helper()
+	p.signal(syscall.SIGKILL)
+	_ = p.waitEnd(10 * time.Second)
+}
+
+// pause freezes the program until resume.
+func (p *process) pause() { p.t.Helper(); p.signal(syscall.SIGSTOP) }
+
+// resume lets a frozen program go on.
+func (p *process) resume() { p.t.Helper(); p.signal(syscall.SIGCONT) }
+
+// errStillRunning is returned by waitEnd when the time is over.
+var errStillRunning = errors.New("still running")
+
+// waitEnd waits until the program has ended and returns its exit error.
+func (p *process) waitEnd(limit time.Duration) error {
+	select {
+	case err := <-p.ended:
+		p.ended <- err
+		return err
+	case <-time.After(limit):
+		return errStillRunning
+	}
+}
+
+// drain asks the program to stop gracefully and fails the test if it does
+// not end with exit code 0 in time.
+func (p *process) drain(limit time.Duration) {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	if err := p.waitEnd(limit); err != nil {
+		p.t.Errorf("%s: drain: %v", p.name, err)
+	}
+}
+
+func (p *process) cleanUp() {
+	if p.running != nil {
+		_ = p.running.Process.Signal(syscall.SIGCONT)
+		_ = p.running.Process.Kill()
+		_ = p.waitEnd(10 * time.Second)
+	}
+	text, _ := os.ReadFile(p.log)
+	if at := bytes.Index(text, []byte("DATA RACE")); at >= 0 {
+		p.t.Errorf("%s: %s", p.name, text[at:min(len(text), at+4000)])
+	}
+	if bytes.Contains(text, []byte("child panicked")) {
+		p.t.Errorf("%s: a duty panicked:\n%s", p.name, grep(text, "child panicked"))
+	}
+	if p.t.Failed() {
+		p.t.Logf("log of %s (end):\n%s", p.name, text[max(0, len(text)-1500):])
+	}
+}
+
+// grep returns the first lines of the text that contain the word.
+func grep(text []byte, word string) []byte {
+	var found []byte
+	for line := range bytes.Lines(text) {
+		if bytes.Contains(line, []byte(word)) && len(found) < 3000 {
+			found = append(found, line...)
+		}
+	}
+	return found
+}
