--- a/internal/standin/faultproxy/supervisor.go
+++ b/internal/standin/faultproxy/supervisor.go
@@ -22,7 +22,8 @@
 	name  string
 	inbox *ring.Ring[message]
 	tree  *supervisor.Supervisor
-	door  *door
+
+	address string
 }
 
 // New binds the address and returns a proxy that is not yet running.
@@ -33,20 +34,22 @@
 	if err := taking.listen(); err != nil {
 		return nil, err
 	}
+	// A listener that is opened again gets the port of the first one.
+	taking.address = taking.listener.Addr().String()
 	gate := &door{accept: taking}
 	gate.tree = supervisor.New(supervisor.Spec{Name: config.Name, Children: []supervisor.Child{
 		{Name: "control", Duty: &control{inbox: inbox, door: gate, links: map[int]*link{}}},
 		{Name: "copies", Duty: copies},
 		{Name: acceptName, Duty: taking},
 	}}, log)
-	return &Proxy{name: config.Name, inbox: inbox, tree: gate.tree, door: gate}, nil
+	return &Proxy{name: config.Name, inbox: inbox, tree: gate.tree, address: taking.address}, nil
 }
 
 // Name returns the name in the admin paths.
 func (p *Proxy) Name() string { return p.name }
 
 // Address returns the bound address with its port.
-func (p *Proxy) Address() string { return p.door.accept.address }
+func (p *Proxy) Address() string { return p.address }
 
 // Supervisor returns the tree to run.
 func (p *Proxy) Supervisor() *supervisor.Supervisor { return p.tree }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"os"
+	"path/filepath"
 
 	"github.com/rotisserie/eris"
 
@@ -23,7 +24,8 @@
 	Proxies      []faultproxy.Config `json:"proxies"`
 }
 
-// ReadFleet reads a fleet from a JSON file. Unknown fields are errors.
+// ReadFleet reads a fleet from a JSON file. Unknown fields are errors. Object
+// files are named relative to the fleet's file.
 func ReadFleet(file string) (Fleet, error) {
 	content, err := os.ReadFile(file)
 	if err != nil {
@@ -35,5 +37,21 @@
 	if err := decoder.Decode(&fleet); err != nil {
 		return Fleet{}, eris.Wrapf(err, "reading the fleet %s", file)
 	}
+	if decoder.More() {
+		return Fleet{}, eris.Errorf("reading the fleet %s: more than one JSON value", file)
+	}
+	fleet.locate(filepath.Dir(file))
 	return fleet, nil
 }
+
+// locate makes the object files relative to the directory of the fleet.
+func (f *Fleet) locate(directory string) {
+	if f.Platform == nil {
+		return
+	}
+	for i, o := range f.Platform.Objects {
+		if o.File != "" && !filepath.IsAbs(o.File) {
+			f.Platform.Objects[i].File = filepath.Join(directory, o.File)
+		}
+	}
+}
