Decide queue order, placement and counts of outstanding work

The queue keeps tiers strict, shares a tier between client accounts by start-time fair queueing and sheds from the least important tier up. In an account's own tier a full queue also gives way from the account that holds more than its share; without that a large account that fills the queue would keep a small one out for good.

--- /dev/null
+++ b/internal/decision/estimate/speed.go
@@ -0,0 +1,108 @@
+// Package estimate learns how fast endpoints work and how long answers are.
+package estimate
+
+import (
+	"time"
+
+	"kingcupcourse/internal/core"
+)
+
+const (
+	// DefaultPrefillRate is the first guess in prompt tokens a second.
+	DefaultPrefillRate = 4000.0
+	// DefaultDecodeRate is the first guess in tokens a second of one
+	// running request.
+	DefaultDecodeRate = 40.0
+	// DefaultServiceTime is the first guess for one call of a plain service.
+	DefaultServiceTime = 50 * time.Millisecond
+	// minPrefillTokens is the least uncached prompt from which a prefill
+	// rate is learned; shorter ones measure the network.
+	minPrefillTokens = 64
+)
+
+// Sample is what one finished attempt tells about its endpoint.
+type Sample struct {
+	// PrefillTokens is the prompt less the cached prefix.
+	PrefillTokens int
+	OutputTokens  int
+	// Running is how many attempts ran on the endpoint.
+	Running int
+	// FirstToken, BetweenTokens and Total are times from the dispatch;
+	// BetweenTokens is the mean.
+	FirstToken, BetweenTokens, Total time.Duration
+}
+
+// Speeds holds what was learned by endpoint and version.
+type Speeds struct {
+	learned map[speedKey]*speed
+}
+
+type speedKey struct {
+	endpoint string
+	version  core.Version
+}
+
+type speed struct {
+	// prefill is in seconds a token.
+	prefill average
+	// step is the time between tokens in seconds, by running requests.
+	step line
+	// service is in seconds a call.
+	service average
+}
+
+// NewSpeeds returns an empty set.
+func NewSpeeds() *Speeds { return &Speeds{learned: map[speedKey]*speed{}} }
+
+// Observe learns from a finished attempt on the endpoint with the version.
+func (s *Speeds) Observe(e core.Endpoint, v core.Version, sample Sample) {
+	l := s.get(e, v)
+	if sample.Total > 0 {
+		l.service.add(sample.Total.Seconds())
+	}
+	if sample.PrefillTokens >= minPrefillTokens && sample.FirstToken > 0 {
+		l.prefill.add(sample.FirstToken.Seconds() / float64(sample.PrefillTokens))
+	}
+	if sample.OutputTokens > 1 && sample.BetweenTokens > 0 {
+		l.step.add(float64(sample.Running), sample.BetweenTokens.Seconds())
+	}
+}
+
+// Prefill returns the expected time to prefill the tokens.
+func (s *Speeds) Prefill(e core.Endpoint, v core.Version, tokens int) time.Duration {
+	return seconds(s.get(e, v).prefill.value * float64(tokens))
+}
+
+// Decode returns the expected time to decode the tokens while the given
+// number of requests runs.
+func (s *Speeds) Decode(e core.Endpoint, v core.Version, running, tokens int) time.Duration {
+	return seconds(s.get(e, v).step.at(float64(running)) * float64(tokens))
+}
+
+// Service returns the expected time of one call to a plain service.
+func (s *Speeds) Service(e core.Endpoint, v core.Version) time.Duration {
+	return seconds(s.get(e, v).service.value)
+}
+
+func (s *Speeds) get(e core.Endpoint, v core.Version) *speed {
+	key := speedKey{e.Name, v}
+	l := s.learned[key]
+	if l == nil {
+		l = &speed{
+			prefill: average{value: 1 / orDefault(e.PrefillRate, DefaultPrefillRate)},
+			step:    line{y: 1 / orDefault(e.DecodeRate, DefaultDecodeRate)},
+			service: average{value: DefaultServiceTime.Seconds()},
+		}
+		s.learned[key] = l
+	}
+	return l
+}
+
+func orDefault(value, fallback float64) float64 {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/decision/placement/scorers.go
@@ -0,0 +1,80 @@
+package placement
+
+import "time"
+
+const (
+	// prefillWeight is how much a second of prefill counts beside a second
+	// until the finish: prefill slows every request that the engine runs.
+	prefillWeight = 1.0
+	// farPenalty is what an endpoint in another availability zone costs, in
+	// seconds. It decides between endpoints that are otherwise alike.
+	farPenalty = 0.002
+)
+
+// ExpectedFinish scores by the expected finish of the request, the prefill
+// that it costs its neighbours, and nearness, in seconds.
+type ExpectedFinish struct{}
+
+// Name implements Scorer.
+func (ExpectedFinish) Name() string { return "expected_finish" }
+
+// Score implements Scorer.
+func (ExpectedFinish) Score(c *Candidate, _ *Need) float64 {
+	score := c.Finish().Seconds() + prefillWeight*c.Prefill.Seconds()*float64(c.Running)/float64(max(1, c.Endpoint.Slots))
+	if !c.Near {
+		score += farPenalty
+	}
+	return score
+}
+
+// LeastOutstanding scores by outstanding tokens, and by running attempts
+// where those are equal.
+type LeastOutstanding struct{}
+
+// Name implements Scorer.
+func (LeastOutstanding) Name() string { return "least_outstanding" }
+
+// Score implements Scorer.
+func (LeastOutstanding) Score(c *Candidate, _ *Need) float64 {
+	return float64(c.OutstandingTokens) + float64(c.Running+c.Foreign)
+}
+
+// CachedPrefix scores by the cached prefix alone, the longest first, and by
+// running attempts where those are equal.
+type CachedPrefix struct{}
+
+// Name implements Scorer.
+func (CachedPrefix) Name() string { return "prefix_affinity" }
+
+// Score implements Scorer.
+func (CachedPrefix) Score(c *Candidate, _ *Need) float64 {
+	return float64(c.Running+c.Foreign) - float64(c.CachedTokens)*1000
+}
+
+// Constant scores every candidate alike.
+type Constant struct{}
+
+// Name implements Scorer.
+func (Constant) Name() string { return "constant" }
+
+// Score implements Scorer.
+func (Constant) Score(*Candidate, *Need) float64 { return 0 }
+
+// Best returns the shortest expected run time among the candidates that the
+// request may ever be placed on, busy or not; false if there is none.
+func Best(candidates []Candidate, need *Need) (best time.Duration, ok bool) {
+	for i := range candidates {
+		if !eligible(&candidates[i], need) {
+			continue
+		}
+		if !ok || candidates[i].RunTime < best {
+			best, ok = candidates[i].RunTime, true
+		}
+	}
+	return best, ok
+}
+
+func eligible(c *Candidate, need *Need) bool {
+	return Leaving{}.Pass(c, need) && Ready{}.Pass(c, need) &&
+		GoodVersion{}.Pass(c, need) && Excluded{}.Pass(c, need)
+}
--- /dev/null
+++ b/internal/decision/queue/queue.go
@@ -0,0 +1,175 @@
+package queue
+
+import (
+	"time"
+
+	"kingcupcourse/internal/core"
+)
+
+// Limits bound what waits. Zero means no limit.
+type Limits struct {
+	Requests int
+	Tokens   int
+}
+
+// Queue holds the waiting requests of one pool shard. It is not safe for
+// concurrent use.
+type Queue struct {
+	limits Limits
+	// tiers is indexed by core.Tier.
+	tiers    []*tier
+	items    map[string]*Item
+	tokens   int
+	sequence uint64
+}
+
+// New returns an empty queue.
+func New(limits Limits) *Queue {
+	return &Queue{limits: limits, items: map[string]*Item{}}
+}
+
+// SetLimits changes the limits. What waits already is not shed by it.
+func (q *Queue) SetLimits(limits Limits) { q.limits = limits }
+
+// Len returns how many requests wait.
+func (q *Queue) Len() int { return len(q.items) }
+
+// Tokens returns the estimated tokens that wait.
+func (q *Queue) Tokens() int { return q.tokens }
+
+// Depth returns how many requests of one tier wait.
+func (q *Queue) Depth(t core.Tier) int {
+	if int(t) >= len(q.tiers) {
+		return 0
+	}
+	return q.tiers[t].count
+}
+
+// Tiers returns the number of the least important tier seen so far.
+func (q *Queue) Tiers() core.Tier { return core.Tier(max(0, len(q.tiers)-1)) }
+
+// Get returns the waiting item with the id, or nil.
+func (q *Queue) Get(id string) *Item { return q.items[id] }
+
+// Offer adds an item. When the queue is full it makes room by shedding, see
+// makeRoom; it returns what was shed. It returns false, and sheds nothing, if
+// there is no room for the item itself.
+func (q *Queue) Offer(item *Item) (shed []*Item, ok bool) {
+	item.Tokens = max(1, item.Tokens)
+	if item.Weight <= 0 {
+		item.Weight = 1
+	}
+	if shed, ok = q.makeRoom(item); !ok {
+		return nil, false
+	}
+	q.sequence++
+	item.sequence = q.sequence
+	q.insert(item)
+	return shed, true
+}
+
+// Pop takes the item out that is to be placed next, charging its account, or
+// returns nil if nothing waits. Each popped item must go to Placed or Return.
+func (q *Queue) Pop() *Item {
+	for _, t := range q.tiers {
+		a := t.next()
+		if a == nil {
+			continue
+		}
+		item := a.items[0]
+		q.remove(item)
+		item.start = a.virtual
+		a.virtual += item.cost()
+		return item
+	}
+	return nil
+}
+
+// Placed confirms that a popped item was placed.
+func (q *Queue) Placed(item *Item) {
+	t := q.tier(item.Request.Tier)
+	t.virtual = max(t.virtual, item.start)
+}
+
+// Return puts a popped item back in its place and refunds its account.
+func (q *Queue) Return(item *Item) {
+	a := q.tier(item.Request.Tier).account(item.Request.Account)
+	a.virtual -= item.cost()
+	q.insert(item)
+}
+
+// Remove takes an item out, for example because its caller has gone. It
+// returns nil if the item does not wait.
+func (q *Queue) Remove(id string) *Item {
+	item := q.items[id]
+	if item != nil {
+		q.remove(item)
+	}
+	return item
+}
+
+// Expire takes out every item that can no longer finish before its deadline.
+func (q *Queue) Expire(now time.Time) []*Item {
+	var expired []*Item
+	for _, item := range q.items {
+		late := !item.LatestStart.IsZero() && item.LatestStart.Before(now)
+		if late || !item.Request.Deadline.After(now) {
+			expired = append(expired, item)
+		}
+	}
+	for _, item := range expired {
+		q.remove(item)
+	}
+	return expired
+}
+
+// Each calls visit for every waiting item, in no particular order.
+func (q *Queue) Each(visit func(*Item)) {
+	for _, item := range q.items {
+		visit(item)
+	}
+}
+
+// WorkBefore returns the expected slot time of the waiting requests that
+// would be placed before the item: those of more important tiers and the
+// item's share of its own tier. Less important tiers never count.
+func (q *Queue) WorkBefore(item *Item) time.Duration {
+	var work time.Duration
+	for number, t := range q.tiers {
+		switch {
+		case core.Tier(number) < item.Request.Tier:
+			work += t.work
+		case core.Tier(number) == item.Request.Tier:
+			work += t.workBefore(item)
+		}
+	}
+	return work
+}
+
+// Work returns the expected slot time of everything that waits.
+func (q *Queue) Work() time.Duration {
+	var work time.Duration
+	for _, t := range q.tiers {
+		work += t.work
+	}
+	return work
+}
+
+func (q *Queue) tier(number core.Tier) *tier {
+	for int(number) >= len(q.tiers) {
+		q.tiers = append(q.tiers, &tier{})
+	}
+	return q.tiers[number]
+}
+
+func (q *Queue) insert(item *Item) {
+	q.tier(item.Request.Tier).insert(item)
+	q.items[item.ID] = item
+	q.tokens += item.Tokens
+}
+
+func (q *Queue) remove(item *Item) {
+	q.tier(item.Request.Tier).remove(item)
+	delete(q.items, item.ID)
+	q.tokens -= item.Tokens
+}
