--- a/internal/decision/estimate/speed.go
+++ b/internal/decision/estimate/speed.go
@@ -18,6 +18,10 @@
 	// minPrefillTokens is the least uncached prompt from which a prefill
 	// rate is learned; shorter ones measure the network.
 	minPrefillTokens = 64
+	// minSamples is how many attempts must have ended, and freshTime how
+	// lately, for a speed to be trusted.
+	minSamples = 3
+	freshTime  = 10 * time.Second
 )
 
 // Sample is what one finished attempt tells about its endpoint.
@@ -30,6 +34,8 @@
 	// FirstToken, BetweenTokens and Total are times from the dispatch;
 	// BetweenTokens is the mean.
 	FirstToken, BetweenTokens, Total time.Duration
+	// At is when the attempt ended.
+	At time.Time
 }
 
 // Speeds holds what was learned by endpoint and version.
@@ -49,6 +55,8 @@
 	step line
 	// service is in seconds a call.
 	service average
+	count   int
+	newest  time.Time
 }
 
 // NewSpeeds returns an empty set.
@@ -57,6 +65,8 @@
 // Observe learns from a finished attempt on the endpoint with the version.
 func (s *Speeds) Observe(e core.Endpoint, v core.Version, sample Sample) {
 	l := s.get(e, v)
+	l.count++
+	l.newest = sample.At
 	if sample.Total > 0 {
 		l.service.add(sample.Total.Seconds())
 	}
@@ -68,6 +78,12 @@
 	}
 }
 
+// Fresh tells whether the speed was learned lately and not only guessed.
+func (s *Speeds) Fresh(e core.Endpoint, v core.Version, now time.Time) bool {
+	l := s.get(e, v)
+	return l.count >= minSamples && now.Sub(l.newest) < freshTime
+}
+
 // Prefill returns the expected time to prefill the tokens.
 func (s *Speeds) Prefill(e core.Endpoint, v core.Version, tokens int) time.Duration {
 	return seconds(s.get(e, v).prefill.value * float64(tokens))
--- /dev/null
+++ b/internal/decision/journal/takeover.go
@@ -0,0 +1,131 @@
+package journal
+
+import (
+	"slices"
+	"time"
+)
+
+// ReadResult is what reading a slot gave.
+type ReadResult struct {
+	Slot int
+	// Failed tells that nothing was learned.
+	Failed bool
+	// Version is zero if there is no object; Batch is then nil.
+	Version uint64
+	Batch   *Batch
+}
+
+func (m *Machine) startReading() {
+	m.forget()
+	m.state = stateReading
+	m.found = map[int]*Batch{}
+	m.reading = map[int]bool{}
+	for i := range m.slots {
+		m.read(i)
+	}
+}
+
+func (m *Machine) read(i int) {
+	m.reading[i] = true
+	m.nextOps = append(m.nextOps, Op{Kind: OpRead, Slot: i})
+}
+
+// ReadDone tells the result of an OpRead.
+func (m *Machine) ReadDone(r ReadResult, now time.Time) {
+	switch {
+	case m.write != nil && m.write.slot == r.Slot && m.write.phase == phaseReadBack:
+		m.readBack(r, now)
+	case m.state == stateReading && m.reading[r.Slot]:
+		m.slotRead(r, now)
+	}
+}
+
+func (m *Machine) slotRead(r ReadResult, now time.Time) {
+	if r.Failed {
+		m.backOff(now)
+		m.nextOps = append(m.nextOps, Op{Kind: OpRead, Slot: r.Slot})
+		return
+	}
+	m.worked()
+	delete(m.reading, r.Slot)
+	newer := m.learn(r)
+	if m.rereading && newer {
+		m.read((r.Slot + 1) % len(m.slots))
+	}
+	if len(m.reading) > 0 {
+		return
+	}
+	if !m.wanted {
+		m.resign("this scheduler no longer owns the pool")
+		return
+	}
+	m.state = stateClaiming
+}
+
+// learn notes a slot's content. It tells whether the content is newer than
+// what was known.
+func (m *Machine) learn(r ReadResult) (newer bool) {
+	known := m.slots[r.Slot]
+	s := slot{version: r.Version}
+	if r.Batch != nil {
+		s.seq, s.newest = r.Batch.Seq, r.Batch.newest()
+		m.found[r.Slot] = r.Batch
+		if m.head == nil || r.Batch.Seq >= m.head.Seq {
+			m.head = r.Batch
+		}
+	}
+	m.slots[r.Slot] = s
+	return r.Version != known.version
+}
+
+// rereadFrom starts over after another owner has written the slot that the
+// takeover wanted. Only that slot and those that follow it can have changed.
+func (m *Machine) rereadFrom(r ReadResult) {
+	m.state, m.rereading = stateReading, true
+	m.reading = map[int]bool{}
+	m.learn(r)
+	m.read((r.Slot + 1) % len(m.slots))
+}
+
+// takenOver becomes the owner: it builds the state of the keys from all that
+// was read.
+func (m *Machine) takenOver(now time.Time) {
+	m.state, m.rereading = stateOwner, false
+	m.found[m.slotOf(m.head.Seq)] = m.head
+	batches := make([]*Batch, 0, len(m.found))
+	for _, batch := range m.found {
+		batches = append(batches, batch)
+	}
+	slices.SortFunc(batches, func(a, b *Batch) int {
+		if a.Seq < b.Seq {
+			return -1
+		}
+		return 1
+	})
+	for _, batch := range batches {
+		for i := range batch.Records {
+			m.replay(&batch.Records[i])
+		}
+	}
+	m.found = nil
+	m.Prune(now)
+	held := m.held
+	m.held = nil
+	for _, event := range held {
+		event(now)
+	}
+}
+
+func (m *Machine) replay(r *Record) {
+	at, _ := KeyTime(r.Key)
+	switch r.Kind {
+	case KindReserve:
+		m.keys[r.Key] = &key{attempt: r.Attempt, fingerprint: r.Fingerprint, time: at, durable: true}
+	case KindRelease:
+		if k := m.keys[r.Key]; k != nil && k.attempt == r.Attempt && k.finish == nil {
+			delete(m.keys, r.Key)
+		}
+	case KindFinish:
+		m.keys[r.Key] = &key{attempt: r.Attempt, fingerprint: r.Fingerprint, time: at, durable: true, finish: r}
+	}
+}
--- a/internal/decision/outstanding/report.go
+++ b/internal/decision/outstanding/report.go
@@ -53,9 +53,13 @@
 	h.length = min(h.length+1, historyLength)
 }
 
-// highest returns the highest count between two times.
+// highest returns the highest count between two times. Before the oldest
+// change that is remembered, it takes the count from then.
 func (h *history) highest(from, to time.Time) int {
 	highest := 0
+	if h.length == historyLength {
+		highest = h.changes[h.next].count
+	}
 	for i := range h.length {
 		c := h.changes[(h.next-h.length+i+historyLength)%historyLength]
 		switch {
--- a/internal/decision/placement/filters.go
+++ b/internal/decision/placement/filters.go
@@ -70,4 +70,6 @@
 func (MeetsDeadline) Name() string { return "deadline" }
 
 // Pass implements Filter.
-func (MeetsDeadline) Pass(c *Candidate, n *Need) bool { return c.Finish() <= n.Left() }
+func (MeetsDeadline) Pass(c *Candidate, n *Need) bool {
+	return c.PendingPrefill+c.LeastTime <= n.Left()
+}
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -30,6 +30,9 @@
 	// RunTime is how long the request would take on the endpoint, prefill
 	// of the uncached prompt included.
 	RunTime time.Duration
+	// LeastTime is how long it would take at the least: what is compared
+	// with the deadline.
+	LeastTime time.Duration
 	// Prefill is the part of RunTime that is prefill.
 	Prefill time.Duration
 	// Near tells that the endpoint is in the availability zone of the entry
--- a/internal/decision/placement/scorers.go
+++ b/internal/decision/placement/scorers.go
@@ -60,21 +60,23 @@
 // Score implements Scorer.
 func (Constant) Score(*Candidate, *Need) float64 { return 0 }
 
-// Best returns the shortest expected run time among the candidates that the
+// Best returns the shortest LeastTime among the candidates that the
 // request may ever be placed on, busy or not; false if there is none.
 func Best(candidates []Candidate, need *Need) (best time.Duration, ok bool) {
 	for i := range candidates {
-		if !eligible(&candidates[i], need) {
+		if !Eligible(&candidates[i], need) {
 			continue
 		}
-		if !ok || candidates[i].RunTime < best {
-			best, ok = candidates[i].RunTime, true
+		if !ok || candidates[i].LeastTime < best {
+			best, ok = candidates[i].LeastTime, true
 		}
 	}
 	return best, ok
 }
 
-func eligible(c *Candidate, need *Need) bool {
+// Eligible tells whether the request may ever be placed on the candidate, busy
+// or not.
+func Eligible(c *Candidate, need *Need) bool {
 	return Leaving{}.Pass(c, need) && Ready{}.Pass(c, need) &&
 		GoodVersion{}.Pass(c, need) && Excluded{}.Pass(c, need)
 }
--- /dev/null
+++ b/internal/scheduler/inbox/journal.go
@@ -0,0 +1,51 @@
+package inbox
+
+import (
+	"kingcupcourse/internal/decision/journal"
+	"kingcupcourse/internal/ring"
+)
+
+const (
+	// JournalCapacity is how many messages wait for a journal's owner duty.
+	// When it is full, the queue duty keeps what it has to tell until later
+	// and refuses new run-once requests as not run.
+	JournalCapacity = 4096
+	// JournalReaders is how many slots are read at once.
+	JournalReaders = 8
+)
+
+// Journal is a message to the owner duty of a shard's journal.
+type Journal interface{ toJournal() }
+
+// Ask wants a key reserved.
+type Ask struct{ Ask journal.Ask }
+
+// Release gives a reservation back.
+type Release struct{ Key, Attempt string }
+
+// Finish records the end of an attempt.
+type Finish struct{ Record journal.Record }
+
+// Own tells whether this scheduler is to own the journal.
+type Own struct{ Wanted bool }
+
+// ReadDone is the result of a read.
+type ReadDone struct{ Result journal.ReadResult }
+
+// WriteDone is the result of a write.
+type WriteDone struct {
+	Result  journal.WriteResult
+	Version uint64
+}
+
+// Flush asks for an answer when nothing is left to be written, or when that
+// cannot be done.
+type Flush struct{ ring.Reply[struct{}] }
+
+func (Ask) toJournal()       {}
+func (Release) toJournal()   {}
+func (Finish) toJournal()    {}
+func (Own) toJournal()       {}
+func (ReadDone) toJournal()  {}
+func (WriteDone) toJournal() {}
+func (Flush) toJournal()     {}
--- /dev/null
+++ b/internal/scheduler/inbox/queue.go
@@ -0,0 +1,90 @@
+// Package inbox holds the typed messages that the duties of a pool shard
+// exchange.
+package inbox
+
+import (
+	"time"
+
+	"kingcupcourse/internal/control"
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/journal"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/ring"
+)
+
+// QueueCapacity is how many messages wait for a queue duty. A full ring
+// refuses a grant request as not run and makes the other duties wait.
+const QueueCapacity = 4096
+
+// Queue is a message to the queue duty of a shard.
+type Queue interface{ toQueue() }
+
+// Grant asks for permission to dispatch.
+type Grant struct {
+	ring.Reply[message.GrantReply]
+	Request message.GrantRequest
+}
+
+// Withdraw tells that nobody waits for a grant any more.
+type Withdraw struct{ Attempt string }
+
+// Report brings an entry's report.
+type Report struct {
+	ring.Reply[message.OutcomeAck]
+	Report message.OutcomeReport
+}
+
+// ViewChanged brings the newest view.
+type ViewChanged struct{ View *control.View }
+
+// Reading brings an endpoint's load report.
+type Reading struct {
+	Endpoint string
+	// Failed tells that there was no report; the rest is then empty.
+	Failed   bool
+	AsOf     time.Time
+	Received time.Time
+	Version  core.Version
+	// State is one of the EndpointState constants.
+	State EndpointState
+	// Present is how many requests run and wait.
+	Present int
+}
+
+// EndpointState is the state that an endpoint reports.
+type EndpointState string
+
+// The states of an endpoint.
+const (
+	EndpointReady   EndpointState = "ready"
+	EndpointLoading EndpointState = "loading"
+	EndpointLeaving EndpointState = "leaving"
+)
+
+// CacheEvents brings the changes of an engine's prefix cache.
+type CacheEvents struct {
+	Endpoint string
+	Events   []CacheEvent
+}
+
+// CacheEvent is one block stored or evicted.
+type CacheEvent struct {
+	Block  string
+	Stored bool
+}
+
+// JournalAnswer brings the journal's answer to an Ask.
+type JournalAnswer struct{ Answer journal.Answer }
+
+// Drain asks the queue to place nothing more, to refuse what waits and to
+// answer when that is done.
+type Drain struct{ ring.Reply[struct{}] }
+
+func (Grant) toQueue()         {}
+func (Withdraw) toQueue()      {}
+func (Report) toQueue()        {}
+func (ViewChanged) toQueue()   {}
+func (Reading) toQueue()       {}
+func (CacheEvents) toQueue()   {}
+func (JournalAnswer) toQueue() {}
+func (Drain) toQueue()         {}
--- /dev/null
+++ b/internal/scheduler/shards/shard/journal/owner/owner.go
@@ -0,0 +1,160 @@
+// Package owner is the duty that owns the journal of a pool: it feeds the
+// journal's state machine and hands the calls that it wants to the callers.
+package owner
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/decision/journal"
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/scheduler/inbox"
+)
+
+const (
+	// pruneInterval is how often keys out of force are forgotten.
+	pruneInterval = time.Minute
+)
+
+// Config sets an owner duty up.
+type Config struct {
+	Pool    string
+	Machine *journal.Machine
+	Inbox   *ring.Ring[inbox.Journal]
+	Queue   *ring.Ring[inbox.Queue]
+	// Writer is the ring of the one writer, Readers those of the readers.
+	Writer  *ring.Ring[journal.Op]
+	Readers []*ring.Ring[journal.Op]
+	Log     *zap.Logger
+}
+
+// Duty is the owner of one journal.
+type Duty struct {
+	Config
+	log *zap.Logger
+
+	pruneAt time.Time
+	// backlog are calls for which the ring had no room.
+	backlog []journal.Op
+	owner   bool
+	flushes []inbox.Flush
+}
+
+// New returns an owner duty.
+func New(config Config) *Duty {
+	return &Duty{Config: config, log: config.Log.With(zap.String("pool", config.Pool))}
+}
+
+// Serve implements supervisor.Duty.
+func (d *Duty) Serve(ctx context.Context) error {
+	d.pruneAt = time.Now().Add(pruneInterval)
+	handle := func(m inbox.Journal) error {
+		d.apply(m, time.Now())
+		d.gather(time.Now())
+		return d.advance(ctx, time.Now())
+	}
+	tick := func() error {
+		now := time.Now()
+		if !now.Before(d.pruneAt) {
+			d.Machine.Prune(now)
+			d.pruneAt = now.Add(pruneInterval)
+		}
+		return d.advance(ctx, now)
+	}
+	return ring.LoopUntil(ctx, d.Inbox, handle, d.wake, tick)
+}
+
+func (d *Duty) wake() time.Time {
+	at := d.Machine.Wake()
+	if at.IsZero() || at.After(d.pruneAt) {
+		return d.pruneAt
+	}
+	return at
+}
+
+// gather takes in what else waits in the ring, so that it goes into the same
+// write.
+func (d *Duty) gather(now time.Time) {
+	for range d.Inbox.Len() {
+		m, ok := d.Inbox.TryTake()
+		if !ok {
+			return
+		}
+		d.apply(m, now)
+	}
+}
+
+func (d *Duty) apply(m inbox.Journal, now time.Time) {
+	switch m := m.(type) {
+	case inbox.Ask:
+		d.Machine.Ask(m.Ask, now)
+	case inbox.Release:
+		d.Machine.Release(m.Key, m.Attempt, now)
+	case inbox.Finish:
+		d.Machine.Finish(m.Record, now)
+	case inbox.Own:
+		d.Machine.Own(m.Wanted, now)
+	case inbox.ReadDone:
+		d.Machine.ReadDone(m.Result, now)
+	case inbox.WriteDone:
+		countWrite(d.Pool, m.Result)
+		d.Machine.WriteDone(m.Result, m.Version, now)
+	case inbox.Flush:
+		d.flushes = append(d.flushes, m)
+	}
+}
+
+// advance passes on the machine's answers and calls.
+func (d *Duty) advance(ctx context.Context, now time.Time) error {
+	d.backlog = append(d.backlog, d.Machine.Ops(now)...)
+	d.start()
+	for _, answer := range d.Machine.Answers() {
+		if err := d.Queue.Put(ctx, inbox.JournalAnswer{Answer: answer}); err != nil {
+			return err
+		}
+	}
+	d.answerFlushes()
+	d.logOwner()
+	return nil
+}
+
+func (d *Duty) start() {
+	var kept []journal.Op
+	for _, op := range d.backlog {
+		if d.ringFor(op).TryPut(op) != nil {
+			kept = append(kept, op)
+			continue
+		}
+		if op.Kind == journal.OpWrite {
+			recordsPerWrite.Observe(float64(len(op.Batch.Records)))
+		}
+	}
+	d.backlog = kept
+}
+
+func (d *Duty) ringFor(op journal.Op) *ring.Ring[journal.Op] {
+	if op.Kind == journal.OpWrite {
+		return d.Writer
+	}
+	return d.Readers[op.Slot%len(d.Readers)]
+}
+
+func (d *Duty) answerFlushes() {
+	if !d.Machine.Idle() && !d.Machine.Down() {
+		return
+	}
+	for _, flush := range d.flushes {
+		flush.Send(struct{}{})
+	}
+	d.flushes = nil
+}
+
+func (d *Duty) logOwner() {
+	if owner := d.Machine.Owner(); owner != d.owner {
+		d.owner = owner
+		d.log.Info("journal ownership changed", zap.Bool("owner", owner), zap.Int("keys", d.Machine.Keys()))
+	}
+	keysGauge.WithLabelValues(d.Pool).Set(float64(d.Machine.Keys()))
+}
--- /dev/null
+++ b/internal/scheduler/shards/shard/queue/arrive.go
@@ -0,0 +1,139 @@
+package queue
+
+import (
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/estimate"
+	"kingcupcourse/internal/decision/journal"
+	"kingcupcourse/internal/decision/placement"
+	waitlist "kingcupcourse/internal/decision/queue"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/scheduler/inbox"
+)
+
+const (
+	defaultOutputTokens = estimate.DefaultOutputTokens
+	// noEndpointRetry is when to ask again while no endpoint can take the
+	// request.
+	noEndpointRetry = time.Second
+	// minRetry is the shortest hint when to ask again.
+	minRetry = 100 * time.Millisecond
+)
+
+// arrive admits a request to the queue or refuses it.
+func (d *Duty) arrive(m inbox.Grant, now time.Time) {
+	request := coreRequest(&m.Request)
+	if d.turnAway(m, now) || d.repeated(m, now) {
+		return
+	}
+	item := &waitlist.Item{ID: m.Request.Attempt, Request: request, Weight: d.weight(request.Account)}
+	if refusal := d.admit(item, &m.Request, now); refusal != nil {
+		d.refuse(m.Reply, &m.Request, refusal, now)
+		return
+	}
+	shed, ok := d.waiting.Offer(item)
+	for _, victim := range shed {
+		d.drop(victim, core.RefuseFor(core.ReasonShed, "a more important request needed the place", d.hint()), now)
+	}
+	if !ok {
+		if d.waiting.Below(request.Tier) {
+			inversions.WithLabelValues(d.Shard.Pool).Inc()
+		}
+		d.refuse(m.Reply, &m.Request, core.RefuseFor(core.ReasonQueueFull, "the queue is full", d.hint()), now)
+		return
+	}
+	w := &waiter{reply: m.Reply, request: m.Request, arrived: now}
+	d.waiters[item.ID] = w
+	d.reserve(w, now)
+	d.soon(now)
+}
+
+// turnAway answers requests that this scheduler must not queue.
+func (d *Duty) turnAway(m inbox.Grant, now time.Time) bool {
+	switch {
+	case d.view == nil || d.view.Manifest == nil:
+		d.refuse(m.Reply, &m.Request, core.RefuseFor(core.ReasonNotReady, "no manifest yet", noEndpointRetry), now)
+	case !d.owned:
+		d.refuse(m.Reply, &m.Request, d.notOwner(), now)
+	default:
+		return false
+	}
+	return true
+}
+
+// repeated handles an attempt that was asked for before: one that waits goes
+// on waiting for the new asker, one that was granted is granted again.
+func (d *Duty) repeated(m inbox.Grant, now time.Time) bool {
+	if w := d.waiters[m.Request.Attempt]; w != nil {
+		w.reply.Abandon(ring.ErrAbandoned)
+		w.reply = m.Reply
+		return true
+	}
+	attempt := d.book.Get(m.Request.Attempt)
+	if attempt == nil || d.fleet[attempt.Endpoint] == nil {
+		return false
+	}
+	m.Reply.Send(d.granted(d.fleet[attempt.Endpoint], m.Request.Attempt))
+	return true
+}
+
+// admit fills in the item's estimates and refuses what cannot be done in
+// time. Only running work and the waiting work of its own and more important
+// tiers count as ahead of it.
+func (d *Duty) admit(item *waitlist.Item, r *message.GrantRequest, now time.Time) *core.Refusal {
+	need := placement.Need{Request: &item.Request, Now: now}
+	d.survey(now)
+	d.suit(r, &item.Request, now)
+	pool, ok := d.measure(&need)
+	if !ok {
+		return core.RefuseFor(core.ReasonNoEndpoint, "no endpoint can take the request", noEndpointRetry)
+	}
+	item.Tokens = item.Request.PromptTokens + d.outputTokens(&item.Request, usualQuantile)
+	item.Work = pool.mean
+	item.LatestStart = item.Request.Deadline.Add(-pool.best)
+	left := need.Left()
+	switch {
+	case left <= 0:
+		return core.Refuse(core.ReasonDeadlinePassed, "the deadline has passed")
+	case pool.best > left:
+		return core.Refuse(core.ReasonDeadlineTooSoon, "no endpoint is fast enough for the deadline")
+	}
+	if wait := pool.start(d.waiting.WorkBefore(item)); wait+pool.best > left {
+		return core.RefuseFor(core.ReasonDeadlineTooSoon, "the work ahead does not leave enough time", max(minRetry, wait))
+	}
+	return nil
+}
+
+// hint is how long the queue needs to work off what waits.
+func (d *Duty) hint() time.Duration {
+	slots := 0
+	for i := range d.candidates {
+		slots += d.candidates[i].Endpoint.Slots
+	}
+	return max(minRetry, d.waiting.Work()/time.Duration(max(1, slots)))
+}
+
+func (d *Duty) weight(account string) float64 { return orDefault(d.accounts[account], defaultWeight) }
+
+// reserve asks the journal for the key of a run-once request, while the
+// request waits in the queue.
+func (d *Duty) reserve(w *waiter, now time.Time) {
+	if w.request.Key == "" {
+		return
+	}
+	w.asked = now
+	ask := inbox.Ask{Ask: journal.Ask{Key: w.request.Key, Attempt: w.request.Attempt, Fingerprint: w.request.Fingerprint}}
+	if d.Journal.TryPut(ask) != nil {
+		d.drop(d.waiting.Remove(w.request.Attempt), core.RefuseFor(core.ReasonJournalDown, "the journal is busy", minRetry), now)
+	}
+}
+
+func coreRequest(r *message.GrantRequest) core.Request {
+	return core.Request{
+		ID: r.RequestID, Account: r.Account, Tier: max(1, r.Tier), Pool: r.Pool, Route: r.Route, Key: r.Key,
+		Fingerprint: r.Fingerprint, PromptTokens: r.PromptTokens, MaxOutputTokens: r.MaxOutputTokens,
+		PrefixBlocks: r.PrefixBlocks, Exclude: r.Exclude, Deadline: time.UnixMilli(r.DeadlineUnixMS),
+	}
+}
--- /dev/null
+++ b/internal/scheduler/shards/shard/queue/candidates.go
@@ -0,0 +1,168 @@
+package queue
+
+import (
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/health"
+	"kingcupcourse/internal/decision/outstanding"
+	"kingcupcourse/internal/decision/placement"
+	"kingcupcourse/internal/decision/share"
+	"kingcupcourse/internal/message"
+)
+
+const (
+	// usualQuantile of the output lengths is what is expected of a request.
+	usualQuantile = 0.5
+	// shortQuantile of them is what decides whether a request can finish in
+	// time at all.
+	shortQuantile = 0.25
+	// doubtFactor shortens a run time that was not learned lately, when it
+	// decides whether a request can finish at all. Without it an endpoint
+	// that was once slow would never be tried again.
+	doubtFactor = 0.25
+)
+
+// survey fills d.candidates with what holds for all requests of a round.
+func (d *Duty) survey(now time.Time) {
+	d.candidates = d.candidates[:0]
+	resting := 0
+	for _, e := range d.fleet {
+		if e.health.Resting(now) {
+			resting++
+		}
+	}
+	excused := health.Excuse(resting, len(d.fleet))
+	for _, e := range d.fleet {
+		rests := e.health.Resting(now) && !excused
+		d.candidates = append(d.candidates, placement.Candidate{
+			Endpoint:   e.Endpoint,
+			Version:    e.version,
+			Leaving:    d.leaving(e),
+			NotReady:   !e.health.Reachable() || rests || !isReady(e),
+			BadVersion: d.bad(e),
+		})
+		d.count(&d.candidates[len(d.candidates)-1], now)
+	}
+}
+
+// count fills in the work that is on a candidate.
+func (d *Duty) count(c *placement.Candidate, now time.Time) {
+	name := c.Endpoint.Name
+	c.Running = d.book.Running(name)
+	c.Foreign = d.book.Foreign(name, now)
+	c.OutstandingTokens = d.book.Tokens(name)
+	c.PendingPrefill = 0
+	d.book.Each(name, func(a *outstanding.Attempt) {
+		if a.OutputSoFar == 0 {
+			c.PendingPrefill = max(c.PendingPrefill, a.FirstToken.Sub(now))
+		}
+	})
+}
+
+// suit fills in what holds for one request.
+func (d *Duty) suit(r *message.GrantRequest, request *core.Request, now time.Time) {
+	zone := d.zones[r.Host]
+	usual, short := d.outputTokens(request, usualQuantile), d.outputTokens(request, shortQuantile)
+	for i := range d.candidates {
+		c := &d.candidates[i]
+		e := d.fleet[c.Endpoint.Name]
+		c.CachedTokens = min(request.PromptTokens, e.cache.Tokens(request.PrefixBlocks))
+		c.Prefill, c.RunTime = d.runTime(c, request, usual)
+		_, c.LeastTime = d.runTime(c, request, short)
+		if !d.speeds.Fresh(c.Endpoint, c.Version, now) {
+			c.LeastTime = time.Duration(doubtFactor * float64(c.LeastTime))
+		}
+		c.Near = c.Endpoint.AvailabilityZone == zone
+		c.ShareReached = !d.shareAllows(c.Version)
+	}
+}
+
+// runTime is the expected time of a request on a candidate from its start.
+func (d *Duty) runTime(c *placement.Candidate, request *core.Request, output int) (prefill, total time.Duration) {
+	if d.pool.Kind != core.KindModel {
+		return 0, d.speeds.Service(c.Endpoint, c.Version)
+	}
+	prefill = d.speeds.Prefill(c.Endpoint, c.Version, request.PromptTokens-c.CachedTokens)
+	return prefill, prefill + d.speeds.Decode(c.Endpoint, c.Version, c.Running+1, output)
+}
+
+// shareAllows tells whether a version may get one more attempt.
+func (d *Duty) shareAllows(v core.Version) bool {
+	limit, capped := d.caps[v]
+	if !capped {
+		return true
+	}
+	running, total := d.book.VersionRunning(v)
+	return share.Allows(limit, d.recent.Of(v), share.Traffic{Version: running, Total: total})
+}
+
+// outputTokens is the output length that a fraction of the requests of the
+// same route and account does not exceed.
+func (d *Duty) outputTokens(r *core.Request, quantile float64) int {
+	if d.pool.Kind != core.KindModel {
+		return 0
+	}
+	guess := orDefault(d.routes[r.Route].OutputTokens, defaultOutputTokens)
+	expected := d.lengths.Quantile(r.Route, r.Account, quantile, guess)
+	if r.MaxOutputTokens > 0 {
+		expected = min(expected, r.MaxOutputTokens)
+	}
+	return expected
+}
+
+// capacity is what the pool can do for one request, over the endpoints that
+// it may be placed on.
+type capacity struct {
+	// best is the least time that the request takes on any endpoint, mean
+	// the expected time over all.
+	best, mean time.Duration
+	slots      int
+	// free is the time until a slot is free.
+	free time.Duration
+}
+
+// measure returns the capacity for a request after suit; false if there is
+// no endpoint for it.
+func (d *Duty) measure(need *placement.Need) (capacity, bool) {
+	var c capacity
+	best, ok := placement.Best(d.candidates, need)
+	if !ok {
+		return c, false
+	}
+	c.best, c.free = best, time.Duration(1<<62)
+	var total time.Duration
+	count := 0
+	for i := range d.candidates {
+		candidate := &d.candidates[i]
+		if !placement.Eligible(candidate, need) {
+			continue
+		}
+		count++
+		total += candidate.RunTime
+		c.slots += candidate.Endpoint.Slots
+		c.free = min(c.free, d.untilFree(candidate, need.Now))
+	}
+	c.mean = total / time.Duration(count)
+	return c, true
+}
+
+// untilFree is the expected time until a candidate has a free slot.
+func (d *Duty) untilFree(c *placement.Candidate, now time.Time) time.Duration {
+	if c.Running+c.Foreign < c.Endpoint.Slots {
+		return 0
+	}
+	first := time.Duration(1 << 62)
+	d.book.Each(c.Endpoint.Name, func(a *outstanding.Attempt) {
+		first = min(first, max(0, a.Finish.Sub(now)))
+	})
+	if c.Running == 0 {
+		return 0
+	}
+	return first
+}
+
+// start is the expected time until an item that would wait is placed.
+func (c capacity) start(work time.Duration) time.Duration {
+	return c.free + work/time.Duration(max(1, c.slots))
+}
--- /dev/null
+++ b/internal/scheduler/shards/shard/queue/duty.go
@@ -0,0 +1,169 @@
+// Package queue is the duty that owns all state of one pool shard: what
+// waits, what runs where, and what was learned. It decides admission, order
+// and placement.
+package queue
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/control"
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/estimate"
+	"kingcupcourse/internal/decision/outstanding"
+	"kingcupcourse/internal/decision/ownership"
+	"kingcupcourse/internal/decision/placement"
+	waitlist "kingcupcourse/internal/decision/queue"
+	"kingcupcourse/internal/decision/share"
+	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/scheduler/inbox"
+)
+
+const (
+	// tickWaiting is how often the queue looks for requests that can no
+	// longer finish while any wait.
+	tickWaiting = 20 * time.Millisecond
+	// tickIdle is how often it looks for silent entries otherwise.
+	tickIdle = 250 * time.Millisecond
+	// gatherTime is how long a new owner waits for the reports of entries
+	// before its first placement.
+	gatherTime = 700 * time.Millisecond
+)
+
+// Config sets a queue duty up.
+type Config struct {
+	Shard ownership.Shard
+	// Host is the own host.
+	Host string
+	// Policy places requests.
+	Policy *placement.Policy
+	// Inbox is the duty's own ring, Journal that of the journal's owner.
+	Inbox   *ring.Ring[inbox.Queue]
+	Journal *ring.Ring[inbox.Journal]
+	Log     *zap.Logger
+}
+
+// Duty is the owner of one pool shard's state.
+type Duty struct {
+	Config
+	log *zap.Logger
+
+	view   *control.View
+	pool   manifest.Pool
+	routes map[string]manifest.Route
+	// accounts holds the weight of each client account.
+	accounts map[string]float64
+	fleet    map[string]*endpoint
+	// zones holds the availability zone of each entry host.
+	zones map[string]core.AvailabilityZone
+	// caps is the largest share of each unproved version.
+	caps map[core.Version]float64
+
+	owned bool
+	// next is the control address of the owner while this scheduler is not.
+	next        string
+	draining    bool
+	gatherUntil time.Time
+
+	waiting *waitlist.Queue
+	waiters map[string]*waiter
+	book    *outstanding.Book
+	speeds  *estimate.Speeds
+	lengths *estimate.Lengths
+	recent  *share.Recent
+	unsent  []inbox.Journal
+
+	candidates []placement.Candidate
+	tickAt     time.Time
+}
+
+// waiter is a request that waits for its grant.
+type waiter struct {
+	reply   ring.Reply[message.GrantReply]
+	request message.GrantRequest
+	arrived time.Time
+	// asked is when the journal was asked for a reservation, zero for a
+	// request without a key.
+	asked time.Time
+	// reserved tells that the reservation is durable.
+	reserved bool
+}
+
+// ready tells whether the request may be placed.
+func (w *waiter) ready() bool { return w.asked.IsZero() || w.reserved }
+
+// New returns a duty that owns nothing until it gets a view.
+func New(config Config) *Duty {
+	return &Duty{
+		Config:   config,
+		log:      config.Log.With(zap.String("pool", config.Shard.Pool)),
+		routes:   map[string]manifest.Route{},
+		accounts: map[string]float64{},
+		fleet:    map[string]*endpoint{},
+		zones:    map[string]core.AvailabilityZone{},
+		caps:     map[core.Version]float64{},
+		waiting:  waitlist.New(waitlist.Limits{}),
+		waiters:  map[string]*waiter{},
+		book:     outstanding.NewBook(),
+		speeds:   estimate.NewSpeeds(),
+		lengths:  estimate.NewLengths(),
+		recent:   share.NewRecent(),
+	}
+}
+
+// Serve implements supervisor.Duty.
+func (d *Duty) Serve(ctx context.Context) error {
+	d.tickAt = time.Now()
+	return ring.LoopUntil(ctx, d.Inbox, d.handle, func() time.Time { return d.tickAt }, d.tick)
+}
+
+func (d *Duty) handle(m inbox.Queue) error {
+	now := time.Now()
+	switch m := m.(type) {
+	case inbox.Grant:
+		d.arrive(m, now)
+	case inbox.Withdraw:
+		d.withdraw(m.Attempt)
+	case inbox.Report:
+		d.report(m, now)
+	case inbox.ViewChanged:
+		d.changeView(m.View, now)
+	case inbox.Reading:
+		d.reading(m, now)
+	case inbox.CacheEvents:
+		d.cacheEvents(m)
+	case inbox.JournalAnswer:
+		d.journalAnswer(m.Answer, now)
+	case inbox.Drain:
+		d.drain(m, now)
+	}
+	d.place(now)
+	return nil
+}
+
+// tick does what no message triggers: it drops what can no longer finish,
+// forgets silent entries and tells the journal what it could not take.
+func (d *Duty) tick() error {
+	now := time.Now()
+	d.expire(now)
+	d.forgetSilent(now)
+	d.sendUnsent()
+	d.place(now)
+	d.observeDepth()
+	d.tickAt = now.Add(tickIdle)
+	if d.waiting.Len() > 0 || len(d.unsent) > 0 {
+		d.tickAt = now.Add(tickWaiting)
+	}
+	return nil
+}
+
+// soon makes the next tick come in time for what waits.
+func (d *Duty) soon(now time.Time) {
+	if at := now.Add(tickWaiting); at.Before(d.tickAt) {
+		d.tickAt = at
+	}
+}
--- /dev/null
+++ b/internal/scheduler/shards/shard/queue/fleet.go
@@ -0,0 +1,89 @@
+package queue
+
+import (
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/health"
+	"kingcupcourse/internal/decision/outstanding"
+	"kingcupcourse/internal/decision/prefix"
+	"kingcupcourse/internal/scheduler/inbox"
+)
+
+// endpoint is what the queue knows of one endpoint.
+type endpoint struct {
+	core.Endpoint
+	// version is the version it runs, as it reported last.
+	version core.Version
+	state   inbox.EndpointState
+	// leavingSince is when an entry was told by it that it leaves, zero if
+	// a newer load report says otherwise.
+	leavingSince time.Time
+	health       health.Endpoint
+	cache        *prefix.Cache
+}
+
+func (d *Duty) changeFleet(endpoints []core.Endpoint) {
+	fleet := make(map[string]*endpoint, len(endpoints))
+	for _, e := range endpoints {
+		known := d.fleet[e.Name]
+		if known == nil || known.Address != e.Address {
+			known = &endpoint{version: e.Version, state: inbox.EndpointReady, cache: prefix.NewCache(prefix.DefaultBlocks)}
+		}
+		if known.Endpoint.Version != e.Version {
+			known.version = e.Version
+		}
+		known.Endpoint = e
+		fleet[e.Name] = known
+	}
+	d.fleet = fleet
+}
+
+// reading takes an endpoint's load report in.
+func (d *Duty) reading(r inbox.Reading, now time.Time) {
+	e := d.fleet[r.Endpoint]
+	if e == nil {
+		return
+	}
+	e.health.Polled(!r.Failed)
+	if r.Failed {
+		return
+	}
+	if e.version != r.Version && r.Version != "" {
+		e.version = r.Version
+		e.cache.Reset()
+	}
+	e.state = r.State
+	if r.AsOf.After(e.leavingSince) && r.State == inbox.EndpointReady {
+		e.leavingSince = time.Time{}
+	}
+	d.book.Reported(e.Name, outstanding.Report{AsOf: r.AsOf, Present: r.Present, Received: now})
+}
+
+func (d *Duty) cacheEvents(m inbox.CacheEvents) {
+	e := d.fleet[m.Endpoint]
+	if e == nil {
+		return
+	}
+	for _, event := range m.Events {
+		if event.Stored {
+			e.cache.Stored(event.Block)
+			continue
+		}
+		e.cache.Evicted(event.Block)
+	}
+}
+
+// leaving tells whether an endpoint gets no new work because it leaves.
+func (d *Duty) leaving(e *endpoint) bool {
+	return d.view.Leaving[e.Name] || e.state == inbox.EndpointLeaving || !e.leavingSince.IsZero()
+}
+
+// bad tells whether an endpoint's version was judged bad.
+func (d *Duty) bad(e *endpoint) bool {
+	_, bad := d.view.BadVersions[core.EndpointVersion{Pool: d.Shard.Pool, Version: e.version}]
+	return bad
+}
+
+// isReady tells whether an endpoint has reported that it serves.
+func isReady(e *endpoint) bool { return e.state == inbox.EndpointReady || e.state == "" }
--- /dev/null
+++ b/internal/scheduler/shards/shard/queue/journal.go
@@ -0,0 +1,65 @@
+package queue
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/journal"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/scheduler/inbox"
+)
+
+// tellJournal puts a message in the journal's ring, or keeps it for the next
+// tick while the ring is full. The order is kept.
+func (d *Duty) tellJournal(m inbox.Journal) {
+	if len(d.unsent) > 0 || d.Journal.TryPut(m) != nil {
+		d.unsent = append(d.unsent, m)
+	}
+}
+
+func (d *Duty) sendUnsent() {
+	for len(d.unsent) > 0 && d.Journal.TryPut(d.unsent[0]) == nil {
+		d.unsent = d.unsent[1:]
+	}
+}
+
+// journalAnswer lets a run-once request go on, or refuses it.
+func (d *Duty) journalAnswer(a journal.Answer, now time.Time) {
+	w := d.waiters[a.Attempt]
+	if w == nil || w.asked.IsZero() {
+		return
+	}
+	if a.Reserved {
+		w.reserved = true
+		reservationSeconds.Observe(now.Sub(w.asked).Seconds())
+		return
+	}
+	d.waiting.Remove(a.Attempt)
+	d.forget(a.Attempt)
+	if a.Refusal != nil {
+		d.refuse(w.reply, &w.request, a.Refusal, now)
+		return
+	}
+	w.reply.Send(message.GrantReply{Prior: a.Prior, ConfigVersion: d.configVersion()})
+	d.log.Info("answered by the journal", zap.String("request", w.request.RequestID), zap.String("key", w.request.Key))
+}
+
+// record tells the journal how a run-once attempt ended. An attempt that was
+// not dispatched, or that the endpoint did not start, is released.
+func (d *Duty) record(o *core.Outcome) {
+	if o.Key == "" {
+		return
+	}
+	if o.Result == core.ResultNotDispatched || o.Result == core.ResultRejected {
+		d.tellJournal(inbox.Release{Key: o.Key, Attempt: o.Attempt})
+		return
+	}
+	result := o.Result
+	if result == core.ResultFailed && o.Status == 0 {
+		result = core.ResultLost
+	}
+	d.tellJournal(inbox.Finish{Record: journal.Record{Key: o.Key, Attempt: o.Attempt, Result: result,
+		Status: o.Status, Answer: o.Answer, ContentType: o.ContentType, Whole: o.Answer != nil}})
+}
--- /dev/null
+++ b/internal/scheduler/shards/shard/queue/place.go
@@ -0,0 +1,117 @@
+package queue
+
+import (
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/outstanding"
+	"kingcupcourse/internal/decision/placement"
+	waitlist "kingcupcourse/internal/decision/queue"
+	"kingcupcourse/internal/message"
+)
+
+// maxSetAside is how many requests one round may pass over because no free
+// endpoint suits them.
+const maxSetAside = 256
+
+// place runs one placement round: it takes requests in their order and
+// places each for which an endpoint is free.
+func (d *Duty) place(now time.Time) {
+	if !d.owned || d.waiting.Len() == 0 || d.gathering(now) {
+		return
+	}
+	d.survey(now)
+	var aside []*waitlist.Item
+	for len(aside) < maxSetAside && d.anyFree() {
+		item := d.waiting.Pop()
+		if item == nil {
+			break
+		}
+		if !d.tryPlace(item, now) {
+			aside = append(aside, item)
+		}
+	}
+	for _, item := range aside {
+		d.waiting.Return(item)
+	}
+}
+
+func (d *Duty) anyFree() bool {
+	for i := range d.candidates {
+		c := &d.candidates[i]
+		if !c.Leaving && !c.NotReady && !c.BadVersion && c.Running+c.Foreign < c.Endpoint.Slots {
+			return true
+		}
+	}
+	return false
+}
+
+// tryPlace places or drops a popped item. It returns false if the item has
+// to wait on.
+func (d *Duty) tryPlace(item *waitlist.Item, now time.Time) bool {
+	w := d.waiters[item.ID]
+	if w == nil {
+		return true
+	}
+	if !w.ready() {
+		return false
+	}
+	begun := time.Now()
+	need := placement.Need{Request: &item.Request, Now: now}
+	d.suit(&w.request, &item.Request, now)
+	if best, ok := placement.Best(d.candidates, &need); ok && best > need.Left() {
+		d.drop(item, core.Refuse(core.ReasonDeadlineTooSoon, "it can no longer finish in time"), now)
+		return true
+	}
+	decision := d.Policy.Place(d.candidates, &need)
+	placementSeconds.Observe(time.Since(begun).Seconds())
+	if decision.Chosen == nil {
+		return false
+	}
+	d.grant(item, w, decision, now)
+	return true
+}
+
+// grant gives a request its endpoint and counts it there.
+func (d *Duty) grant(item *waitlist.Item, w *waiter, decision placement.Decision, now time.Time) {
+	chosen := *decision.Chosen
+	e := d.fleet[chosen.Endpoint.Name]
+	d.waiting.Placed(item)
+	delete(d.waiters, item.ID)
+	first := now.Add(chosen.PendingPrefill + chosen.Prefill)
+	d.book.Add(&outstanding.Attempt{
+		ID: item.ID, RequestID: item.Request.ID, Host: w.request.Host, Endpoint: e.Name, Version: chosen.Version,
+		Route: item.Request.Route, Account: item.Request.Account,
+		PrefillTokens: item.Request.PromptTokens - chosen.CachedTokens, OutputTokens: d.outputTokens(&item.Request, usualQuantile),
+		Granted: now, FirstToken: first, Finish: now.Add(chosen.Finish()),
+	}, now)
+	d.recent.Dispatched(chosen.Version)
+	for _, block := range item.Request.PrefixBlocks {
+		e.cache.Stored(block)
+	}
+	d.recount(e.Name, now)
+	w.reply.Send(d.granted(e, item.ID))
+	d.logGrant(item, w, &chosen, decision, now)
+}
+
+func (d *Duty) recount(name string, now time.Time) {
+	for i := range d.candidates {
+		if d.candidates[i].Endpoint.Name == name {
+			d.count(&d.candidates[i], now)
+		}
+	}
+}
+
+func (d *Duty) granted(e *endpoint, attempt string) message.GrantReply {
+	return message.GrantReply{
+		Grant:         &core.Grant{Attempt: attempt, Endpoint: e.Name, Address: e.Address, Version: e.version},
+		ConfigVersion: d.configVersion(),
+	}
+}
+
+func (d *Duty) configVersion() uint64 {
+	if d.view == nil {
+		return 0
+	}
+	return d.view.ManifestVersion
+}
--- /dev/null
+++ b/internal/scheduler/shards/shard/queue/refuse.go
@@ -0,0 +1,108 @@
+package queue
+
+import (
+	"time"
+
+	"kingcupcourse/internal/core"
+	waitlist "kingcupcourse/internal/decision/queue"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/scheduler/inbox"
+)
+
+// reservationPatience bounds how long a run-once request waits for its
+// reservation before it is refused.
+const reservationPatience = time.Second
+
+// refuse answers a request that never entered the queue.
+func (d *Duty) refuse(reply ring.Reply[message.GrantReply], r *message.GrantRequest, refusal *core.Refusal, now time.Time) {
+	answer := message.GrantReply{ConfigVersion: d.configVersion(), Refusal: &message.Refusal{
+		Refusal: *refusal, RetryAfterMS: refusal.RetryAfter.Milliseconds()}}
+	if refusal.Reason == core.ReasonNotOwner {
+		answer.Owner = d.next
+	}
+	reply.Send(answer)
+	d.logRefusal(r, refusal)
+}
+
+// drop refuses an item that was taken out of the queue, and gives its
+// reservation back: its grant was never given.
+func (d *Duty) drop(item *waitlist.Item, refusal *core.Refusal, now time.Time) {
+	if item == nil {
+		return
+	}
+	w := d.forget(item.ID)
+	if w == nil {
+		return
+	}
+	d.release(w)
+	d.refuse(w.reply, &w.request, refusal, now)
+}
+
+func (d *Duty) forget(id string) *waiter {
+	w := d.waiters[id]
+	delete(d.waiters, id)
+	return w
+}
+
+// release gives the reservation of a request back that was never granted.
+func (d *Duty) release(w *waiter) {
+	if !w.asked.IsZero() {
+		d.tellJournal(inbox.Release{Key: w.request.Key, Attempt: w.request.Attempt})
+	}
+}
+
+// withdraw takes a request out whose asker has gone. If it was granted, the
+// asker may have got the grant: its reservation stays.
+func (d *Duty) withdraw(attempt string) {
+	if d.waiting.Remove(attempt) == nil {
+		return
+	}
+	if w := d.forget(attempt); w != nil {
+		d.release(w)
+		refusedTotal.WithLabelValues(d.Shard.Pool, tierLabel(w.request.Tier), string(core.ReasonCallerGone)).Inc()
+	}
+}
+
+// expire drops what can no longer finish, and what waits too long for its
+// reservation.
+func (d *Duty) expire(now time.Time) {
+	for _, item := range d.waiting.Expire(now) {
+		d.drop(item, core.Refuse(core.ReasonDeadlineTooSoon, "it can no longer finish in time"), now)
+	}
+	for id, w := range d.waiters {
+		if !w.ready() && now.Sub(w.asked) >= reservationPatience {
+			d.drop(d.waiting.Remove(id),
+				core.RefuseFor(core.ReasonJournalDown, "the reservation could not be recorded", reservationPatience), now)
+		}
+	}
+}
+
+// refuseAll sends everything that waits to the next owner. The reservations
+// stay: the next owner finds them, and the entries ask it with the same
+// attempts.
+func (d *Duty) refuseAll(now time.Time) {
+	for id, w := range d.waiters {
+		d.waiting.Remove(id)
+		delete(d.waiters, id)
+		d.refuse(w.reply, &w.request, d.notOwner(), now)
+	}
+}
+
+func (d *Duty) notOwner() *core.Refusal {
+	if d.next == "" {
+		return core.RefuseFor(core.ReasonDraining, "this scheduler stops and no other is known", minRetry)
+	}
+	return core.RefuseFor(core.ReasonNotOwner, "another scheduler owns the pool", 0)
+}
+
+// drain hands the shard over: nothing more is granted, and what waits is
+// sent to the next owner.
+func (d *Duty) drain(m inbox.Drain, now time.Time) {
+	d.draining = true
+	if d.view != nil {
+		d.changeOwner(now)
+	}
+	d.sendUnsent()
+	m.Send(struct{}{})
+}
--- /dev/null
+++ b/internal/scheduler/shards/shard/queue/report.go
@@ -0,0 +1,119 @@
+package queue
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/estimate"
+	"kingcupcourse/internal/decision/outstanding"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/scheduler/inbox"
+)
+
+// report takes in what an entry says has ended and is running.
+func (d *Duty) report(m inbox.Report, now time.Time) {
+	ack := message.OutcomeAck{ConfigVersion: d.configVersion()}
+	if !d.owned {
+		ack.Owner = d.next
+		m.Send(ack)
+		return
+	}
+	for i := range m.Report.Outcomes {
+		d.outcome(&m.Report.Outcomes[i], now)
+	}
+	d.heard(&m.Report, now)
+	m.Send(ack)
+}
+
+func (d *Duty) outcome(o *core.Outcome, now time.Time) {
+	running := d.book.Running(o.Endpoint)
+	attempt := d.book.Remove(o.Attempt, now)
+	d.record(o)
+	outcomesTotal.WithLabelValues(d.Shard.Pool, string(o.Result)).Inc()
+	e := d.fleet[o.Endpoint]
+	if e == nil {
+		return
+	}
+	if o.Leaving {
+		e.leavingSince = now
+	}
+	d.judge(e, o, now)
+	if o.Result == core.ResultOK {
+		d.learn(e, o, attempt, running, now)
+	}
+}
+
+// judge notes what an outcome says of the endpoint's health.
+func (d *Duty) judge(e *endpoint, o *core.Outcome, now time.Time) {
+	switch {
+	case o.Result == core.ResultOK:
+		e.health.Succeeded()
+	case o.Result == core.ResultLost, o.Result == core.ResultNotDispatched && !o.Leaving,
+		o.Result == core.ResultFailed && (o.Status == 0 || o.Status >= 500):
+		e.health.Failed(now)
+	}
+}
+
+// learn takes the speed and the output length from a whole answer.
+func (d *Duty) learn(e *endpoint, o *core.Outcome, attempt *outstanding.Attempt, running int, now time.Time) {
+	prefill := o.PromptTokens
+	if attempt != nil {
+		prefill = attempt.PrefillTokens
+	}
+	d.speeds.Observe(e.Endpoint, o.Version, estimate.Sample{
+		PrefillTokens: prefill,
+		OutputTokens:  o.OutputTokens,
+		Running:       max(1, running),
+		FirstToken:    milliseconds(o.FirstTokenMS),
+		BetweenTokens: milliseconds(o.BetweenTokensMS),
+		Total:         milliseconds(o.TotalMS),
+		At:            now,
+	})
+	if o.OutputTokens > 0 {
+		d.lengths.Observe(o.Route, o.Account, o.OutputTokens)
+	}
+}
+
+// heard brings the count of outstanding work in line with what runs at an
+// entry.
+func (d *Duty) heard(r *message.OutcomeReport, now time.Time) {
+	listed := make([]outstanding.Listed, 0, len(r.Running))
+	for i := range r.Running {
+		listed = append(listed, d.listed(r.Host, &r.Running[i], now))
+	}
+	d.released(d.book.Heard(r.Host, listed, r.Full, now), "not listed by its entry")
+}
+
+// listed is the attempt that an entry runs, for an owner that did not grant
+// it.
+func (d *Duty) listed(host string, r *message.RunningRequest, now time.Time) outstanding.Listed {
+	attempt := outstanding.Attempt{ID: r.Attempt, RequestID: r.RequestID, Host: host, Endpoint: r.Endpoint,
+		Route: r.Route, Account: r.Account, PrefillTokens: r.PromptTokens, Granted: now, FirstToken: now, Finish: now}
+	e := d.fleet[r.Endpoint]
+	if e != nil && d.book.Get(r.Attempt) == nil {
+		request := core.Request{Route: r.Route, Account: r.Account, MaxOutputTokens: r.MaxOutputTokens}
+		attempt.Version = e.version
+		attempt.OutputTokens = d.outputTokens(&request, usualQuantile)
+		left := max(0, attempt.OutputTokens-r.OutputTokens)
+		attempt.Finish = now.Add(d.speeds.Decode(e.Endpoint, e.version, d.book.Running(e.Name), left))
+	}
+	return outstanding.Listed{Attempt: attempt, OutputSoFar: r.OutputTokens}
+}
+
+func (d *Duty) forgetSilent(now time.Time) {
+	d.released(d.book.Silent(now), "its entry is silent")
+}
+
+// released logs attempts that were taken from the count without an outcome.
+// The journal keeps their keys.
+func (d *Duty) released(attempts []*outstanding.Attempt, why string) {
+	for _, a := range attempts {
+		releasedTotal.WithLabelValues(d.Shard.Pool).Inc()
+		d.log.Warn("attempt taken from the count", zap.String("request", a.RequestID), zap.String("attempt", a.ID),
+			zap.String("endpoint", a.Endpoint), zap.String("host", a.Host), zap.String("why", why))
+	}
+}
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/internal/scheduler/shards/shard/queue/view.go
@@ -0,0 +1,167 @@
+package queue
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/control"
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/outstanding"
+	"kingcupcourse/internal/decision/ownership"
+	waitlist "kingcupcourse/internal/decision/queue"
+	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/scheduler/inbox"
+)
+
+const (
+	defaultQueueRequests = 1024
+	defaultQueueTokens   = 4_000_000
+	defaultWeight        = 1
+)
+
+// changeView takes over the manifest, the leaving endpoints and the
+// ownership from a newer view.
+func (d *Duty) changeView(view *control.View, now time.Time) {
+	newManifest := d.view == nil || d.view.ManifestVersion != view.ManifestVersion
+	d.view = view
+	if view.Manifest != nil && newManifest {
+		d.changeManifest(view.Manifest)
+	}
+	for _, member := range view.Members {
+		d.zones[member.Host] = member.AvailabilityZone
+	}
+	d.caps = versionCaps(d.Shard.Pool, view)
+	d.changeOwner(now)
+}
+
+func (d *Duty) changeManifest(m *manifest.Manifest) {
+	for _, pool := range m.Pools {
+		if pool.Name == d.Shard.Pool {
+			d.pool = pool
+		}
+	}
+	d.waiting.SetLimits(waitlist.Limits{
+		Requests: orDefault(d.pool.QueueRequests, defaultQueueRequests),
+		Tokens:   orDefault(d.pool.QueueTokens, defaultQueueTokens),
+	})
+	clear(d.accounts)
+	for _, account := range m.ClientAccounts {
+		d.accounts[account.Name] = orDefault(account.Weight, defaultWeight)
+	}
+	clear(d.routes)
+	for _, route := range m.Routes {
+		if route.Pool == d.Shard.Pool {
+			d.routes[route.Name] = route
+		}
+	}
+	d.changeFleet(Endpoints(m, d.Shard))
+}
+
+// Endpoints returns the endpoints of a pool that are in the shard's region.
+func Endpoints(m *manifest.Manifest, shard ownership.Shard) []core.Endpoint {
+	zones := map[core.AvailabilityZone]bool{}
+	for _, region := range m.Regions {
+		if region.Name != shard.Region {
+			continue
+		}
+		for _, zone := range region.AvailabilityZones {
+			zones[zone] = true
+		}
+	}
+	var endpoints []core.Endpoint
+	for _, pool := range m.Pools {
+		if pool.Name != shard.Pool {
+			continue
+		}
+		for _, e := range pool.Endpoints {
+			if zones[e.AvailabilityZone] {
+				endpoints = append(endpoints, coreEndpoint(pool.Name, e))
+			}
+		}
+	}
+	return endpoints
+}
+
+func coreEndpoint(pool string, e manifest.Endpoint) core.Endpoint {
+	return core.Endpoint{Name: e.Name, Pool: pool, Address: e.Address, AvailabilityZone: e.AvailabilityZone,
+		Version: e.Version, Slots: e.Slots, PrefillRate: e.PrefillRate, DecodeRate: e.DecodeRate}
+}
+
+// versionCaps returns the largest share of traffic of each version of the
+// pool that is not proved: the target of a move that is not done. Without a
+// stage it gets none.
+func versionCaps(pool string, view *control.View) map[core.Version]float64 {
+	caps := map[core.Version]float64{}
+	if view.Manifest == nil {
+		return caps
+	}
+	for _, move := range view.Manifest.Moves {
+		if move.Pool != pool {
+			continue
+		}
+		stage, known := view.Moves[move.Name]
+		switch {
+		case !known || stage.Stage == message.StageReverted:
+			caps[move.ToVersion] = 0
+		case stage.Stage != message.StageDone:
+			caps[move.ToVersion] = stage.Share
+		}
+	}
+	return caps
+}
+
+// changeOwner begins or ends the ownership of the shard as the view says.
+func (d *Duty) changeOwner(now time.Time) {
+	rank := ownership.Rank(d.Shard, d.view.Members)
+	owned := !d.draining && (len(rank) == 0 || rank[0].Host == d.Host)
+	d.next = nextOwner(rank, d.Host, owned)
+	if owned == d.owned {
+		return
+	}
+	d.owned = owned
+	d.log.Info("ownership changed", zap.Bool("owned", owned), zap.String("next_owner", d.next))
+	d.tellJournal(inbox.Own{Wanted: owned})
+	if owned {
+		d.book = outstanding.NewBook()
+		d.gatherUntil = now.Add(gatherTime)
+		d.tickAt = now
+		return
+	}
+	d.refuseAll(now)
+}
+
+// nextOwner is the address of the first scheduler in the rank other than
+// this one; empty if this one owns the shard or there is none.
+func nextOwner(rank []message.Member, host string, owned bool) string {
+	for _, member := range rank {
+		if !owned && member.Host != host {
+			return member.Address
+		}
+	}
+	return ""
+}
+
+// gathering tells whether a new owner still waits for the reports of the
+// entries.
+func (d *Duty) gathering(now time.Time) bool {
+	if !now.Before(d.gatherUntil) {
+		return false
+	}
+	for _, member := range d.view.Members {
+		entry := member.Role == message.RoleEntry && member.Region == d.Shard.Region && !member.Leaving
+		if entry && !d.book.HasHeard(member.Host) {
+			return true
+		}
+	}
+	d.gatherUntil = now
+	return false
+}
+
+func orDefault[T int | int64 | float64](value, fallback T) T {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,6 +63,9 @@
 	// JournalFlushMS is the shortest time between two writes of one pool's
 	// journal, in milliseconds. Default 10.
 	JournalFlushMS int64 `json:"journal_flush_ms,omitempty"`
+	// Policy is how endpoints are chosen: kingcup, or to compare with it
+	// round_robin, least_outstanding or prefix_affinity. Default kingcup.
+	Policy string `json:"policy,omitempty"`
 }
 
 // Rollout is the settings of kingcup-rollout.
