--- a/internal/decision/journal/machine.go
+++ b/internal/decision/journal/machine.go
@@ -15,6 +15,9 @@
 	// firstBackoff and maxBackoff bound the wait after a failed call.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = time.Second
+	// failuresToDown is how many calls must fail in a row before new keys
+	// are refused at once. One lost answer is no outage.
+	failuresToDown = 2
 	// retakeWait is how long a deposed owner waits before it takes the
 	// journal over again, if it is to own it still.
 	retakeWait = time.Second
@@ -164,7 +167,7 @@
 	return m.write == nil && (len(m.gathered) == 0 || m.state != stateOwner)
 }
 
-// Down tells whether the last call failed.
+// Down tells whether the last calls failed.
 func (m *Machine) Down() bool { return m.down }
 
 // Keys returns how many keys are remembered.
@@ -237,9 +240,9 @@
 
 // backOff postpones the next call after a failed one.
 func (m *Machine) backOff(now time.Time) {
-	m.down = true
 	wait := min(maxBackoff, firstBackoff<<min(m.failed, 10))
 	m.failed++
+	m.down = m.failed >= failuresToDown
 	m.notNow = now.Add(wait/2 + time.Duration(m.config.Random.Int64N(int64(wait))))
 }
 
--- /dev/null
+++ b/internal/scheduler/handlers.go
@@ -0,0 +1,91 @@
+package scheduler
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"kingcupcourse/internal/codec"
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/scheduler/inbox"
+)
+
+const (
+	// withdrawTimeout bounds how long a handler whose caller has gone waits
+	// for room to say so. The queue drops the request at its deadline anyhow.
+	withdrawTimeout = time.Second
+	// notReadyRetry is when to ask again for a pool that is not known here.
+	notReadyRetry = 500 * time.Millisecond
+	// busyRetry is when to ask again after a full ring.
+	busyRetry = 200 * time.Millisecond
+)
+
+// handlers serve the entries. Each call runs on the goroutine of its
+// connection, which is the entry's own duty here.
+type handlers struct {
+	shards *ring.Ring[inbox.Shards]
+}
+
+func (h *handlers) register(mux *http.ServeMux) {
+	mux.Handle(message.PathGrants, codec.Handle(h.grant))
+	mux.Handle(message.PathOutcomes, codec.Handle(h.outcomes))
+}
+
+// find returns the ring of the pool's queue, nil if there is none here.
+func (h *handlers) find(ctx context.Context, pool string) (*ring.Ring[inbox.Queue], error) {
+	find := inbox.Find{Reply: ring.NewReply[*ring.Ring[inbox.Queue]](), Pool: pool}
+	if err := h.shards.Put(ctx, find); err != nil {
+		return nil, err
+	}
+	return find.Wait(ctx)
+}
+
+// grant waits until the request is placed or refused. When the call ends
+// first, the request is withdrawn.
+func (h *handlers) grant(ctx context.Context, r *message.GrantRequest) (*message.GrantReply, error) {
+	queue, err := h.find(ctx, r.Pool)
+	if err != nil {
+		return nil, err
+	}
+	if queue == nil {
+		return refused(core.RefuseFor(core.ReasonNotReady, "the pool is not known here", notReadyRetry)), nil
+	}
+	grant := inbox.Grant{Reply: ring.NewReply[message.GrantReply](), Request: *r}
+	if queue.TryPut(grant) != nil {
+		return refused(core.RefuseFor(core.ReasonQueueFull, "the scheduler is busy", busyRetry)), nil
+	}
+	reply, err := grant.Wait(ctx)
+	if err != nil {
+		withdraw(ctx, queue, r.Attempt)
+		return nil, err
+	}
+	return &reply, nil
+}
+
+func withdraw(ctx context.Context, queue *ring.Ring[inbox.Queue], attempt string) {
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), withdrawTimeout)
+	defer cancel()
+	_ = queue.Put(bounded, inbox.Withdraw{Attempt: attempt}) // else it is dropped at its deadline
+}
+
+func (h *handlers) outcomes(ctx context.Context, r *message.OutcomeReport) (*message.OutcomeAck, error) {
+	queue, err := h.find(ctx, r.Pool)
+	if err != nil {
+		return nil, err
+	}
+	if queue == nil {
+		return nil, &codec.StatusError{Status: http.StatusServiceUnavailable, Message: "the pool is not known here"}
+	}
+	report := inbox.Report{Reply: ring.NewReply[message.OutcomeAck](), Report: *r}
+	if err := queue.Put(ctx, report); err != nil {
+		return nil, err
+	}
+	ack, err := report.Wait(ctx)
+	return &ack, err
+}
+
+func refused(refusal *core.Refusal) *message.GrantReply {
+	return &message.GrantReply{Refusal: &message.Refusal{Refusal: *refusal, RetryAfterMS: refusal.RetryAfter.Milliseconds()}}
+}
--- /dev/null
+++ b/internal/scheduler/scheduler_test.go
@@ -0,0 +1,321 @@
+package scheduler
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/codec"
+	"kingcupcourse/internal/control"
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/platform"
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/settings"
+	"kingcupcourse/internal/supervisor"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeControl hands out one view.
+type fakeControl struct {
+	views      control.Subscription
+	supervisor *supervisor.Supervisor
+}
+
+func (c *fakeControl) Subscribe() control.Subscription    { return c.views }
+func (c *fakeControl) Register(*http.ServeMux)            {}
+func (c *fakeControl) Supervisor() *supervisor.Supervisor { return c.supervisor }
+func (c *fakeControl) Leave()                             {}
+
+// fakePlatform keeps objects in memory.
+type fakePlatform struct {
+	mu      sync.Mutex
+	objects map[string]platform.Object
+	version uint64
+	down    bool
+	// lose is how many of the next writes take effect without an answer.
+	lose int
+}
+
+func newFakePlatform() *fakePlatform { return &fakePlatform{objects: map[string]platform.Object{}} }
+
+func (p *fakePlatform) set(change func(*fakePlatform)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(p)
+}
+
+func (p *fakePlatform) Get(_ context.Context, key string) (platform.Object, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	object, ok := p.objects[key]
+	switch {
+	case p.down:
+		return object, platform.ErrUnavailable
+	case !ok:
+		return object, platform.ErrNotFound
+	}
+	return object, nil
+}
+
+func (p *fakePlatform) Put(_ context.Context, key string, ifVersion uint64, value any) (uint64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return 0, platform.ErrUnavailable
+	}
+	if found := p.objects[key].Version; found != ifVersion {
+		return 0, &platform.ConflictError{Version: found}
+	}
+	body, err := json.Marshal(value)
+	if err != nil {
+		return 0, err
+	}
+	p.version++
+	p.objects[key] = platform.Object{Key: key, Version: p.version, Value: body}
+	if p.lose > 0 {
+		p.lose--
+		return 0, platform.ErrOutcomeUnknown
+	}
+	return p.version, nil
+}
+
+const (
+	testPool   = "citations"
+	testRegion = "pk-north"
+	testZone   = "pk-north-a"
+)
+
+// fixture is one running scheduler with one endpoint.
+type fixture struct {
+	t        *testing.T
+	address  string
+	platform *fakePlatform
+	control  *fakeControl
+	client   *http.Client
+	view     control.View
+	root     *supervisor.Supervisor
+	stop     func()
+}
+
+func start(t *testing.T, p *fakePlatform, slots int) *fixture {
+	t.Helper()
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, `{"as_of_unix_ms":%d,"version":"v1","state":"ready"}`, time.Now().UnixMilli())
+	}))
+	t.Cleanup(engine.Close)
+	f := &fixture{t: t, platform: p, client: &http.Client{Transport: &http.Transport{}}}
+	f.control = &fakeControl{views: ring.NewLatest[*control.View](),
+		supervisor: supervisor.New(supervisor.Spec{Name: "control"}, zap.NewNop())}
+	c := Config{Control: f.control, Platform: p, Log: zap.NewNop()}
+	c.Settings.Common = settings.Common{Host: "h1", Region: testRegion, AvailabilityZone: testZone, Control: "127.0.0.1:0"}
+	root, listener, err := build(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.address, f.root = listener.Address(), root
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := ring.NewReply[error]()
+	go func() { ended.Send(root.Serve(ctx)) }()
+	f.stop = sync.OnceFunc(func() {
+		cancel()
+		_, _ = ended.Wait(context.Background())
+		f.client.CloseIdleConnections()
+	})
+	t.Cleanup(f.stop)
+	f.view = control.View{ManifestVersion: 1, Manifest: testManifest(strings.TrimPrefix(engine.URL, "http://"), slots),
+		Members: []message.Member{{Host: "h1", Role: message.RoleScheduler, Region: testRegion, Address: f.address}}}
+	f.publish()
+	return f
+}
+
+func (f *fixture) publish() {
+	view := f.view
+	f.control.views.Publish(&view)
+}
+
+func testManifest(address string, slots int) *manifest.Manifest {
+	return &manifest.Manifest{
+		Regions:        []manifest.Region{{Name: testRegion, AvailabilityZones: []core.AvailabilityZone{testZone}}},
+		ClientAccounts: []manifest.ClientAccount{{Name: "desk"}},
+		Pools: []manifest.Pool{{Name: testPool, Kind: core.KindModel, JournalSlots: 8, Endpoints: []manifest.Endpoint{
+			{Name: "e1", Address: address, AvailabilityZone: testZone, Version: "v1", Slots: slots}}}},
+		Routes: []manifest.Route{{Name: "draft", Pool: testPool, Path: "/v1/completions", RunOnce: true}},
+	}
+}
+
+func newRequest(tier core.Tier) message.GrantRequest {
+	id := uuid.NewString()
+	return message.GrantRequest{RequestID: id, Attempt: id + "/1", Host: "entry-1", Account: "desk", Tier: tier,
+		Pool: testPool, Route: "draft", PromptTokens: 100, DeadlineUnixMS: time.Now().Add(time.Minute).UnixMilli()}
+}
+
+func withKey(r message.GrantRequest) message.GrantRequest {
+	key, _ := uuid.NewV7()
+	r.Key, r.Fingerprint = key.String(), "f"
+	return r
+}
+
+// grant asks until the scheduler knows the pool.
+func (f *fixture) grant(r message.GrantRequest) message.GrantReply {
+	f.t.Helper()
+	for range 100 {
+		ctx, cancel := context.WithTimeout(f.t.Context(), 10*time.Second)
+		var reply message.GrantReply
+		err := codec.Call(ctx, f.client, f.address, message.PathGrants, r, &reply)
+		cancel()
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		if reply.Refusal == nil || reply.Refusal.Reason != core.ReasonNotReady {
+			return reply
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.t.Fatal("the scheduler does not get ready")
+	return message.GrantReply{}
+}
+
+func (f *fixture) report(outcomes ...core.Outcome) {
+	f.t.Helper()
+	var ack message.OutcomeAck
+	report := message.OutcomeReport{Host: "entry-1", Pool: testPool, Outcomes: outcomes}
+	if err := codec.Call(f.t.Context(), f.client, f.address, message.PathOutcomes, report, &ack); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func TestGrantsAFreeEndpoint(t *testing.T) {
+	f := start(t, newFakePlatform(), 2)
+	reply := f.grant(newRequest(2))
+	if reply.Grant == nil || reply.Grant.Endpoint != "e1" {
+		t.Fatalf("got %+v", reply)
+	}
+}
+
+func TestGrantsARunOnceRequestOnlyOnce(t *testing.T) {
+	f := start(t, newFakePlatform(), 2)
+	first := withKey(newRequest(1))
+	if reply := f.grant(first); reply.Grant == nil {
+		t.Fatalf("got %+v", reply.Refusal)
+	}
+	second := first
+	second.Attempt += "x"
+	if reply := f.grant(second); reply.Refusal == nil || reply.Refusal.Disposition != core.OutcomeUnknown {
+		t.Fatalf("another attempt: got %+v", reply)
+	}
+	f.report(core.Outcome{Attempt: first.Attempt, Endpoint: "e1", Key: first.Key, Result: core.ResultOK,
+		Status: http.StatusCreated, Answer: []byte("done")})
+	reply := f.grant(second)
+	if reply.Prior == nil || string(reply.Prior.Answer) != "done" || reply.Prior.Status != http.StatusCreated {
+		t.Fatalf("after the finish: got %+v", reply)
+	}
+}
+
+func TestOutageRefusesOnlyRunOnceRequests(t *testing.T) {
+	f := start(t, newFakePlatform(), 4)
+	if reply := f.grant(withKey(newRequest(1))); reply.Grant == nil {
+		t.Fatalf("got %+v", reply.Refusal)
+	}
+	f.platform.set(func(p *fakePlatform) { p.down = true })
+	begun := time.Now()
+	reply := f.grant(withKey(newRequest(1)))
+	if reply.Refusal == nil || reply.Refusal.Reason != core.ReasonJournalDown || reply.Refusal.RetryAfterMS == 0 {
+		t.Fatalf("got %+v", reply)
+	}
+	if took := time.Since(begun); took > 2*time.Second {
+		t.Fatalf("refused after %v", took)
+	}
+	if reply := f.grant(newRequest(1)); reply.Grant == nil {
+		t.Fatalf("a repeatable request: got %+v", reply.Refusal)
+	}
+}
+
+func TestLostAnswerOfTheJournalIsFound(t *testing.T) {
+	f := start(t, newFakePlatform(), 4)
+	f.platform.set(func(p *fakePlatform) { p.lose = 2 })
+	for range 3 {
+		if reply := f.grant(withKey(newRequest(1))); reply.Grant == nil {
+			t.Fatalf("got %+v", reply.Refusal)
+		}
+	}
+}
+
+func TestSuccessorKnowsWhatItsPredecessorReserved(t *testing.T) {
+	p := newFakePlatform()
+	f := start(t, p, 4)
+	request := withKey(newRequest(1))
+	if reply := f.grant(request); reply.Grant == nil {
+		t.Fatalf("got %+v", reply.Refusal)
+	}
+	f.stop()
+	successor := start(t, p, 4)
+	request.Attempt += "x"
+	reply := successor.grant(request)
+	if reply.Refusal == nil || reply.Refusal.Reason != core.ReasonInProgress {
+		t.Fatalf("got %+v", reply)
+	}
+}
+
+func TestDrainSendsWhatWaitsToTheNextOwner(t *testing.T) {
+	f := start(t, newFakePlatform(), 1)
+	if reply := f.grant(newRequest(1)); reply.Grant == nil {
+		t.Fatalf("got %+v", reply.Refusal)
+	}
+	f.view.Members = append(f.view.Members, message.Member{Host: "h2", Role: message.RoleScheduler,
+		Region: testRegion, Address: "127.0.0.1:9", Leaving: true})
+	f.publish()
+	waiting := ring.NewReply[message.GrantReply]()
+	go func() { waiting.Send(f.grant(newRequest(1))) }()
+	time.Sleep(100 * time.Millisecond)
+	f.view.Members[0].Leaving, f.view.Members[1].Leaving = true, false
+	f.publish()
+	time.Sleep(100 * time.Millisecond)
+	f.stop()
+	reply, err := waiting.Wait(t.Context())
+	if err != nil || reply.Refusal == nil || reply.Refusal.Reason != core.ReasonNotOwner || reply.Owner != "127.0.0.1:9" {
+		t.Fatalf("got %+v, %v", reply, err)
+	}
+}
+
+func TestEveryDutySurvivesAKill(t *testing.T) {
+	f := start(t, newFakePlatform(), 64)
+	if reply := f.grant(withKey(newRequest(1))); reply.Grant == nil {
+		t.Fatalf("got %+v", reply.Refusal)
+	}
+	for _, child := range f.root.Names() {
+		if err := f.root.Kill(child); err != nil {
+			t.Fatalf("%s: %v", child, err)
+		}
+		if reply := f.granted(withKey(newRequest(1))); reply.Grant == nil {
+			t.Fatalf("after the kill of %s: got %+v", child, reply)
+		}
+		time.Sleep(2100 * time.Millisecond / 4) // within the restart intensity
+	}
+}
+
+// granted asks until a grant or two seconds have passed.
+func (f *fixture) granted(r message.GrantRequest) (reply message.GrantReply) {
+	for begun := time.Now(); time.Since(begun) < 2*time.Second; {
+		ctx, cancel := context.WithTimeout(f.t.Context(), time.Second)
+		err := codec.Call(ctx, f.client, f.address, message.PathGrants, r, &reply)
+		cancel()
+		if err == nil && reply.Grant != nil {
+			return reply
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return reply
+}
--- /dev/null
+++ b/internal/scheduler/shards/shard/journal/caller/caller.go
@@ -0,0 +1,113 @@
+// Package caller is the duty that makes a journal's calls to the platform,
+// one at a time.
+package caller
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/decision/journal"
+	"kingcupcourse/internal/platform"
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/scheduler/inbox"
+)
+
+// CallTimeout bounds one call.
+const CallTimeout = 800 * time.Millisecond
+
+// Platform is what the duty needs of the platform's client.
+type Platform interface {
+	Get(ctx context.Context, key string) (platform.Object, error)
+	Put(ctx context.Context, key string, ifVersion uint64, value any) (uint64, error)
+}
+
+// Duty makes the calls that arrive in its ring.
+type Duty struct {
+	pool     string
+	calls    *ring.Ring[journal.Op]
+	results  *ring.Ring[inbox.Journal]
+	platform Platform
+	log      *zap.Logger
+}
+
+// New returns a duty that takes calls and puts results.
+func New(pool string, calls *ring.Ring[journal.Op], results *ring.Ring[inbox.Journal], p Platform, log *zap.Logger) *Duty {
+	return &Duty{pool: pool, calls: calls, results: results, platform: p, log: log.With(zap.String("pool", pool))}
+}
+
+// Serve implements supervisor.Duty.
+func (d *Duty) Serve(ctx context.Context) error {
+	return ring.Loop(ctx, d.calls, func(op journal.Op) error { return d.call(ctx, op) })
+}
+
+// call makes one call. Its result is told even if ctx ends meanwhile: the
+// owner relies on it.
+func (d *Duty) call(ctx context.Context, op journal.Op) error {
+	result := d.lost(op)
+	defer func() { _ = d.results.Put(context.WithoutCancel(ctx), result) }()
+	bounded, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	if op.Kind == journal.OpWrite {
+		result = d.write(bounded, op)
+	} else {
+		result = d.read(bounded, op)
+	}
+	return nil
+}
+
+// lost is the result of a call that crashed.
+func (d *Duty) lost(op journal.Op) inbox.Journal {
+	if op.Kind == journal.OpWrite {
+		return inbox.WriteDone{Result: journal.WriteUnknown}
+	}
+	return inbox.ReadDone{Result: journal.ReadResult{Slot: op.Slot, Failed: true}}
+}
+
+func (d *Duty) key(slot int) string { return "journal/" + d.pool + "/" + strconv.Itoa(slot) }
+
+func (d *Duty) write(ctx context.Context, op journal.Op) inbox.Journal {
+	version, err := d.platform.Put(ctx, d.key(op.Slot), op.IfVersion, encode(op.Batch))
+	if err != nil {
+		d.log.Warn("journal write failed", zap.Int("slot", op.Slot), zap.Error(err))
+	}
+	return inbox.WriteDone{Result: writeResult(err), Version: version}
+}
+
+// writeResult tells what is known of a write by its error. Any error that
+// does not say otherwise leaves the result unknown.
+func writeResult(err error) journal.WriteResult {
+	var conflict *platform.ConflictError
+	var limited *platform.RateLimitedError
+	switch {
+	case err == nil:
+		return journal.WriteApplied
+	case errors.As(err, &conflict):
+		return journal.WriteConflict
+	case errors.As(err, &limited), errors.Is(err, platform.ErrUnavailable):
+		return journal.WriteRejected
+	default:
+		return journal.WriteUnknown
+	}
+}
+
+func (d *Duty) read(ctx context.Context, op journal.Op) inbox.Journal {
+	result := journal.ReadResult{Slot: op.Slot}
+	object, err := d.platform.Get(ctx, d.key(op.Slot))
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+	case err != nil:
+		d.log.Warn("journal read failed", zap.Int("slot", op.Slot), zap.Error(err))
+		result.Failed = true
+	default:
+		result.Version = object.Version
+		if result.Batch, err = decode(object.Value); err != nil {
+			d.log.Error("journal slot unreadable", zap.Int("slot", op.Slot), zap.Error(err))
+			result = journal.ReadResult{Slot: op.Slot, Failed: true}
+		}
+	}
+	return inbox.ReadDone{Result: result}
+}
--- /dev/null
+++ b/internal/scheduler/shards/shard/journal/supervisor.go
@@ -0,0 +1,86 @@
+// Package journal is the supervisor of the duties that keep the journal of a
+// pool: the owner, the writer and the readers. It restarts each alone and
+// stops the owner first.
+package journal
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	machine "kingcupcourse/internal/decision/journal"
+	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/scheduler/inbox"
+	"kingcupcourse/internal/scheduler/shards/shard/journal/caller"
+	"kingcupcourse/internal/scheduler/shards/shard/journal/owner"
+	"kingcupcourse/internal/supervisor"
+)
+
+const (
+	defaultSlots     = 256
+	defaultRetention = time.Hour
+	defaultSkew      = 5 * time.Second
+	// callCapacity is how many calls wait for one caller. A call that finds
+	// no room is kept by the owner.
+	callCapacity = 64
+)
+
+// Config sets the journal of one pool up.
+type Config struct {
+	Pool manifest.Pool
+	// Owner names this process; no other process, nor this one after a
+	// restart, may have the same name.
+	Owner string
+	// Flush is the shortest time between two writes.
+	Flush    time.Duration
+	Inbox    *ring.Ring[inbox.Journal]
+	Queue    *ring.Ring[inbox.Queue]
+	Platform caller.Platform
+	Log      *zap.Logger
+}
+
+// New returns the supervisor of a pool's journal.
+func New(c Config) *supervisor.Supervisor {
+	writer := ring.New[machine.Op]("journal_writer", callCapacity)
+	readers := make([]*ring.Ring[machine.Op], inbox.JournalReaders)
+	children := []supervisor.Child{
+		{Name: "writer", Duty: caller.New(c.Pool.Name, writer, c.Inbox, c.Platform, c.Log)},
+	}
+	for i := range readers {
+		readers[i] = ring.New[machine.Op]("journal_reader", callCapacity)
+		children = append(children, supervisor.Child{Name: fmt.Sprintf("reader-%d", i),
+			Duty: caller.New(c.Pool.Name, readers[i], c.Inbox, c.Platform, c.Log)})
+	}
+	children = append(children, supervisor.Child{Name: "owner", Duty: owner.New(owner.Config{
+		Pool: c.Pool.Name, Machine: newMachine(c), Inbox: c.Inbox, Queue: c.Queue,
+		Writer: writer, Readers: readers, Log: c.Log})})
+	return supervisor.New(supervisor.Spec{Name: "journal", Children: children}, c.Log)
+}
+
+func newMachine(c Config) *machine.Machine {
+	return machine.New(machine.Config{
+		Owner:     c.Owner,
+		Slots:     orDefault(c.Pool.JournalSlots, defaultSlots),
+		Retention: milliseconds(c.Pool.RetentionMS, defaultRetention),
+		Skew:      milliseconds(c.Pool.ClockSkewMS, defaultSkew),
+		Flush:     c.Flush,
+		Random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+}
+
+func orDefault(value, fallback int) int {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
+
+func milliseconds(ms int64, fallback time.Duration) time.Duration {
+	if ms > 0 {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return fallback
+}
--- /dev/null
+++ b/internal/scheduler/shards/shard/supervisor.go
@@ -0,0 +1,115 @@
+// Package shard is the supervisor of the duties of one pool shard: the queue
+// that owns its state, the pool's journal, and one duty for each endpoint.
+// It restarts each alone. The endpoints stop first, then the queue, so that
+// the journal can still take what the queue has to tell.
+package shard
+
+import (
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/control"
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/ownership"
+	"kingcupcourse/internal/decision/placement"
+	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/scheduler/inbox"
+	"kingcupcourse/internal/scheduler/shards/shard/endpoint"
+	"kingcupcourse/internal/scheduler/shards/shard/journal"
+	"kingcupcourse/internal/scheduler/shards/shard/journal/caller"
+	"kingcupcourse/internal/scheduler/shards/shard/queue"
+	"kingcupcourse/internal/supervisor"
+)
+
+// Config is what all shards of a process have in common.
+type Config struct {
+	Host   string
+	Region core.Region
+	// Owner names this run of the process in the journals.
+	Owner string
+	// Policy is the name of the placement policy.
+	Policy string
+	// JournalFlush is the shortest time between two writes of a journal.
+	JournalFlush time.Duration
+	Platform     caller.Platform
+	// Endpoints is the client for load reports.
+	Endpoints *http.Client
+	Log       *zap.Logger
+}
+
+// Shard is one pool shard as the manager of the shards sees it.
+type Shard struct {
+	// Queue and Journal are the rings of its duties.
+	Queue   *ring.Ring[inbox.Queue]
+	Journal *ring.Ring[inbox.Journal]
+
+	config     Config
+	id         ownership.Shard
+	supervisor *supervisor.Supervisor
+	polled     map[string]core.Endpoint
+}
+
+// New returns a shard of the pool that is not yet running.
+func New(config Config, pool manifest.Pool) *Shard {
+	policy, ok := placement.NewPolicy(config.Policy)
+	if !ok {
+		policy, _ = placement.NewPolicy(placement.PolicyKingcup)
+	}
+	s := &Shard{
+		Queue:   ring.New[inbox.Queue]("queue", inbox.QueueCapacity),
+		Journal: ring.New[inbox.Journal]("journal", inbox.JournalCapacity),
+		config:  config,
+		id:      ownership.Shard{Pool: pool.Name, Region: config.Region},
+		polled:  map[string]core.Endpoint{},
+	}
+	s.supervisor = supervisor.New(supervisor.Spec{
+		Name: "shard-" + pool.Name,
+		Children: []supervisor.Child{
+			{Name: "journal", Duty: journal.New(journal.Config{Pool: pool, Owner: config.Owner,
+				Flush: config.JournalFlush, Inbox: s.Journal, Queue: s.Queue, Platform: config.Platform, Log: config.Log})},
+			{Name: "queue", Duty: queue.New(queue.Config{Shard: s.id, Host: config.Host, Policy: policy,
+				Inbox: s.Queue, Journal: s.Journal, Log: config.Log})},
+		},
+	}, config.Log)
+	return s
+}
+
+// Supervisor returns the shard's supervisor.
+func (s *Shard) Supervisor() *supervisor.Supervisor { return s.supervisor }
+
+// Update brings the endpoint duties in line with the view. It waits until
+// those of endpoints that are gone have stopped.
+func (s *Shard) Update(view *control.View) {
+	wanted := map[string]core.Endpoint{}
+	for _, e := range queue.Endpoints(view.Manifest, s.id) {
+		wanted[e.Name] = e
+	}
+	for name, e := range s.polled {
+		if wanted[name].Address != e.Address {
+			_ = s.supervisor.Remove(childName(name)) // it is a child: polled says so
+			delete(s.polled, name)
+		}
+	}
+	for name, e := range wanted {
+		if _, ok := s.polled[name]; ok {
+			continue
+		}
+		s.polled[name] = e
+		s.supervisor.Add(supervisor.Child{Name: childName(name),
+			Duty: endpoint.New(e, poolKind(view.Manifest, s.id.Pool), s.Queue, s.config.Endpoints)})
+	}
+}
+
+func childName(endpoint string) string { return "endpoint-" + endpoint }
+
+func poolKind(m *manifest.Manifest, name string) core.Kind {
+	for _, pool := range m.Pools {
+		if pool.Name == name {
+			return pool.Kind
+		}
+	}
+	return core.KindService
+}
--- /dev/null
+++ b/internal/scheduler/shards/supervisor.go
@@ -0,0 +1,23 @@
+// Package shards is the supervisor of the pool shards of the own region and
+// of the manager that adds and removes them. It restarts each alone and
+// stops the shards before the manager.
+package shards
+
+import (
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/scheduler/inbox"
+	"kingcupcourse/internal/scheduler/shards/manager"
+	"kingcupcourse/internal/scheduler/shards/shard"
+	"kingcupcourse/internal/supervisor"
+)
+
+// New returns the supervisor; in is the manager's ring.
+func New(config shard.Config, in *ring.Ring[inbox.Shards]) *supervisor.Supervisor {
+	m := manager.New(config, in)
+	s := supervisor.New(supervisor.Spec{
+		Name:     "shards",
+		Children: []supervisor.Child{{Name: "manager", Duty: m}},
+	}, config.Log)
+	m.SetParent(s)
+	return s
+}
