kingcup-scheduler: the process around the scheduler's duties

The handover is a front duty of the process, so it runs while the control listener still serves; leaving is told by the process's own drain.

--- a/internal/scheduler/drain/drain.go
+++ b/internal/scheduler/drain/drain.go
@@ -18,13 +18,12 @@
 
 // Duty waits for the stop.
 type Duty struct {
-	leave  func()
 	shards *ring.Ring[inbox.Shards]
 }
 
-// New returns the duty; leave tells the other processes that this one stops.
-func New(leave func(), shards *ring.Ring[inbox.Shards]) *Duty {
-	return &Duty{leave: leave, shards: shards}
+// New returns the duty.
+func New(shards *ring.Ring[inbox.Shards]) *Duty {
+	return &Duty{shards: shards}
 }
 
 // Serve implements supervisor.Duty.
@@ -33,7 +32,6 @@
 	if errors.Is(context.Cause(ctx), supervisor.ErrKilled) {
 		return context.Cause(ctx) // a fault of this duty, not the process's stop
 	}
-	d.leave()
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), Timeout)
 	defer cancel()
 	drain := inbox.DrainAll{Reply: ring.NewReply[struct{}]()}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -28,17 +29,6 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// fakeControl hands out one view.
-type fakeControl struct {
-	views      control.Subscription
-	supervisor *supervisor.Supervisor
-}
-
-func (c *fakeControl) Subscribe() control.Subscription    { return c.views }
-func (c *fakeControl) Register(*http.ServeMux)            {}
-func (c *fakeControl) Supervisor() *supervisor.Supervisor { return c.supervisor }
-func (c *fakeControl) Leave()                             {}
-
 // fakePlatform keeps objects in memory.
 type fakePlatform struct {
 	mu      sync.Mutex
@@ -103,7 +93,7 @@
 	t        *testing.T
 	address  string
 	platform *fakePlatform
-	control  *fakeControl
+	views    control.Subscription
 	client   *http.Client
 	view     control.View
 	root     *supervisor.Supervisor
@@ -117,18 +107,21 @@
 	}))
 	t.Cleanup(engine.Close)
 	f := &fixture{t: t, platform: p, client: &http.Client{Transport: &http.Transport{}}}
-	f.control = &fakeControl{views: ring.NewLatest[*control.View](),
-		supervisor: supervisor.New(supervisor.Spec{Name: "control"}, zap.NewNop())}
-	c := Config{Control: f.control, Platform: p, Log: zap.NewNop()}
-	c.Settings.Common = settings.Common{Host: "h1", Region: testRegion, AvailabilityZone: testZone, Control: "127.0.0.1:0"}
-	root, listener, err := build(c)
+	f.views = ring.NewLatest[*control.View]()
+	mux := http.NewServeMux()
+	c := config{Views: f.views, Mux: mux, Platform: p, Log: zap.NewNop()}
+	c.Settings.Common = settings.Common{Host: "h1", Region: testRegion, AvailabilityZone: testZone}
+	duties := build(c)
+	listener, err := supervisor.Listen("127.0.0.1:0", mux, time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.address, f.root = listener.Address(), root
+	f.address = listener.Address()
+	f.root = supervisor.New(supervisor.Spec{Name: "root", Children: slices.Concat(duties.Behind,
+		[]supervisor.Child{{Name: "listener", Duty: listener}}, duties.Front)}, zap.NewNop())
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := ring.NewReply[error]()
-	go func() { ended.Send(root.Serve(ctx)) }()
+	go func() { ended.Send(f.root.Serve(ctx)) }()
 	f.stop = sync.OnceFunc(func() {
 		cancel()
 		_, _ = ended.Wait(context.Background())
@@ -143,7 +136,7 @@
 
 func (f *fixture) publish() {
 	view := f.view
-	f.control.views.Publish(&view)
+	f.views.Publish(&view)
 }
 
 func testManifest(address string, slots int) *manifest.Manifest {
--- a/internal/scheduler/supervisor.go
+++ b/internal/scheduler/supervisor.go
@@ -1,8 +1,8 @@
-// Package scheduler is the root supervisor of kingcup-scheduler. It starts
-// the control duties, the pool shards, the control listener and the drain
-// duty, restarts each alone, and stops them in the reverse order: the drain
-// duty first hands the shards over, then the listener finishes the calls in
-// progress.
+// Package scheduler is the supervisor of what kingcup-scheduler adds to its
+// process: the pool shards, the duty that passes views on to them, and the
+// drain duty. It restarts each alone. At the stop of the process the drain
+// duty first hands the shards over while the control listener still serves;
+// the shards stop after the listener.
 package scheduler
 
 import (
@@ -11,10 +11,13 @@
 
 	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"kingcupcourse/internal/codec"
 	"kingcupcourse/internal/control"
+	"kingcupcourse/internal/decision/placement"
+	"kingcupcourse/internal/process"
 	"kingcupcourse/internal/ring"
 	"kingcupcourse/internal/scheduler/drain"
 	"kingcupcourse/internal/scheduler/inbox"
@@ -29,65 +32,48 @@
 )
 
 const (
-	// listenerGrace bounds how long calls in progress may take to finish
-	// after the handover; they have all been answered by then.
-	listenerGrace = 5 * time.Second
 	// pollHeaderTimeout bounds how long an endpoint may take to answer.
 	pollHeaderTimeout = time.Second
 
 	defaultJournalFlush = 10 * time.Millisecond
 )
 
-// Control is what the scheduler needs of the control duties.
-type Control interface {
-	// Subscribe returns a ring with the newest view.
-	Subscribe() control.Subscription
-	// Register adds the handlers for other processes.
-	Register(mux *http.ServeMux)
-	// Supervisor returns the supervisor of the control duties.
-	Supervisor() *supervisor.Supervisor
-	// Leave tells the other processes that this one stops.
-	Leave()
+// Build returns the duties of kingcup-scheduler.
+func Build(env *process.Environment, s *settings.Scheduler) (process.Duties, error) {
+	if _, ok := placement.NewPolicy(s.Policy); !ok {
+		return process.Duties{}, eris.Errorf("unknown policy %q", s.Policy)
+	}
+	env.Metrics.MustRegister(collectors()...)
+	return build(config{Settings: *s, Views: env.Control.Subscribe(), Mux: env.ControlMux,
+		Platform: env.Platform.WithTimeout(caller.CallTimeout), Log: env.Log}), nil
 }
 
-// Config sets a scheduler up.
-type Config struct {
+// config is what the duties are built from.
+type config struct {
 	Settings settings.Scheduler
-	Control  Control
+	Views    control.Subscription
+	Mux      *http.ServeMux
 	Platform caller.Platform
 	Log      *zap.Logger
 }
 
-// New returns the root supervisor. It fails if the control address cannot be
-// bound.
-func New(c Config) (*supervisor.Supervisor, error) {
-	root, _, err := build(c)
-	return root, err
-}
-
-func build(c Config) (*supervisor.Supervisor, *supervisor.HTTP, error) {
+func build(c config) process.Duties {
 	in := ring.New[inbox.Shards]("shards", inbox.ShardsCapacity)
-	mux := http.NewServeMux()
-	c.Control.Register(mux)
-	(&handlers{shards: in}).register(mux)
-	listener, err := supervisor.Listen(c.Settings.Control, mux, listenerGrace)
-	if err != nil {
-		return nil, nil, err
-	}
-	root := supervisor.New(supervisor.Spec{
+	(&handlers{shards: in}).register(c.Mux)
+	tree := supervisor.New(supervisor.Spec{
 		Name: "scheduler",
 		Children: []supervisor.Child{
-			{Name: "control", Duty: c.Control.Supervisor()},
 			{Name: "shards", Duty: shards.New(shardConfig(c), in)},
-			{Name: "views", Duty: views.New(c.Control.Subscribe(), in)},
-			{Name: "listener", Duty: listener},
-			{Name: "drain", Duty: drain.New(c.Control.Leave, in)},
+			{Name: "views", Duty: views.New(c.Views, in)},
 		},
 	}, c.Log)
-	return root, listener, nil
+	return process.Duties{
+		Behind: []supervisor.Child{{Name: "scheduler", Duty: tree}},
+		Front:  []supervisor.Child{{Name: "handover", Duty: drain.New(in)}},
+	}
 }
 
-func shardConfig(c Config) shard.Config {
+func shardConfig(c config) shard.Config {
 	flush := time.Duration(c.Settings.JournalFlushMS) * time.Millisecond
 	if flush <= 0 {
 		flush = defaultJournalFlush
@@ -104,7 +90,7 @@
 	}
 }
 
-// Collectors returns the metrics of the scheduler.
-func Collectors() []prometheus.Collector {
+// collectors returns the metrics of the scheduler.
+func collectors() []prometheus.Collector {
 	return append(queue.Collectors(), owner.Collectors()...)
 }
