--- /dev/null
+++ b/internal/decision/retry/retry.go
@@ -0,0 +1,83 @@
+// Package retry decides whether a request may be tried again. A budget keeps
+// retries a small share of all requests, so that a failing pool is not
+// loaded further by the retries of its own failures.
+package retry
+
+import (
+	"time"
+
+	"kingcupcourse/internal/core"
+)
+
+const (
+	// Share is how many retries each request earns.
+	Share = 0.03
+	// Burst is how many retries may be saved up.
+	Burst = 10.0
+	// MaxAttempts bounds the dispatches of one request.
+	MaxAttempts = 4
+	// MinRemaining is the least time to the deadline that makes a retry
+	// worth its cost.
+	MinRemaining = 50 * time.Millisecond
+)
+
+// Budget is a token bucket that is filled by requests and not by time.
+type Budget struct {
+	tokens float64
+}
+
+// NewBudget returns a full budget.
+func NewBudget() *Budget { return &Budget{tokens: Burst} }
+
+// Earn counts one request.
+func (b *Budget) Earn() { b.tokens = min(b.tokens+Share, Burst) }
+
+// Spend takes one retry from the budget and tells whether there was one.
+func (b *Budget) Spend() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Attempt describes how an attempt ended.
+type Attempt struct {
+	RunOnce bool
+	Result  core.Result
+	// Passed tells that a byte of the answer has reached the caller.
+	Passed bool
+	// Dispatches is how many dispatches the request has had.
+	Dispatches int
+	Now        time.Time
+	Deadline   time.Time
+}
+
+// Verdict tells what may follow an attempt.
+type Verdict int
+
+const (
+	// Stop means that the attempt's end is the request's end.
+	Stop Verdict = iota
+	// Free means that the request provably did not run and may be placed
+	// again without touching the budget.
+	Free
+	// Budgeted means that it may be placed again if the budget allows.
+	Budgeted
+)
+
+// Judge tells whether the request may be placed on another endpoint.
+func Judge(a Attempt) Verdict {
+	if a.Passed || a.Deadline.Sub(a.Now) < MinRemaining || a.Dispatches >= MaxAttempts {
+		return Stop
+	}
+	switch a.Result {
+	case core.ResultNotDispatched, core.ResultRejected:
+		return Free
+	case core.ResultFailed, core.ResultLost:
+		if !a.RunOnce {
+			return Budgeted
+		}
+	}
+	return Stop
+}
--- /dev/null
+++ b/internal/entry/admission/duty.go
@@ -0,0 +1,102 @@
+package admission
+
+import (
+	"context"
+	"time"
+
+	"kingcupcourse/internal/control"
+	"kingcupcourse/internal/core"
+	decision "kingcupcourse/internal/decision/admission"
+	"kingcupcourse/internal/decision/ownership"
+	"kingcupcourse/internal/decision/retry"
+	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/ring"
+)
+
+const (
+	// ringCapacity bounds the messages that wait for the duty.
+	ringCapacity = 1024
+	// DefaultMaxRequests bounds the requests in progress.
+	DefaultMaxRequests = 4096
+)
+
+// Config tells the duty where it is and how much it may let in.
+type Config struct {
+	Region core.Region
+	// MaxRequests bounds the requests in progress. Default
+	// DefaultMaxRequests.
+	MaxRequests int
+	// Views is where the newest view is published.
+	Views control.Subscription
+}
+
+// Duty implements supervisor.Duty.
+type Duty struct {
+	config  Config
+	inbox   *ring.Ring[Message]
+	view    *control.View
+	policy  *decision.Policy
+	open    map[string]*manifest.ClientAccount // requests in progress by token
+	limits  *limits
+	budget  *retry.Budget
+	cleared *clearedMarks
+	owners  map[ownership.Shard][]message.Member
+}
+
+// New returns the duty.
+func New(config Config) *Duty {
+	if config.MaxRequests == 0 {
+		config.MaxRequests = DefaultMaxRequests
+	}
+	return &Duty{
+		config:  config,
+		inbox:   ring.New[Message]("entry_admission", ringCapacity),
+		open:    map[string]*manifest.ClientAccount{},
+		limits:  newLimits(),
+		budget:  retry.NewBudget(),
+		cleared: newClearedMarks(),
+	}
+}
+
+// Inbox is where messages for the duty are put.
+func (d *Duty) Inbox() *ring.Ring[Message] { return d.inbox }
+
+// Serve implements supervisor.Duty.
+func (d *Duty) Serve(ctx context.Context) error {
+	return ring.Loop(ctx, d.inbox, func(m Message) error {
+		d.refresh()
+		m.handle(d, time.Now())
+		return nil
+	})
+}
+
+// refresh takes over a newer view if there is one.
+func (d *Duty) refresh() {
+	view, ok := d.config.Views.TryTake()
+	if !ok {
+		return
+	}
+	if d.view == nil || d.view.ManifestVersion != view.ManifestVersion {
+		d.policy = newPolicy(view.Manifest)
+	}
+	d.view = view
+	d.owners = map[ownership.Shard][]message.Member{}
+}
+
+func newPolicy(m *manifest.Manifest) *decision.Policy {
+	if m == nil {
+		return nil
+	}
+	return decision.NewPolicy(m)
+}
+
+// ranked returns the owners of a shard, ranked once a view.
+func (d *Duty) ranked(shard ownership.Shard) []message.Member {
+	ranked, ok := d.owners[shard]
+	if !ok {
+		ranked = ownership.Rank(shard, d.view.Members)
+		d.owners[shard] = ranked
+	}
+	return ranked
+}
--- /dev/null
+++ b/internal/entry/admission/limits.go
@@ -0,0 +1,44 @@
+package admission
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/manifest"
+)
+
+// limits holds the rate limiter of each account that has a limit. A burst of
+// one second's worth is allowed.
+type limits struct {
+	byAccount map[string]*rate.Limiter
+}
+
+func newLimits() *limits { return &limits{byAccount: map[string]*rate.Limiter{}} }
+
+// take counts one request. It returns nil if the account is within its
+// limit.
+func (l *limits) take(account *manifest.ClientAccount, now time.Time) *core.Refusal {
+	if account.RequestsPerSecond <= 0 {
+		delete(l.byAccount, account.Name)
+		return nil
+	}
+	limit := rate.Limit(account.RequestsPerSecond)
+	limiter := l.byAccount[account.Name]
+	if limiter == nil {
+		limiter = rate.NewLimiter(limit, burst(limit))
+		l.byAccount[account.Name] = limiter
+	}
+	if limiter.Limit() != limit {
+		limiter.SetLimitAt(now, limit)
+		limiter.SetBurstAt(now, burst(limit))
+	}
+	if limiter.AllowN(now, 1) {
+		return nil
+	}
+	wait := time.Duration(float64(time.Second) / float64(limit))
+	return core.RefuseFor(core.ReasonRateLimited, "the account is over its request rate", wait)
+}
+
+func burst(limit rate.Limit) int { return max(1, int(limit)) }
--- /dev/null
+++ b/internal/entry/completions/assemble.go
@@ -0,0 +1,121 @@
+package completions
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrUnfinished is returned for an answer without a finish reason.
+var ErrUnfinished = eris.New("the answer has no finish reason")
+
+type chunk struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Model   string        `json:"model"`
+	Choices []chunkChoice `json:"choices"`
+}
+
+type chunkChoice struct {
+	Text         string  `json:"text"`
+	Delta        delta   `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type delta struct {
+	Content string `json:"content"`
+}
+
+type answer struct {
+	ID      string         `json:"id"`
+	Object  string         `json:"object"`
+	Model   string         `json:"model"`
+	Choices []answerChoice `json:"choices"`
+	Usage   usage          `json:"usage"`
+}
+
+type answerChoice struct {
+	Index        int            `json:"index"`
+	Text         *string        `json:"text,omitempty"`
+	Message      *answerMessage `json:"message,omitempty"`
+	FinishReason string         `json:"finish_reason"`
+}
+
+type answerMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// Assembler puts the events of a stream together to a whole answer.
+type Assembler struct {
+	request Request
+	first   chunk
+	text    strings.Builder
+	tokens  int
+	finish  string
+}
+
+// NewAssembler returns an assembler for the answer to a request.
+func NewAssembler(request Request) *Assembler { return &Assembler{request: request} }
+
+// Add takes the payload of one event.
+func (a *Assembler) Add(data []byte) error {
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return eris.Wrap(err, "malformed event")
+	}
+	if a.tokens == 0 {
+		a.first = c
+	}
+	a.tokens++
+	for _, choice := range c.Choices {
+		a.text.WriteString(choice.Text)
+		a.text.WriteString(choice.Delta.Content)
+		if choice.FinishReason != nil {
+			a.finish = *choice.FinishReason
+		}
+	}
+	return nil
+}
+
+// Answer returns the whole answer, or ErrUnfinished.
+func (a *Assembler) Answer() ([]byte, error) {
+	if a.finish == "" {
+		return nil, ErrUnfinished
+	}
+	text := a.text.String()
+	choice := answerChoice{FinishReason: a.finish}
+	object := "text_completion"
+	if a.request.Chat {
+		object = "chat.completion"
+		choice.Message = &answerMessage{Role: "assistant", Content: text}
+	} else {
+		choice.Text = &text
+	}
+	prompt := a.request.PromptTokens()
+	return json.Marshal(answer{
+		ID: a.first.ID, Object: object, Model: a.first.Model, Choices: []answerChoice{choice},
+		Usage: usage{PromptTokens: prompt, CompletionTokens: a.tokens, TotalTokens: prompt + a.tokens},
+	})
+}
+
+// Finished tells whether the payload of an event carries a finish reason.
+func Finished(data []byte) bool {
+	var c chunk
+	if json.Unmarshal(data, &c) != nil {
+		return false
+	}
+	for _, choice := range c.Choices {
+		if choice.FinishReason != nil {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/entry/reports/messages.go
@@ -0,0 +1,58 @@
+// Package reports is the supervisor of the duties that tell the schedulers
+// what runs at this host and what has ended: the owner of that state, and
+// senders that make the calls so that the owner never waits for a peer.
+package reports
+
+import (
+	"context"
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/ownership"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/ring"
+)
+
+// Message is what the owner takes from its ring: Started, Progress, Ended,
+// Watch or Unwatch.
+type Message interface {
+	handle(o *Owner, now time.Time)
+}
+
+// Started tells that an attempt has got its grant and is dispatched.
+type Started struct {
+	Shard   ownership.Shard
+	Running message.RunningRequest
+}
+
+// Progress tells how many output tokens of an attempt have arrived. It may
+// be dropped when the ring is full.
+type Progress struct {
+	Shard        ownership.Shard
+	Attempt      string
+	OutputTokens int
+}
+
+// Ended tells that an attempt is over. Every attempt for which a grant call
+// was begun ends with one, unless the owner refused it.
+type Ended struct {
+	Shard   ownership.Shard
+	Outcome core.Outcome
+	// KeepUntil is how long the outcome is resent until it is acknowledged.
+	KeepUntil time.Time
+}
+
+// Watch asks that a grant call be cancelled with ErrOwnerSilent when the
+// scheduler that it waits for stops answering heartbeats.
+type Watch struct {
+	Address, Attempt string
+	Cancel           context.CancelCauseFunc
+}
+
+// Unwatch ends a Watch.
+type Unwatch struct {
+	Address, Attempt string
+}
+
+// Inbox is the ring of the owner.
+type Inbox = *ring.Ring[Message]
