Entry: the path of a caller's request, and placement without a scheduler

Streams are asked for even when the caller wants a whole answer, so that a cut or silent connection can be resumed and silence told from a long prefill. Not yet run end to end.

--- /dev/null
+++ b/internal/decision/fallback/candidates.go
@@ -0,0 +1,75 @@
+package fallback
+
+import (
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/message"
+)
+
+// Knowledge is what the processes have told each other of endpoints and
+// versions.
+type Knowledge struct {
+	Leaving     map[string]bool
+	BadVersions map[core.EndpointVersion]message.BadVersion
+	Moves       map[string]message.MoveStage
+}
+
+// Candidates returns the endpoints that may get new work without a
+// scheduler, by pool: none that leaves, none of a version judged bad, and
+// none of a version that is the target of an unfinished move, for no one
+// then sees to its share of the traffic. The fraction is this host's part of
+// each endpoint's slots.
+func Candidates(m *manifest.Manifest, know Knowledge, fraction float64) map[string][]Endpoint {
+	byPool := map[string][]Endpoint{}
+	if m == nil {
+		return byPool
+	}
+	for _, pool := range m.Pools {
+		unproved := targets(m, know.Moves, pool.Name)
+		for _, e := range pool.Endpoints {
+			_, bad := know.BadVersions[core.EndpointVersion{Pool: pool.Name, Version: e.Version}]
+			if bad || unproved[e.Version] || know.Leaving[e.Name] {
+				continue
+			}
+			byPool[pool.Name] = append(byPool[pool.Name], candidate(pool.Name, e, fraction))
+		}
+	}
+	return byPool
+}
+
+func candidate(pool string, e manifest.Endpoint, fraction float64) Endpoint {
+	return Endpoint{
+		Endpoint: core.Endpoint{
+			Name: e.Name, Pool: pool, Address: e.Address,
+			AvailabilityZone: e.AvailabilityZone, Version: e.Version, Slots: e.Slots,
+		},
+		Share: Share(e.Slots, fraction),
+	}
+}
+
+// targets returns the versions that a move of the pool leads to and that are
+// not yet proved.
+func targets(m *manifest.Manifest, stages map[string]message.MoveStage, pool string) map[core.Version]bool {
+	unproved := map[core.Version]bool{}
+	for _, move := range m.Moves {
+		if move.Pool == pool && stages[move.Name].Stage != message.StageDone {
+			unproved[move.ToVersion] = true
+		}
+	}
+	return unproved
+}
+
+// Fraction returns this host's part of each endpoint's slots: the setting,
+// or one divided by the entry hosts known.
+func Fraction(setting float64, members []message.Member) float64 {
+	if setting > 0 {
+		return setting
+	}
+	hosts := 0
+	for _, m := range members {
+		if m.Role == message.RoleEntry && !m.Leaving {
+			hosts++
+		}
+	}
+	return 1 / float64(max(1, hosts))
+}
--- a/internal/entry/admission/handle.go
+++ b/internal/entry/admission/handle.go
@@ -68,3 +68,11 @@
 		d.cleared.finished(m.Fingerprint, d.view.PoisonMarks[m.Fingerprint])
 	}
 }
+
+func (m OwnersAsk) handle(d *Duty, _ time.Time) {
+	if d.view == nil {
+		m.Send(nil)
+		return
+	}
+	m.Send(d.ranked(m.Shard))
+}
--- a/internal/entry/admission/messages.go
+++ b/internal/entry/admission/messages.go
@@ -8,12 +8,13 @@
 
 	"kingcupcourse/internal/core"
 	decision "kingcupcourse/internal/decision/admission"
+	"kingcupcourse/internal/decision/ownership"
 	"kingcupcourse/internal/message"
 	"kingcupcourse/internal/ring"
 )
 
-// Message is what the duty takes from its ring: Opening, Question, RetryAsk
-// or Closing.
+// Message is what the duty takes from its ring: Opening, Question, RetryAsk,
+// OwnersAsk or Closing.
 type Message interface {
 	handle(d *Duty, now time.Time)
 }
@@ -67,3 +68,10 @@
 	// FinishedWell tells that an endpoint gave a whole answer.
 	FinishedWell bool
 }
+
+// OwnersAsk asks for the live schedulers of a shard as of now, the owner
+// first.
+type OwnersAsk struct {
+	ring.Reply[[]message.Member]
+	Shard ownership.Shard
+}
--- /dev/null
+++ b/internal/entry/callers/admit.go
@@ -0,0 +1,123 @@
+package callers
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"kingcupcourse/internal/core"
+	decision "kingcupcourse/internal/decision/admission"
+	"kingcupcourse/internal/entry/admission"
+	"kingcupcourse/internal/entry/completions"
+	"kingcupcourse/internal/ring"
+)
+
+// admit opens the call, reads its body and asks for a ticket. It returns nil
+// if the request is let in.
+func (c *call) admit(ctx context.Context) *core.Refusal {
+	opened, refusal := c.open(ctx)
+	if refusal != nil {
+		return refusal
+	}
+	c.account = opened.Account
+	if c.body, refusal = readBody(c.w, c.r, opened.Terms.MaxBodyBytes); refusal != nil {
+		return refusal
+	}
+	read := time.Now()
+	c.fingerprint = fingerprint(c.account, c.r.Method, c.r.URL.Path, c.body)
+	if refusal = c.parse(opened.Terms.Model); refusal != nil {
+		return refusal
+	}
+	ask, refusal := c.ask()
+	if refusal != nil {
+		return refusal
+	}
+	question := admission.Question{
+		Reply: ring.NewReply[admission.Ticket](), Token: c.token, Fingerprint: c.fingerprint, Ask: ask,
+	}
+	if c.ticket, refusal = consult(ctx, c.h.Admission, question, question.Reply); refusal != nil {
+		return refusal
+	}
+	if c.ticket.Refusal != nil {
+		return c.ticket.Refusal
+	}
+	if c.ticket.Key != "" {
+		c.id = keyedID(c.account, c.ticket.Key)
+	}
+	c.sink = newSink(c)
+	c.added += time.Since(read)
+	return nil
+}
+
+func (c *call) open(ctx context.Context) (admission.Opened, *core.Refusal) {
+	opening := admission.Opening{
+		Reply: ring.NewReply[admission.Opened](), Token: c.token,
+		Method: c.r.Method, Path: c.r.URL.Path, KeyHash: bearerHash(c.r.Header),
+	}
+	opened, refusal := consult(ctx, c.h.Admission, opening, opening.Reply)
+	if refusal != nil {
+		return opened, refusal
+	}
+	return opened, opened.Refusal
+}
+
+// consult puts a question to the admission duty and waits for the answer.
+func consult[T any](ctx context.Context, inbox *ring.Ring[admission.Message], question admission.Message,
+	reply ring.Reply[T]) (T, *core.Refusal) {
+	var none T
+	if err := inbox.Put(ctx, question); err != nil {
+		return none, core.Refuse(core.ReasonCallerGone, "the caller has gone")
+	}
+	answer, err := reply.Wait(ctx)
+	if err != nil && ctx.Err() != nil {
+		return none, core.Refuse(core.ReasonCallerGone, "the caller has gone")
+	}
+	if err != nil {
+		return none, core.RefuseFor(core.ReasonNotReady, err.Error(), time.Second)
+	}
+	return answer, nil
+}
+
+// parse reads the body of a completions request as far as routing needs it.
+func (c *call) parse(model bool) *core.Refusal {
+	if !model || c.r.Method != http.MethodPost || !strings.HasSuffix(c.r.URL.Path, "/completions") {
+		return nil
+	}
+	parsed, err := completions.Parse(c.body)
+	if err != nil {
+		return core.Refuse(core.ReasonBadRequest, err.Error())
+	}
+	c.parsed = &parsed
+	return nil
+}
+
+// ask gathers what the caller wants from the headers and the body.
+func (c *call) ask() (decision.Ask, *core.Refusal) {
+	ask := decision.Ask{
+		Method: c.r.Method, Path: c.r.URL.Path, BodyBytes: int64(len(c.body)),
+		Key: c.r.Header.Get(headerKey),
+	}
+	ask.KeyTime = keyTime(ask.Key)
+	if c.parsed != nil {
+		ask.Model = c.parsed.Model
+	}
+	if text := c.r.Header.Get(headerTier); text != "" {
+		tier, err := strconv.Atoi(text)
+		if err != nil || tier < 1 {
+			return ask, core.Refuse(core.ReasonBadRequest, headerTier+" is not a positive number")
+		}
+		ask.Tier = core.Tier(tier)
+	}
+	if text := c.r.Header.Get(headerDeadline); text != "" {
+		milliseconds, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return ask, core.Refuse(core.ReasonBadRequest, headerDeadline+" is not a number of milliseconds")
+		}
+		const longest = int64(24 * time.Hour / time.Millisecond)
+		ask.Deadline = time.Duration(min(milliseconds, longest)) * time.Millisecond
+		ask.HasDeadline = true
+	}
+	return ask, nil
+}
--- /dev/null
+++ b/internal/entry/callers/grant.go
@@ -0,0 +1,161 @@
+package callers
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/entry/admission"
+	"kingcupcourse/internal/entry/reports"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/ring"
+)
+
+const (
+	// keyedPatience bounds how long a run-once request looks for an owner
+	// that answers: long enough for the members to agree on a new one.
+	keyedPatience = 10 * time.Second
+	// roundPause is the wait before all owners are asked again.
+	roundPause = 200 * time.Millisecond
+)
+
+// errNoScheduler is returned when no scheduler answered as the owner.
+var errNoScheduler = eris.New("no scheduler answers")
+
+// grant asks the owner of the shard for permission to dispatch. It returns
+// errNoScheduler if none answers, or the context's error.
+func (c *call) grant(ctx context.Context) (message.GrantReply, error) {
+	patience := time.Now().Add(keyedPatience)
+	owners := c.ticket.Owners
+	for {
+		reply, err := c.askInTurn(ctx, owners)
+		if err == nil || ctx.Err() != nil || !c.ticket.RunOnce || time.Now().After(patience) {
+			return reply, err
+		}
+		if err := ring.Pause(ctx, roundPause); err != nil {
+			return reply, err
+		}
+		owners = c.newOwners(ctx)
+	}
+}
+
+// newOwners asks the admission duty for the ranking as of now.
+func (c *call) newOwners(ctx context.Context) []message.Member {
+	ask := admission.OwnersAsk{Reply: ring.NewReply[[]message.Member](), Shard: c.ticket.Shard}
+	owners, _ := consult(ctx, c.h.Admission, ask, ask.Reply)
+	return owners
+}
+
+// askInTurn asks the owners in their rank, or as one of them directs.
+func (c *call) askInTurn(ctx context.Context, owners []message.Member) (message.GrantReply, error) {
+	tried := map[string]bool{}
+	var directed string
+	for ctx.Err() == nil {
+		address := nextOwner(owners, directed, tried)
+		if address == "" {
+			return message.GrantReply{}, errNoScheduler
+		}
+		tried[address] = true
+		reply, err := c.askOwner(ctx, address)
+		switch {
+		case err != nil:
+			c.h.Log.Warn("grant call failed", zap.String("request", c.id),
+				zap.String("scheduler", address), zap.Error(err))
+			c.abandonGrant()
+		case !elsewhere(reply):
+			return reply, nil
+		}
+		directed = reply.Owner
+	}
+	return message.GrantReply{}, ctx.Err()
+}
+
+func nextOwner(owners []message.Member, directed string, tried map[string]bool) string {
+	if directed != "" && !tried[directed] {
+		return directed
+	}
+	for _, owner := range owners {
+		if !tried[owner.Address] {
+			return owner.Address
+		}
+	}
+	return ""
+}
+
+// elsewhere tells whether the scheduler could not answer as the owner.
+func elsewhere(reply message.GrantReply) bool {
+	if reply.Refusal == nil {
+		return reply.Grant == nil && reply.Prior == nil
+	}
+	switch reply.Refusal.Reason {
+	case core.ReasonNotOwner, core.ReasonNotReady, core.ReasonDraining:
+		return true
+	}
+	return false
+}
+
+// askOwner makes one grant call. The reports duty cancels it when the
+// scheduler stops answering heartbeats.
+func (c *call) askOwner(ctx context.Context, address string) (message.GrantReply, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := reports.Watch{Address: address, Attempt: c.attempt, Cancel: cancel}
+	if err := c.h.Reports.Put(ctx, watch); err != nil {
+		return message.GrantReply{}, err
+	}
+	defer c.tell(reports.Unwatch{Address: address, Attempt: c.attempt})
+	return c.h.Peers.Grant(ctx, address, c.grantRequest())
+}
+
+func (c *call) grantRequest() message.GrantRequest {
+	request := message.GrantRequest{
+		RequestID: c.id, Attempt: c.attempt, Host: c.h.Host,
+		Account: c.account, Tier: c.ticket.Tier, Pool: c.ticket.Pool, Route: c.ticket.Route,
+		Key: c.ticket.Key, Fingerprint: c.fingerprint, Exclude: c.exclude,
+		DeadlineUnixMS: c.ticket.Deadline.UnixMilli(), ConfigVersion: c.ticket.ConfigVersion,
+	}
+	if c.parsed != nil {
+		request.PromptTokens = c.parsed.PromptTokens()
+		request.MaxOutputTokens = c.maxTokens()
+		request.PrefixBlocks = c.parsed.PrefixBlocks()
+	}
+	return request
+}
+
+// maxTokens estimates the output: what the caller set, else the route's
+// first guess.
+func (c *call) maxTokens() int {
+	if c.parsed.MaxTokens > 0 {
+		return c.parsed.MaxTokens
+	}
+	return c.ticket.OutputTokens
+}
+
+// abandonGrant ends an attempt whose grant call failed: the scheduler may
+// have granted it. A run-once request goes on under the same attempt, which
+// the journal knows, and any other under a new one.
+func (c *call) abandonGrant() {
+	if c.ticket.RunOnce {
+		return
+	}
+	c.reportUndispatched()
+}
+
+// reportUndispatched ends the attempt without a dispatch and begins a new
+// one.
+func (c *call) reportUndispatched() {
+	c.tell(reports.Ended{
+		Shard: c.ticket.Shard, KeepUntil: c.keepUntil(),
+		Outcome: c.outcome(core.Grant{Attempt: c.attempt}, ending{result: core.ResultNotDispatched}),
+	})
+	c.attempt = newID()
+}
+
+// tell puts a message in the ring of the reports duty, also when the caller
+// has gone.
+func (c *call) tell(m reports.Message) {
+	_ = c.h.Reports.Put(context.WithoutCancel(c.r.Context()), m)
+}
--- /dev/null
+++ b/internal/entry/callers/handler.go
@@ -0,0 +1,59 @@
+// Package callers serves the callers' requests. The goroutine that net/http
+// gives each connection is that caller's own duty: it takes a request
+// through its steps, one file a step (admit, place, grant, dispatch, whole
+// or stream, resume, answer or refuse), and meets the other duties only at
+// their rings. It makes the outgoing calls of its own request itself.
+package callers
+
+import (
+	"context"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/entry/admission"
+	"kingcupcourse/internal/entry/fallback"
+	"kingcupcourse/internal/entry/peer"
+	"kingcupcourse/internal/entry/reports"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/ring"
+)
+
+// Config is what the handler needs of the process.
+type Config struct {
+	Host      string
+	Admission *ring.Ring[admission.Message]
+	Reports   reports.Inbox
+	Fallback  *ring.Ring[fallback.Message]
+	Peers     *peer.Client
+	// Tell shares a fact with the other processes.
+	Tell func(message.Fact)
+	Log  *zap.Logger
+}
+
+// Handler serves callers.
+type Handler struct {
+	Config
+	endpoints *endpoints
+}
+
+// NewHandler returns the handler.
+func NewHandler(config Config) *Handler {
+	return &Handler{Config: config, endpoints: newEndpoints()}
+}
+
+// Close closes the unused connections to endpoints.
+func (h *Handler) Close() { h.endpoints.closeIdle() }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := newCall(h, w, r)
+	defer c.close()
+	if refusal := c.admit(r.Context()); refusal != nil {
+		c.refuse(refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.ticket.Deadline)
+	defer cancel()
+	c.run(ctx)
+}
--- /dev/null
+++ b/internal/entry/callers/outcome.go
@@ -0,0 +1,64 @@
+package callers
+
+import (
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/entry/reports"
+)
+
+const (
+	// maxKeptAnswerBytes bounds an answer that is kept for a resend.
+	maxKeptAnswerBytes = 4 << 10
+	// unkeyedRetention is how long an outcome without a key is resent.
+	unkeyedRetention = 30 * time.Second
+)
+
+// settle reports the end of an attempt. A run-once request that is placed
+// again goes on under the same attempt, which therefore has not ended.
+func (c *call) settle(placed placement, end ending, again bool) {
+	c.logEnd(placed, end)
+	if placed.fallback {
+		c.freeAlone()
+	}
+	if again && c.ticket.RunOnce {
+		return
+	}
+	c.tell(reports.Ended{
+		Shard: c.ticket.Shard, Outcome: c.outcome(placed.grant, end), KeepUntil: c.keepUntil(),
+	})
+	if again {
+		c.attempt = newID()
+	}
+}
+
+func (c *call) keepUntil() time.Time {
+	if c.ticket.RunOnce {
+		return time.Now().Add(c.ticket.Retention)
+	}
+	return time.Now().Add(unkeyedRetention)
+}
+
+func (c *call) outcome(grant core.Grant, end ending) core.Outcome {
+	outcome := core.Outcome{
+		RequestID: c.id, Attempt: grant.Attempt, Pool: c.ticket.Pool, Route: c.ticket.Route,
+		Account: c.account, Endpoint: grant.Endpoint, Version: grant.Version, Key: c.ticket.Key,
+		Result: end.result, Status: end.status, Leaving: end.leaving, OutputTokens: end.tokens,
+		FirstTokenMS: milliseconds(end.firstToken), TotalMS: milliseconds(end.total),
+	}
+	if end.version != "" {
+		outcome.Version = end.version
+	}
+	if c.parsed != nil {
+		outcome.PromptTokens = c.parsed.PromptTokens()
+	}
+	if end.tokens > 1 {
+		outcome.BetweenTokensMS = milliseconds(end.total-end.firstToken) / float64(end.tokens-1)
+	}
+	if a := end.answer; a != nil && c.ticket.RunOnce && len(a.body) <= maxKeptAnswerBytes {
+		outcome.Answer, outcome.ContentType = a.body, a.header.Get("Content-Type")
+	}
+	return outcome
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/entry/callers/place.go
@@ -0,0 +1,72 @@
+package callers
+
+import (
+	"context"
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/entry/reports"
+	"kingcupcourse/internal/message"
+)
+
+// placement is where an attempt goes, or the recorded end of an earlier one.
+type placement struct {
+	grant core.Grant
+	prior *core.PriorOutcome
+	// fallback tells that this host placed the attempt by itself.
+	fallback bool
+}
+
+// place finds an endpoint for the next attempt.
+func (c *call) place(ctx context.Context) (placement, *core.Refusal) {
+	asked := time.Now()
+	reply, err := c.grant(ctx)
+	grantSeconds.Observe(time.Since(asked).Seconds())
+	switch {
+	case ctx.Err() != nil:
+		c.reportUndispatched()
+		return placement{}, c.endedEarly()
+	case err != nil && c.ticket.RunOnce:
+		c.reportUndispatched()
+		return placement{}, core.RefuseFor(core.ReasonJournalDown,
+			"no scheduler can vouch for the idempotency key", time.Second)
+	case err != nil:
+		return c.placeAlone(ctx)
+	case reply.Refusal != nil:
+		if c.ticket.RunOnce && c.dispatches > 0 {
+			c.reportUndispatched()
+		}
+		return placement{}, refusalFrom(reply.Refusal)
+	case reply.Prior != nil:
+		return placement{prior: reply.Prior}, nil
+	}
+	return placement{grant: *reply.Grant}, nil
+}
+
+func refusalFrom(wire *message.Refusal) *core.Refusal {
+	refusal := wire.Refusal
+	refusal.RetryAfter = time.Duration(wire.RetryAfterMS) * time.Millisecond
+	return &refusal
+}
+
+// endedEarly is the refusal of a request that ended before its dispatch.
+func (c *call) endedEarly() *core.Refusal {
+	if c.callerGone() {
+		return core.Refuse(core.ReasonCallerGone, "the caller has gone")
+	}
+	return core.Refuse(core.ReasonDeadlinePassed, "the deadline passed before the request was placed")
+}
+
+// begin tells the reports duty that the attempt is dispatched.
+func (c *call) begin(placed placement) {
+	running := message.RunningRequest{
+		RequestID: c.id, Attempt: c.attempt, Endpoint: placed.grant.Endpoint,
+		Route: c.ticket.Route, Account: c.account,
+	}
+	if c.parsed != nil {
+		running.PromptTokens = c.parsed.PromptTokens()
+		running.MaxOutputTokens = c.maxTokens()
+	}
+	c.tell(reports.Started{Shard: c.ticket.Shard, Running: running})
+	c.logPlacement(placed)
+}
--- /dev/null
+++ b/internal/entry/callers/probe.go
@@ -0,0 +1,85 @@
+package callers
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"kingcupcourse/internal/core"
+)
+
+const (
+	// probeTimeout bounds the check of an endpoint on a new connection.
+	probeTimeout = time.Second
+	// cancelTimeout bounds the call that cancels a run.
+	cancelTimeout = 2 * time.Second
+)
+
+var errUnhealthy = eris.New("the endpoint does not answer on a new connection")
+
+// probe checks the endpoint on a new connection. It returns nil if the
+// endpoint serves.
+func (c *call) probe(ctx context.Context, grant core.Grant) error {
+	probesTotal.Inc()
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+grant.Address+"/healthz", nil)
+	if err != nil {
+		return err
+	}
+	response, err := c.h.endpoints.fresh.RoundTrip(request)
+	if err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerHeaderBytes))
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errUnhealthy
+	}
+	return nil
+}
+
+// lost is the end of an attempt whose connection failed before a whole
+// answer came. It finds out whether the endpoint died.
+func (c *call) lost(ctx context.Context, grant core.Grant, cause error) ending {
+	if silent(cause) {
+		c.h.endpoints.closeIdle()
+	}
+	if err := c.probe(ctx, grant); unreachable(err) && !silent(cause) {
+		c.markPoison(grant.Endpoint)
+	}
+	if ctx.Err() != nil {
+		return c.cancelled(grant)
+	}
+	return ending{result: core.ResultLost, reason: core.ReasonEndpointFailed, detail: cause.Error()}
+}
+
+// cancelled is the end of an attempt that the caller gave up or whose
+// deadline passed. The run is stopped at the engine, but a run-once run only
+// if its caller has gone.
+func (c *call) cancelled(grant core.Grant) ending {
+	end := ending{result: core.ResultCancelled, reason: core.ReasonDeadlinePassed,
+		detail: "the deadline passed before the whole answer"}
+	if c.callerGone() {
+		end.reason, end.detail = core.ReasonCallerGone, "the caller has gone"
+	}
+	if c.ticket.Kind == core.KindModel && (c.callerGone() || !c.ticket.RunOnce) {
+		c.cancelRun(grant)
+	}
+	return end
+}
+
+func (c *call) cancelRun(grant core.Grant) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.r.Context()), cancelTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+grant.Address+"/v1/runs/"+c.id, nil)
+	if err != nil {
+		return
+	}
+	if response, err := c.h.endpoints.fresh.RoundTrip(request); err == nil {
+		_ = response.Body.Close()
+	}
+}
--- /dev/null
+++ b/internal/entry/callers/refuse.go
@@ -0,0 +1,131 @@
+package callers
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"kingcupcourse/internal/core"
+)
+
+const (
+	headerDisposition = "Kingcup-Disposition"
+	headerReplayed    = "Kingcup-Replayed"
+	// statusCallerGone is logged for a caller that closed its connection.
+	statusCallerGone = 499
+)
+
+type refusalBody struct {
+	Error refusalError `json:"error"`
+}
+
+// refusalError is a core.Refusal as callers see it.
+type refusalError struct {
+	Disposition  core.Disposition `json:"disposition"`
+	Reason       core.Reason      `json:"reason"`
+	Detail       string           `json:"detail"`
+	Retry        bool             `json:"retry"`
+	RetryAfterMS int64            `json:"retry_after_ms"`
+	RequestID    string           `json:"request_id"`
+}
+
+// statuses holds the HTTP status of each reason; 503 for the rest.
+var statuses = map[core.Reason]int{
+	core.ReasonBadRequest:       http.StatusBadRequest,
+	core.ReasonKeyRequired:      http.StatusBadRequest,
+	core.ReasonUnauthenticated:  http.StatusUnauthorized,
+	core.ReasonForbidden:        http.StatusForbidden,
+	core.ReasonUnknownRoute:     http.StatusNotFound,
+	core.ReasonInProgress:       http.StatusConflict,
+	core.ReasonKeyReused:        http.StatusConflict,
+	core.ReasonAlreadyRun:       http.StatusConflict,
+	core.ReasonTooLarge:         http.StatusRequestEntityTooLarge,
+	core.ReasonKeyExpired:       http.StatusUnprocessableEntity,
+	core.ReasonPoison:           http.StatusUnprocessableEntity,
+	core.ReasonRateLimited:      http.StatusTooManyRequests,
+	core.ReasonEndpointFailed:   http.StatusBadGateway,
+	core.ReasonAnswerIncomplete: http.StatusBadGateway,
+	core.ReasonDeadlinePassed:   http.StatusGatewayTimeout,
+	core.ReasonDeadlineTooSoon:  http.StatusGatewayTimeout,
+	core.ReasonCallerGone:       statusCallerGone,
+}
+
+func statusOf(reason core.Reason) int {
+	if status, ok := statuses[reason]; ok {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
+
+// refuse answers the caller with a refusal. After a part of a stream it is
+// the last event.
+func (c *call) refuse(refusal *core.Refusal) {
+	refusal = c.honest(refusal)
+	c.logRefusal(refusal)
+	refusalsTotal.WithLabelValues(string(refusal.Reason)).Inc()
+	c.observe(string(refusal.Disposition))
+	body, _ := json.Marshal(refusalBody{Error: refusalError{
+		Disposition: refusal.Disposition, Reason: refusal.Reason, Detail: refusal.Detail,
+		Retry: refusal.Retry, RetryAfterMS: refusal.RetryAfter.Milliseconds(), RequestID: c.id,
+	}})
+	if c.sink != nil && c.sink.passed {
+		_ = c.sink.write([]byte("event: error\ndata: " + string(body) + "\n\n"))
+		return
+	}
+	c.writeRefusal(refusal, body)
+}
+
+func (c *call) writeRefusal(refusal *core.Refusal, body []byte) {
+	header := c.w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(headerRequestID, c.id)
+	header.Set(headerDisposition, string(refusal.Disposition))
+	if refusal.RetryAfter > 0 {
+		seconds := int(math.Ceil(refusal.RetryAfter.Seconds()))
+		header.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	c.w.WriteHeader(statusOf(refusal.Reason))
+	_, _ = c.w.Write(append(body, '\n'))
+}
+
+// honest turns "not run" into "outcome unknown" when an earlier attempt of
+// this request may have run.
+func (c *call) honest(refusal *core.Refusal) *core.Refusal {
+	if !c.mayHaveRun || refusal.Disposition != core.NotRun {
+		return refusal
+	}
+	changed := *refusal
+	changed.Disposition = core.OutcomeUnknown
+	return &changed
+}
+
+// refusalOf tells the caller how the last attempt ended.
+func (c *call) refusalOf(end ending) *core.Refusal {
+	switch {
+	case end.reason == core.ReasonAlreadyRun:
+		return &core.Refusal{Disposition: core.AlreadyRun, Reason: end.reason, Detail: end.detail}
+	case end.result == core.ResultNotDispatched, end.result == core.ResultRejected:
+		return core.RefuseFor(end.reason, end.detail, time.Second)
+	}
+	return &core.Refusal{
+		Disposition: core.OutcomeUnknown, Reason: end.reason, Detail: end.detail, Retry: !c.ticket.RunOnce,
+	}
+}
+
+// replay answers a resend with the recorded outcome of its key.
+func (c *call) replay(prior *core.PriorOutcome) {
+	if !prior.Whole {
+		c.refuse(&core.Refusal{Disposition: core.AlreadyRun, Reason: core.ReasonAlreadyRun,
+			Detail: "an earlier request with this key has run; its answer is not kept"})
+		return
+	}
+	header := http.Header{headerReplayed: {"true"}}
+	if prior.ContentType != "" {
+		header.Set("Content-Type", prior.ContentType)
+	}
+	c.writeAnswer(&answer{status: prior.Status, header: header, body: prior.Answer})
+	c.logReplay()
+	c.observe("replayed")
+}
--- /dev/null
+++ b/internal/entry/callers/resume.go
@@ -0,0 +1,91 @@
+package callers
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/ring"
+)
+
+// resumePause is the wait between two tries to resume a stream.
+const resumePause = 50 * time.Millisecond
+
+// resume opens a new connection to the run after the last event passed on.
+// If the run can't be reached within the progress timeout it returns false
+// and how the attempt ended. A run may be silent for long while it waits in
+// the engine's queue: as long as the endpoint answers probes, only the
+// connection is given up.
+func (c *call) resume(ctx context.Context, grant core.Grant, r *relay) (ending, bool) {
+	if silent(r.cause) {
+		c.h.endpoints.closeIdle()
+		if err := c.probe(ctx, grant); err != nil {
+			return c.gaveUp(ctx, grant, "the endpoint is silent"), false
+		}
+	}
+	patience := time.Now().Add(c.ticket.ProgressTimeout)
+	for {
+		response, err := c.reconnect(ctx, grant, r)
+		switch {
+		case ctx.Err() != nil:
+			return c.cancelled(grant), false
+		case silent(err):
+			r.body, r.cause = nil, err
+			return ending{}, true
+		case err == nil && response.StatusCode == http.StatusOK:
+			c.logResume(grant, r)
+			r.body, r.cause = response.Body, nil
+			return ending{}, true
+		case err == nil:
+			_ = response.Body.Close()
+			return c.gaveUp(ctx, grant, "the endpoint does not know the run any more"), false
+		case unreachable(err) && (c.canStartOver() || time.Now().After(patience)):
+			c.markPoison(grant.Endpoint)
+			return c.gaveUp(ctx, grant, "the endpoint died"), false
+		case time.Now().After(patience):
+			return c.gaveUp(ctx, grant, "the stream could not be resumed"), false
+		}
+		if ring.Pause(ctx, resumePause) != nil {
+			return c.cancelled(grant), false
+		}
+	}
+}
+
+// canStartOver tells whether the request could as well run on another
+// endpoint, so that waiting for this one gains nothing.
+func (c *call) canStartOver() bool { return !c.ticket.RunOnce && !c.sink.passed }
+
+// reconnect asks the endpoint for the events after the last one.
+func (c *call) reconnect(ctx context.Context, grant core.Grant, r *relay) (*http.Response, error) {
+	resumesTotal.Inc()
+	exchange := &exchange{silence: c.ticket.ProgressTimeout}
+	url := "http://" + grant.Address + "/v1/runs/" + c.id + "/stream"
+	request, err := http.NewRequestWithContext(exchange.trace(ctx), http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set(headerLastEventID, strconv.Itoa(r.last))
+	response, err := c.h.endpoints.fresh.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = &watchedBody{ReadCloser: response.Body, exchange: exchange}
+	return response, nil
+}
+
+// gaveUp is the end of an attempt whose answer can't be completed.
+func (c *call) gaveUp(ctx context.Context, grant core.Grant, detail string) ending {
+	if ctx.Err() != nil {
+		return c.cancelled(grant)
+	}
+	return ending{result: core.ResultLost, reason: core.ReasonAnswerIncomplete, detail: detail}
+}
+
+func (c *call) logResume(grant core.Grant, r *relay) {
+	c.h.Log.Info("stream resumed", zap.String("request", c.id), zap.String("endpoint", grant.Endpoint),
+		zap.Int("after_event", r.last), zap.Error(r.cause))
+}
