--- a/internal/decision/admission/admit.go
+++ b/internal/decision/admission/admit.go
@@ -66,11 +66,10 @@
 
 // Admit decides about one request. Region is where the entry host is.
 func (p *Policy) Admit(ask Ask, load Load, region core.Region, now time.Time) (Terms, *core.Refusal) {
-	route := p.match(ask.Method, ask.Path, ask.Model)
-	if route == nil || p.pools[route.Pool] == nil {
+	route, pool := p.find(ask)
+	if pool == nil {
 		return Terms{}, core.Refuse(core.ReasonUnknownRoute, "no route takes this method, path and model")
 	}
-	pool := p.pools[route.Pool]
 	terms := Terms{
 		Account: account(ask.Account), Route: route.Name, Pool: pool.Name, Kind: pool.Kind,
 		Tier: p.tier(ask, route), RunOnce: route.RunOnce, OutputTokens: route.OutputTokens,
@@ -102,6 +101,16 @@
 	return terms, nil
 }
 
+// find returns the route of a request and its pool, nil if there is none.
+func (p *Policy) find(ask Ask) (*manifest.Route, *manifest.Pool) {
+	route, ok := p.Match(ask.Method, ask.Path, ask.Model)
+	if !ok {
+		return nil, nil
+	}
+	pool, _ := p.Pool(route.Pool)
+	return route, pool
+}
+
 func account(a *manifest.ClientAccount) core.ClientAccount {
 	return core.ClientAccount{Name: a.Name, MaxTier: a.MaxTier, Weight: a.Weight, HomeRegion: a.HomeRegion}
 }
@@ -109,7 +118,7 @@
 // tier returns the least important of the route's tier, the account's most
 // important tier and the tier asked for.
 func (p *Policy) tier(ask Ask, route *manifest.Route) core.Tier {
-	return min(max(route.Tier, ask.Account.MaxTier, ask.Tier), p.leastTier)
+	return min(max(route.Tier, ask.Account.MaxTier, ask.Tier), core.Tier(p.Tiers))
 }
 
 func deadline(ask Ask, route *manifest.Route) time.Duration {
--- a/internal/entry/admission/handle.go
+++ b/internal/entry/admission/handle.go
@@ -18,8 +18,8 @@
 		return Opened{Refusal: core.RefuseFor(core.ReasonNotReady,
 			"the entry host has no configuration yet", fullRetryAfter)}
 	}
-	account := d.policy.Account(m.KeyHash)
-	if account == nil {
+	account, known := d.policy.AccountByKeyHash(m.KeyHash)
+	if !known {
 		return Opened{Refusal: core.Refuse(core.ReasonUnauthenticated, "the bearer key is missing or unknown")}
 	}
 	opened := Opened{Account: account.Name}
--- a/internal/entry/callers/dispatch.go
+++ b/internal/entry/callers/dispatch.go
@@ -18,6 +18,7 @@
 	headerEndpointState = "X-Endpoint-State"
 	headerLastEventID   = "Last-Event-ID"
 	stateLeaving        = "leaving"
+	stateLoading        = "loading"
 	eventStream         = "text/event-stream"
 )
 
@@ -36,6 +37,9 @@
 	firstToken, total time.Duration
 }
 
+// notStarted holds the states in which an endpoint starts no run.
+var notStarted = map[string]bool{stateLeaving: true, stateLoading: true}
+
 // notForwarded lists the caller's headers that no endpoint gets: those of
 // one connection, the caller's key, and those that would make net/http send
 // a request again by itself.
@@ -137,13 +141,11 @@
 // receive sees an answer through whose header has come.
 func (c *call) receive(ctx context.Context, grant core.Grant, x *exchange, response *http.Response) ending {
 	var end ending
+	state := response.Header.Get(headerEndpointState)
 	switch {
-	case response.StatusCode == http.StatusServiceUnavailable &&
-		response.Header.Get(headerEndpointState) == stateLeaving:
+	case response.StatusCode == http.StatusServiceUnavailable && notStarted[state]:
 		_ = response.Body.Close()
-		c.tellLeaving(grant.Endpoint)
-		end = ending{result: core.ResultRejected, reason: core.ReasonNoEndpoint, leaving: true,
-			detail: "the endpoint is leaving"}
+		end = c.rejected(grant, state)
 	case c.streamed() && response.StatusCode == http.StatusOK && isEventStream(response.Header):
 		end = c.followStream(ctx, grant, &relay{body: response.Body, dispatched: x.dispatched})
 	default:
@@ -154,6 +156,16 @@
 	return end
 }
 
+// rejected is the end of an attempt that the endpoint did not start.
+func (c *call) rejected(grant core.Grant, state string) ending {
+	leaving := state == stateLeaving
+	if leaving {
+		c.tellLeaving(grant.Endpoint)
+	}
+	return ending{result: core.ResultRejected, reason: core.ReasonNoEndpoint, leaving: leaving,
+		detail: "the endpoint is " + state}
+}
+
 func isEventStream(header http.Header) bool {
 	return strings.HasPrefix(header.Get("Content-Type"), eventStream)
 }
--- a/internal/entry/completions/completions.go
+++ b/internal/entry/completions/completions.go
@@ -68,6 +68,7 @@
 }
 
 type chatMessage struct {
+	Role    string          `json:"role"`
 	Content json.RawMessage `json:"content"`
 }
 
@@ -112,10 +113,11 @@
 		string(b.Logprobs) == "false")
 }
 
+// join returns the prompt that engines make of messages: a line each.
 func join(messages []chatMessage) string {
 	var text bytes.Buffer
 	for _, m := range messages {
-		text.WriteString(m.text())
+		text.WriteString(m.Role + ": " + m.text() + "\n")
 	}
 	return text.String()
 }
--- /dev/null
+++ b/internal/entry/path_test.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/standin"
+	"kingcupcourse/internal/standin/engine"
+	"kingcupcourse/internal/standin/ledger"
+)
+
+// fleet is a running set of stand-ins.
+type fleet struct {
+	t       *testing.T
+	process *standin.Process
+}
+
+func newFleet(t *testing.T, engines, ledgers int) *fleet {
+	t.Helper()
+	config := standin.Fleet{AdminAddress: "127.0.0.1:0"}
+	for i := range engines {
+		config.Engines = append(config.Engines, engine.Config{
+			Name: fmt.Sprintf("engine-%d", i), Address: "127.0.0.1:0", RestartMS: 60_000})
+	}
+	for i := range ledgers {
+		config.Ledgers = append(config.Ledgers, ledger.Config{
+			Name: fmt.Sprintf("ledger-%d", i), Address: "127.0.0.1:0", ServiceTimeMS: 5, RestartMS: 60_000})
+	}
+	process, err := standin.New(config, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := ring.NewReply[error]()
+	go func() { ended.Send(process.Supervisor().Serve(ctx)) }()
+	t.Cleanup(func() {
+		cancel()
+		_, _ = ended.Wait(context.Background())
+	})
+	return &fleet{t: t, process: process}
+}
+
+func (f *fleet) back(pool, name string) back { return back{pool, name, f.process.Address(name)} }
+
+func (f *fleet) fault(name, order string) {
+	f.t.Helper()
+	response, err := http.Post("http://"+f.process.AdminAddress()+"/"+name+"/admin/fault", "application/json", strings.NewReader(order))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusNoContent {
+		f.t.Fatalf("fault %s: %d", order, response.StatusCode)
+	}
+}
+
+func TestStreamReachesTheCallerWhole(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	r := newRig(t, f.back("models", "engine-0"))
+	got := r.must("POST", "/v1/completions", `{"model":"chat","prompt":"hello","max_tokens":20,"stream":true}`)
+	expectWholeStream(t, got, 20)
+	eventually(t, "the outcome is reported", func() bool { return len(r.scheduler.results()) == 1 })
+	if result := r.scheduler.results()[0]; result != "ok" {
+		t.Fatalf("result %s", result)
+	}
+}
+
+// expectWholeStream checks that events 1 to n came once each, in order, and
+// then the end.
+func expectWholeStream(t *testing.T, got reply, n int) {
+	t.Helper()
+	if got.status != http.StatusOK {
+		t.Fatalf("status %d: %s", got.status, got.body)
+	}
+	last := 0
+	for line := range strings.Lines(got.body) {
+		var id int
+		if _, err := fmt.Sscanf(line, "id: %d", &id); err != nil {
+			continue
+		}
+		if id != last+1 {
+			t.Fatalf("event %d after %d", id, last)
+		}
+		last = id
+	}
+	if last != n || !strings.HasSuffix(got.body, "data: [DONE]\n\n") {
+		t.Fatalf("%d events, want %d; ends with %q", last, n, got.body[max(0, len(got.body)-60):])
+	}
+}
