Rollout: one mover for each planned move, under a lease, state in the platform only

The status is written before anything is done on its account, conditional on the version the decision was made on, so that a holder that was paused or replaced cannot put a move back. The lease is an object of its own: weighed against keeping it in the status object, where every renewal would look like a change of stage to all hosts' polls.

--- a/cmd/kingcup-rollout/main.go
+++ b/cmd/kingcup-rollout/main.go
@@ -12,7 +12,7 @@
 func main() {
 	process.Main(process.Role[settings.Rollout]{
 		Program:     "kingcup-rollout",
-		Description: "Follows the planned version moves of the manifest.",
+		Description: "Carries out the planned version moves of the manifest.",
 		Role:        message.RoleRollout,
 		Load:        settings.Load[settings.Rollout],
 		Common:      func(s *settings.Rollout) *settings.Common { return &s.Common },
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 
 	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/verdict"
 )
 
 // Paths of the control listener. All take POST with a JSON body, except
@@ -202,3 +203,36 @@
 	Version  uint64          `json:"version"`
 	Manifest json.RawMessage `json:"manifest"`
 }
+
+// PathEvidence asks the owner of a pool shard what it has seen of an
+// unproved version.
+const PathEvidence = "/v1/evidence"
+
+// EvidenceRequest names the version.
+type EvidenceRequest struct {
+	Pool    string       `json:"pool"`
+	Version core.Version `json:"version"`
+}
+
+// EvidenceReply is what the owner has seen, by route.
+type EvidenceReply struct {
+	Evidence []verdict.RouteEvidence `json:"evidence,omitempty"`
+	// Owner is set, and Evidence empty, at a scheduler that does not own
+	// the shard.
+	Owner string `json:"owner,omitempty"`
+}
+
+// MoveStatus is the value of a move's status object in the platform. It holds
+// all that the holder of the move needs to go on.
+type MoveStatus struct {
+	MoveStage
+	FromVersion    core.Version `json:"from_version"`
+	ToVersion      core.Version `json:"to_version"`
+	DeadlineUnixMS int64        `json:"deadline_unix_ms"`
+	// SinceUnixMS is when the stage and share were set.
+	SinceUnixMS int64  `json:"since_unix_ms"`
+	Holder      string `json:"holder"`
+	// Requests is how many requests the new version had had by then.
+	Requests int                     `json:"requests"`
+	Evidence []verdict.RouteEvidence `json:"evidence,omitempty"`
+}
--- /dev/null
+++ b/internal/rollout/moves/manager/manager.go
@@ -0,0 +1,68 @@
+// Package manager is the duty that keeps one mover for each planned move of
+// the manifest, and passes the newest view on to it.
+package manager
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/control"
+	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/rollout/moves/mover"
+	"kingcupcourse/internal/supervisor"
+)
+
+// Duty manages the movers. It is a child of the supervisor that it adds them
+// to.
+type Duty struct {
+	config mover.Config
+	views  control.Subscription
+	parent *supervisor.Supervisor
+	movers map[string]control.Subscription
+}
+
+// New returns a manager without movers.
+func New(config mover.Config, views control.Subscription) *Duty {
+	return &Duty{config: config, views: views, movers: map[string]control.Subscription{}}
+}
+
+// SetParent sets the supervisor that gets the movers. It must be called
+// before Serve.
+func (d *Duty) SetParent(parent *supervisor.Supervisor) { d.parent = parent }
+
+// Serve implements supervisor.Duty.
+func (d *Duty) Serve(ctx context.Context) error {
+	for {
+		view, err := d.views.Take(ctx)
+		if err != nil {
+			return err
+		}
+		if view.Manifest != nil {
+			d.follow(view)
+		}
+	}
+}
+
+// follow adds a mover for each new move. A move that the manifest no longer
+// has keeps its mover, which takes the move back and then ends by itself.
+func (d *Duty) follow(view *control.View) {
+	for _, move := range view.Manifest.Moves {
+		if d.movers[move.Name] == nil {
+			d.add(move)
+		}
+	}
+	for _, views := range d.movers {
+		views.Publish(view)
+	}
+}
+
+func (d *Duty) add(move manifest.Move) {
+	d.config.Log.Info("planned move", zap.String("move", move.Name), zap.String("pool", move.Pool),
+		zap.String("from_version", string(move.FromVersion)), zap.String("to_version", string(move.ToVersion)),
+		zap.Int64("deadline_unix_ms", move.DeadlineUnixMS))
+	views := ring.NewLatest[*control.View]()
+	d.movers[move.Name] = views
+	d.parent.Add(supervisor.Child{Name: "move-" + move.Name, Duty: mover.New(d.config, move, views)})
+}
--- /dev/null
+++ b/internal/rollout/moves/mover/mover.go
@@ -0,0 +1,155 @@
+// Package mover is the duty that carries one planned move through its
+// stages, while it holds the move's lease.
+package mover
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/control"
+	"kingcupcourse/internal/decision/lease"
+	"kingcupcourse/internal/decision/move"
+	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/platform"
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/supervisor"
+)
+
+// Config is what all movers of a process have in common.
+type Config struct {
+	// Holder is the name of the host.
+	Holder string
+	// Lease is how long a lease lasts without a renewal.
+	Lease    time.Duration
+	Platform *platform.Client
+	// Client calls endpoints and schedulers.
+	Client *http.Client
+	// Report tells a fact to all hosts.
+	Report func(message.Fact) error
+	Log    *zap.Logger
+}
+
+const (
+	// stepPeriod is the time between two looks at a held move.
+	stepPeriod = 300 * time.Millisecond
+	// stopTimeout bounds giving the lease back when the process stops.
+	stopTimeout = time.Second
+)
+
+// Mover is the duty. Nothing of its state has to last: it is read again
+// from the platform whenever the mover gets the lease.
+type Mover struct {
+	config Config
+	move   manifest.Move
+	views  control.Subscription
+	log    *zap.Logger
+	// idle is never put into; the mover waits on it for the time to pass.
+	idle *ring.Ring[struct{}]
+
+	view *control.View
+	// holder names this run of the duty in the lease, so that a restarted
+	// process never takes its predecessor's lease for its own.
+	holder       string
+	held         lease.Lease
+	leaseVersion uint64
+	holding      bool
+
+	status        message.MoveStatus
+	statusVersion uint64
+	loaded        bool // the status was read since the lease was taken
+
+	verdictWritten bool
+	orders         orderBook
+	next           time.Time
+}
+
+// New returns a mover for the move.
+func New(config Config, m manifest.Move, views control.Subscription) *Mover {
+	return &Mover{config: config, move: m, views: views, idle: ring.New[struct{}]("rollout_idle", 1),
+		holder: config.Holder + "/" + uuid.NewString(),
+		log:    config.Log.With(zap.String("move", m.Name), zap.String("pool", m.Pool))}
+}
+
+// Serve implements supervisor.Duty. It returns supervisor.ErrDone once the
+// move has ended and its last orders are given.
+func (m *Mover) Serve(ctx context.Context) error {
+	err := ring.LoopUntil(ctx, m.idle, func(struct{}) error { return nil },
+		func() time.Time { return m.next }, func() error { return m.step(ctx) })
+	m.giveBack(context.WithoutCancel(ctx))
+	return err
+}
+
+// step does what is due: it takes or renews the lease and, while it holds
+// the lease, brings the move on.
+func (m *Mover) step(ctx context.Context) error {
+	m.next = time.Now().Add(stepPeriod)
+	if view, ok := m.views.TryTake(); ok {
+		m.view = view
+	}
+	if m.view == nil || m.view.Manifest == nil {
+		return nil
+	}
+	if !m.keepLease(ctx) {
+		// Waiting hosts look seldom, and not all at once.
+		m.next = time.Now().Add(m.config.Lease/4 + rand.N(m.config.Lease/4))
+		return m.endIfFinished()
+	}
+	if !m.loaded && !m.readStatus(ctx) {
+		return nil
+	}
+	m.advance(ctx)
+	if m.finished() && m.settle(ctx) {
+		return supervisor.ErrDone
+	}
+	return nil
+}
+
+// endIfFinished ends a mover without the lease once another host has ended
+// the move.
+func (m *Mover) endIfFinished() error {
+	stage := m.view.Moves[m.move.Name].Stage
+	if stage == message.StageDone || stage == message.StageReverted {
+		return supervisor.ErrDone
+	}
+	return nil
+}
+
+func (m *Mover) finished() bool {
+	return m.status.Stage == message.StageDone || m.status.Stage == message.StageReverted
+}
+
+// advance decides the next status and writes it before it acts on it, so
+// that whatever has an effect is known to the next holder.
+func (m *Mover) advance(ctx context.Context) {
+	now := time.Now()
+	current := move.Status{Stage: m.status.Stage, Share: m.status.Share, Reason: m.status.Reason,
+		Since: time.UnixMilli(m.status.SinceUnixMS), Requests: m.status.Requests}
+	known := m.know(ctx)
+	next := move.Next(m.plan(), current, now, known)
+	if known.Bad != nil && !m.writeVerdict(ctx, known.Bad) {
+		return
+	}
+	if next.Stage != current.Stage || next.Share != current.Share {
+		m.writeStatus(ctx, next, known)
+		return
+	}
+	m.giveOrders(ctx)
+}
+
+func (m *Mover) plan() move.Plan {
+	return move.Plan{
+		Name:     m.move.Name,
+		Pool:     m.move.Pool,
+		From:     m.move.FromVersion,
+		To:       m.move.ToVersion,
+		Deadline: time.UnixMilli(m.move.DeadlineUnixMS),
+		MaxShare: m.move.MaxShare,
+		Soak:     time.Duration(m.move.SoakMS) * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/internal/rollout/moves/mover/status.go
@@ -0,0 +1,121 @@
+package mover
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/control"
+	"kingcupcourse/internal/decision/move"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/platform"
+)
+
+func (m *Mover) statusKey() string { return "status/moves/" + m.move.Name }
+
+// readStatus reads how far the move has come and tells whether it could.
+func (m *Mover) readStatus(ctx context.Context) bool {
+	object, err := m.config.Platform.Get(ctx, m.statusKey())
+	m.status, m.statusVersion = message.MoveStatus{}, 0
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+	case err != nil:
+		return false
+	default:
+		if err := json.Unmarshal(object.Value, &m.status); err != nil {
+			m.log.Error("status object malformed", zap.Error(err))
+			return false
+		}
+		m.statusVersion = object.Version
+	}
+	m.loaded = true
+	return true
+}
+
+// writeStatus writes the status on the condition that it is still the one
+// that the decision was made on, and tells all hosts. A conflict or an
+// answer that stays unknown makes the mover read the status again: deciding
+// twice from the same status does no harm.
+func (m *Mover) writeStatus(ctx context.Context, next move.Status, known move.Knowledge) {
+	wanted := m.statusOf(next, known)
+	outcome, version, err := m.config.Platform.PutRecover(ctx, m.statusKey(), m.statusVersion, wanted,
+		func(object platform.Object) platform.Outcome { return sameStatus(object, wanted) })
+	if outcome != platform.Applied {
+		m.log.Warn("status not written", zap.String("stage", string(wanted.Stage)), zap.Error(err))
+		m.loaded = false
+		return
+	}
+	m.status, m.statusVersion = wanted, version
+	m.orders = orderBook{}
+	m.log.Info("stage", zap.String("stage", string(wanted.Stage)), zap.Float64("share", wanted.Share),
+		zap.String("reason", wanted.Reason), zap.Uint64("fence", wanted.Fence), zap.Any("evidence", wanted.Evidence))
+	m.tellStage()
+}
+
+func (m *Mover) statusOf(next move.Status, known move.Knowledge) message.MoveStatus {
+	return message.MoveStatus{
+		MoveStage: message.MoveStage{Move: m.move.Name, Pool: m.move.Pool, Stage: next.Stage, Share: next.Share,
+			Reason: next.Reason, Fence: m.held.Fence},
+		FromVersion:    m.move.FromVersion,
+		ToVersion:      m.move.ToVersion,
+		DeadlineUnixMS: m.move.DeadlineUnixMS,
+		SinceUnixMS:    next.Since.UnixMilli(),
+		Holder:         m.holder,
+		Requests:       next.Requests,
+		Evidence:       known.Evidence,
+	}
+}
+
+func sameStatus(object platform.Object, wanted message.MoveStatus) platform.Outcome {
+	var found message.MoveStatus
+	if json.Unmarshal(object.Value, &found) == nil && found.MoveStage == wanted.MoveStage &&
+		found.SinceUnixMS == wanted.SinceUnixMS && found.Holder == wanted.Holder {
+		return platform.Applied
+	}
+	return platform.NotApplied
+}
+
+// tellStage tells all hosts the stage. A full ring loses nothing: every
+// process also reads the status objects now and then.
+func (m *Mover) tellStage() {
+	value, err := json.Marshal(m.status.MoveStage)
+	if err == nil {
+		err = m.config.Report(control.MoveFact(m.move.Name, m.statusVersion, value))
+	}
+	if err != nil {
+		m.log.Warn("stage not told", zap.Error(err))
+	}
+}
+
+// writeVerdict makes a verdict last and tells whether it does.
+func (m *Mover) writeVerdict(ctx context.Context, bad *message.BadVersion) bool {
+	if m.verdictWritten {
+		return true
+	}
+	key := "verdicts/" + bad.Pool + "/" + string(bad.Version)
+	_, err := m.config.Platform.Put(ctx, key, 0, bad)
+	var conflict *platform.ConflictError
+	// An object that is there already holds the same verdict, which is for
+	// ever, so a conflict is as good as a write.
+	if err != nil && !errors.As(err, &conflict) {
+		m.log.Warn("verdict not written", zap.Error(err))
+		return false
+	}
+	m.verdictWritten = true
+	return true
+}
+
+// settle gives the last orders of a move that has ended and tells whether
+// that is done or has been tried long enough.
+func (m *Mover) settle(ctx context.Context) bool {
+	m.giveOrders(ctx)
+	since := time.Since(time.UnixMilli(m.status.SinceUnixMS))
+	return m.orders.complete || since > settleLimit
+}
+
+// settleLimit bounds how long last orders are tried: an endpoint that is gone
+// never obeys, and the order has no effect on where requests go.
+const settleLimit = time.Minute
