Stand-ins of one process stop together

One after the other, each with up to 5 s for its open calls, a fleet of 20 engines could take minutes. Spec.StopTogether is for such independent children.

--- a/cmd/kingcup-standin/main.go
+++ b/cmd/kingcup-standin/main.go
@@ -33,7 +33,7 @@
 
 type platformCommand struct {
 	platform.Config
-	Object map[string]string `help:"Object to start with, as key=file." type:"existingfile"`
+	Object map[string]string `help:"Object to start with, as key=file."`
 }
 
 type engineCommand struct{ engine.Config }
--- a/internal/standin/supervisor.go
+++ b/internal/standin/supervisor.go
@@ -20,8 +20,8 @@
 
 // Process is the root of a stand-in process. Its children are the
 // supervisors of the stand-ins in the order platform, engines, ledgers,
-// proxies, and last the admin listener. They stop in the reverse order, so
-// that nothing is passed on to what has stopped.
+// proxies, and last the admin listener. They stop together, since each is a
+// system of its own; within each the order of stopping is kept.
 type Process struct {
 	tree    *supervisor.Supervisor
 	admin   *supervisor.HTTP
@@ -46,7 +46,7 @@
 		children = append(children, supervisor.Child{Name: s.Name(), Duty: s.Supervisor()})
 	}
 	children = append(children, supervisor.Child{Name: "admin listener", Duty: admin})
-	tree := supervisor.New(supervisor.Spec{Name: "standin", Children: children}, log)
+	tree := supervisor.New(supervisor.Spec{Name: "standin", Children: children, StopTogether: true}, log)
 	return &Process{tree: tree, admin: admin, members: members}, nil
 }
 
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -1,7 +1,8 @@
 // Package supervisor builds the tree that every process of kingcupcourse
 // runs as. A supervisor starts its children in order, restarts a child that
 // fails or panics, gives up with ErrRestartStorm when failures come too
-// fast, and stops its children one by one in reverse order.
+// fast, and stops its children one by one in reverse order, or together if
+// they are independent.
 //
 // It is the only package, besides ring, that starts goroutines.
 package supervisor
@@ -62,6 +63,9 @@
 	Name string
 	// Children are started in this order and stopped in the reverse order.
 	Children []Child
+	// StopTogether stops all children at the same time and not one by one,
+	// for children that need nothing of each other.
+	StopTogether bool
 	// MaxFailures is the count of decaying failures above which the
 	// supervisor gives up. Default DefaultMaxFailures.
 	MaxFailures float64
@@ -139,7 +143,11 @@
 	ended := running.ServeBackground(inner)
 	select {
 	case <-ctx.Done():
-		s.stopInOrder()
+		if s.spec.StopTogether {
+			s.forget()
+		} else {
+			s.stopInOrder()
+		}
 		stopAll(nil)
 		<-ended
 		return ctx.Err()
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -84,6 +84,34 @@
 	}
 }
 
+// tied is a duty that stops only after its partner was told to stop.
+type tied struct{ events, mine, partners *ring.Ring[string] }
+
+func (d *tied) Serve(ctx context.Context) error {
+	_ = d.events.TryPut("start")
+	<-ctx.Done()
+	_ = d.mine.TryPut("told")
+	_, err := d.partners.Take(context.WithoutCancel(ctx))
+	return err
+}
+
+func TestStopsTogetherWhatIsIndependent(t *testing.T) {
+	events := ring.New[string]("events", 2)
+	a, b := ring.New[string]("a", 1), ring.New[string]("b", 1)
+	s := New(Spec{Name: "root", StopTogether: true, Children: []Child{
+		{Name: "a", Duty: &tied{events: events, mine: a, partners: b}},
+		{Name: "b", Duty: &tied{events: events, mine: b, partners: a}},
+	}}, zap.NewNop())
+	stop := serve(t, s)
+	await(t, events, "start")
+	await(t, events, "start")
+	begun := time.Now()
+	_ = stop()
+	if took := time.Since(begun); took > DefaultStopTimeout/2 {
+		t.Fatalf("the stop took %v", took)
+	}
+}
+
 func TestKillRestartsANestedChild(t *testing.T) {
 	events := ring.New[string]("events", 16)
 	inner := New(Spec{Name: "inner", Children: []Child{
