--- a/internal/standin/engine/completions.go
+++ b/internal/standin/engine/completions.go
@@ -62,7 +62,7 @@
 	if asked.id == "" {
 		asked.id = uuid.NewString()
 	}
-	asked.wrong = front.Wrong(r)
+	asked.wrong, asked.life = front.Wrong(r), front.Life(r)
 	e.submit(w, r, asked, body.Stream)
 }
 
--- a/internal/standin/engine/duty.go
+++ b/internal/standin/engine/duty.go
@@ -13,7 +13,7 @@
 	// wakeInterval is the least time between two wake-ups of the duty by
 	// itself. Tokens that are due in between are delivered together.
 	wakeInterval = 2 * time.Millisecond
-	// maxRetainedRuns bounds the finished runs that can be resumed.
+	// maxRetainedRuns bounds the runs that are over and remembered.
 	maxRetainedRuns = 16384
 )
 
@@ -26,13 +26,15 @@
 	history loadHistory
 	stats   Stats
 	runs    map[string]*run
-	// retained is the finished runs, the oldest first.
+	// retained is the runs that are over, the oldest first.
 	retained []*run
 	// crash tells the front to fall. It fails if it must be asked again.
 	crash func() error
 	// crashTold means that the front knows of the crash in progress.
 	crashTold bool
-	wokenAt   time.Time
+	// life counts the crashes.
+	life    int
+	wokenAt time.Time
 }
 
 // message is what the engine duty is told or asked.
@@ -92,9 +94,10 @@
 	d.forgetOld(now)
 }
 
-// ended keeps a finished run for those who resume its stream.
+// ended keeps a run that is over for those who resume its stream, and so
+// that its id is not used again.
 func (d *duty) ended(r *run) {
-	r.finishedAt = d.batch.clock
+	r.endedAt = d.batch.clock
 	r.tell()
 	d.retained = append(d.retained, r)
 }
@@ -103,7 +106,7 @@
 	limit := now.Add(-milliseconds(d.config.RunRetentionMS))
 	for len(d.retained) > 0 {
 		oldest := d.retained[0]
-		if len(d.retained) <= maxRetainedRuns && oldest.finishedAt.After(limit) {
+		if len(d.retained) <= maxRetainedRuns && oldest.endedAt.After(limit) {
 			return
 		}
 		d.retained[0] = nil
@@ -117,7 +120,7 @@
 // lose forgets all runs, the cache and what was ordered, as a crash does.
 func (d *duty) lose() {
 	for _, r := range d.runs {
-		if !r.finished() {
+		if !r.over() {
 			d.batch.waste(r)
 			d.stats.Lost++
 		}
--- a/internal/standin/engine/messages.go
+++ b/internal/standin/engine/messages.go
@@ -15,6 +15,10 @@
 }
 
 func (m submitAsked) handle(d *duty, _ time.Time) {
+	if m.request.life != d.life {
+		m.Send(progressAnswer{err: errLost})
+		return
+	}
 	if _, known := d.runs[m.request.id]; known {
 		m.Send(progressAnswer{err: errDuplicate})
 		return
@@ -34,6 +38,10 @@
 		m.Send(progressAnswer{err: errUnknownRun})
 		return
 	}
+	if r.cancelled {
+		m.Send(progressAnswer{err: errCancelled})
+		return
+	}
 	r.waiters = append(r.waiters, m)
 	r.tell()
 }
@@ -46,11 +54,12 @@
 
 func (m cancelOrdered) handle(d *duty, _ time.Time) {
 	r, known := d.runs[m.id]
-	known = known && !r.finished()
+	known = known && !r.over()
 	if known {
 		d.batch.cancel(r)
+		r.cancelled = true
 		r.fail(errCancelled)
-		delete(d.runs, m.id)
+		d.ended(r)
 	}
 	m.Send(known)
 }
@@ -90,9 +99,12 @@
 func (m settingsChanged) handle(d *duty, _ time.Time) { d.batch.settings = m.settings }
 
 // stateLost makes the engine forget all, as a crash does.
-type stateLost struct{}
+type stateLost struct{ life int }
 
-func (stateLost) handle(d *duty, _ time.Time) { d.lose() }
+func (m stateLost) handle(d *duty, _ time.Time) {
+	d.lose()
+	d.life = m.life
+}
 
 // statsAsked reads the counters.
 type statsAsked struct{ ring.Reply[Stats] }
--- a/internal/standin/engine/model_test.go
+++ b/internal/standin/engine/model_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"errors"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -135,6 +136,16 @@
 	}
 }
 
+func TestRequestFromBeforeACrashIsNotStarted(t *testing.T) {
+	m := newModel(t, Config{})
+	stateLost{life: 1}.handle(m.duty, m.now)
+	late := submitAsked{Reply: ring.NewReply[progressAnswer](), request: request{id: "late", prompt: "x", maxTokens: 1}}
+	late.handle(m.duty, m.now)
+	if answer, err := late.Wait(t.Context()); err != nil || !errors.Is(answer.err, errLost) || m.stats.Started != 0 {
+		t.Fatalf("got %v, %v, started %d", answer.err, err, m.stats.Started)
+	}
+}
+
 func TestFrozenBatchStandsStill(t *testing.T) {
 	m := newModel(t, Config{DecodeTokensPerSecond: 100, PrefillTokensPerSecond: 1e6})
 	m.submit("a", "x", 50)
--- a/internal/standin/engine/run.go
+++ b/internal/standin/engine/run.go
@@ -31,6 +31,8 @@
 	maxTokens int
 	chat      bool
 	wrong     bool
+	// life is how many crashes were before the request came.
+	life int
 }
 
 // run is the record of one request.
@@ -50,9 +52,10 @@
 	produced    int
 	pins        []*block
 	// private is the cache memory of this run alone, in tokens.
-	private    int
-	finishedAt time.Time
-	waiters    []progressAsked
+	private   int
+	cancelled bool
+	endedAt   time.Time
+	waiters   []progressAsked
 }
 
 func newRun(r request, version string) *run {
@@ -70,6 +73,9 @@
 
 func (r *run) finished() bool { return r.produced == r.total }
 
+// over tells whether nothing more will come.
+func (r *run) over() bool { return r.finished() || r.cancelled }
+
 // outstanding is the work left as the engine knows it: it does not know at
 // which token the answer will end.
 func (r *run) outstanding() int {
--- a/internal/standin/engine/supervisor.go
+++ b/internal/standin/engine/supervisor.go
@@ -95,4 +95,6 @@
 }
 
 // Lose implements front.Owner.
-func (e *Engine) Lose(ctx context.Context) error { return e.inbox.Put(ctx, stateLost{}) }
+func (e *Engine) Lose(ctx context.Context, life int) error {
+	return e.inbox.Put(ctx, stateLost{life: life})
+}
--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -123,6 +123,8 @@
 	if got, err := running.Wait(t.Context()); err != nil || got.status != 410 {
 		t.Fatalf("got %+v, %v", got, err)
 	}
+	f.complete(409, "again", 1, "X-Request-Id: r")
+	f.call(410, "GET", "engine", "/v1/runs/r/stream", "")
 	if s := stats[engine.Stats](f, "engine"); s.Cancelled != 1 || s.WastedPrefillTokens != 1 || s.Runs["r"] != 1 {
 		t.Fatalf("stats %+v", s)
 	}
--- a/internal/standin/front/faults.go
+++ b/internal/standin/front/faults.go
@@ -24,8 +24,9 @@
 type Owner interface {
 	// Changed tells the owner the settings that are now in force.
 	Changed(ctx context.Context, settings Settings) error
-	// Lose tells the owner to forget its state, as a crash does.
-	Lose(ctx context.Context) error
+	// Lose tells the owner to forget its state, as a crash does. Requests
+	// of an earlier life, as Life tells, must not be started any more.
+	Lose(ctx context.Context, life int) error
 }
 
 // Verdict is what happens to one request.
@@ -34,6 +35,8 @@
 	Fail bool
 	// Wrong means that the request gets a wrong answer.
 	Wrong bool
+	// Life counts the crashes before the request came.
+	Life int
 }
 
 // faults is the duty that owns the fault settings and rules on each request.
@@ -46,6 +49,7 @@
 	random   *rand.Rand
 	held     []verdictAsked
 	reopenAt time.Time
+	life     int
 	log      *zap.Logger
 }
 
@@ -85,6 +89,7 @@
 	return Verdict{
 		Fail:  work && expired || f.settings.mayErr(path) && f.chance(f.settings.ErrorRate),
 		Wrong: work && f.chance(f.settings.WrongRate),
+		Life:  f.life,
 	}
 }
 
@@ -152,7 +157,8 @@
 	f.reopenAt = time.Time{}
 	f.held = nil
 	f.door.close()
-	return f.owner.Lose(ctx)
+	f.life++
+	return f.owner.Lose(ctx, f.life)
 }
 
 // crashed says that the stand-in has crashed; it starts again later.
--- a/internal/standin/front/front.go
+++ b/internal/standin/front/front.go
@@ -9,11 +9,19 @@
 	"kingcupcourse/internal/ring"
 )
 
-// wrongKey marks the context of a request that gets a wrong answer.
-type wrongKey struct{}
+// verdictKey is where the context of a request has its verdict.
+type verdictKey struct{}
+
+func verdictOf(r *http.Request) Verdict {
+	verdict, _ := r.Context().Value(verdictKey{}).(Verdict)
+	return verdict
+}
 
 // Wrong tells whether the request is to be answered wrongly.
-func Wrong(r *http.Request) bool { return r.Context().Value(wrongKey{}) != nil }
+func Wrong(r *http.Request) bool { return verdictOf(r).Wrong }
+
+// Life returns how many crashes were before the request came.
+func Life(r *http.Request) int { return verdictOf(r).Life }
 
 // Address returns the bound address with its port.
 func (f *Front) Address() string { return f.address }
@@ -55,11 +63,9 @@
 			panic(http.ErrAbortHandler)
 		case verdict.Fail:
 			WriteError(w, http.StatusInternalServerError, "planted failure")
-		case verdict.Wrong:
-			ctx := context.WithValue(r.Context(), wrongKey{}, true)
-			handler.ServeHTTP(w, r.WithContext(ctx))
 		default:
-			handler.ServeHTTP(w, r)
+			ctx := context.WithValue(r.Context(), verdictKey{}, verdict)
+			handler.ServeHTTP(w, r.WithContext(ctx))
 		}
 	})
 }
--- a/internal/standin/ledger/duty.go
+++ b/internal/standin/ledger/duty.go
@@ -60,6 +60,8 @@
 	running []work
 	// crash tells the front to fall. It fails if it must be asked again.
 	crash func() error
+	// life counts the crashes.
+	life int
 	// poisoned means that a request that crashes the ledger has started, and
 	// crashTold that the front knows.
 	poisoned  bool
@@ -148,6 +150,8 @@
 // submit takes a request in, or says why not.
 func (d *duty) submit(m workAsked) error {
 	switch {
+	case m.task.life != d.life:
+		return errLost
 	case d.standing.State != orders.Ready:
 		return notStarted{state: d.standing.State}
 	case len(d.waiting) >= d.config.MaxWaiting:
--- a/internal/standin/ledger/http.go
+++ b/internal/standin/ledger/http.go
@@ -56,7 +56,7 @@
 		id = uuid.NewString()
 	}
 	t := taskOf(r.Method, r.URL.Path, id, body)
-	t.wrong = front.Wrong(r)
+	t.wrong, t.life = front.Wrong(r), front.Life(r)
 	m := workAsked{Reply: ring.NewReply[workAnswer](), task: t}
 	answer, err := ask(r.Context(), l, m, m.Reply)
 	switch {
--- a/internal/standin/ledger/messages.go
+++ b/internal/standin/ledger/messages.go
@@ -74,9 +74,12 @@
 func (m settingsChanged) handle(d *duty, _ time.Time) { d.settings = m.settings }
 
 // stateLost makes the ledger forget all, as a crash does.
-type stateLost struct{}
+type stateLost struct{ life int }
 
-func (stateLost) handle(d *duty, _ time.Time) { d.lose() }
+func (m stateLost) handle(d *duty, _ time.Time) {
+	d.lose()
+	d.life = m.life
+}
 
 // statsAsked reads the counters.
 type statsAsked struct{ ring.Reply[Stats] }
--- a/internal/standin/ledger/supervisor.go
+++ b/internal/standin/ledger/supervisor.go
@@ -84,4 +84,6 @@
 }
 
 // Lose implements front.Owner.
-func (l *Ledger) Lose(ctx context.Context) error { return l.inbox.Put(ctx, stateLost{}) }
+func (l *Ledger) Lose(ctx context.Context, life int) error {
+	return l.inbox.Put(ctx, stateLost{life: life})
+}
--- a/internal/standin/ledger/task.go
+++ b/internal/standin/ledger/task.go
@@ -25,7 +25,9 @@
 	id    string
 	body  []byte
 	wrong bool
-	echo  echoBody
+	// life is how many crashes were before the request came.
+	life int
+	echo echoBody
 }
 
 // result is what a task has as its answer.
