Tests of kingcupctl on the stand-in platform

Six racing commits with the same --if-version: one wins, five are told the version and what the winner changed.

--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,256 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/codec"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/platform"
+	"kingcupcourse/internal/ring"
+	standin "kingcupcourse/internal/standin/platform"
+)
+
+// bench is a stand-in platform with a client of it.
+type bench struct {
+	*standin.Platform
+	url    string
+	client *platform.Client
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	p, err := standin.New(standin.Config{Name: "platform", Address: "127.0.0.1:0"}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := ring.NewReply[error]()
+	go func() { ended.Send(p.Supervisor().Serve(ctx)) }()
+	t.Cleanup(func() {
+		stop()
+		_, _ = ended.Wait(context.Background())
+	})
+	url := "http://" + p.Address()
+	return &bench{Platform: p, url: url, client: platform.New(url)}
+}
+
+func (b *bench) fault(t *testing.T, order string) {
+	t.Helper()
+	if err := b.SetFault(t.Context(), []byte(order)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// run runs a command and returns its exit code and outputs.
+func (b *bench) run(t *testing.T, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	var out, errOut bytes.Buffer
+	code = Run(t.Context(), append([]string{"--platform", b.url}, args...), &out, &errOut)
+	return code, out.String(), errOut.String()
+}
+
+func (b *bench) expect(t *testing.T, want int, part string, args ...string) {
+	t.Helper()
+	code, stdout, stderr := b.run(t, args...)
+	if code != want || !strings.Contains(stdout+stderr, part) {
+		t.Errorf("%v: exit code %d, want %d with %q\n%s%s", args, code, want, part, stdout, stderr)
+	}
+}
+
+// file writes a manifest with the client accounts named and one move.
+func file(t *testing.T, accounts ...string) string {
+	t.Helper()
+	var list []string
+	for i, name := range accounts {
+		list = append(list, fmt.Sprintf(`{"name": %q, "key_sha256": ["%064d"]}`, name, i))
+	}
+	text := fmt.Sprintf(`{"deployment": "d", "regions": [{"name": "r", "availability_zones": ["a"]}],
+		"client_accounts": [%s],
+		"pools": [{"name": "p", "kind": "service", "endpoints": [
+			{"name": "e1", "address": "127.0.0.1:9", "availability_zone": "a", "version": "v1", "slots": 1},
+			{"name": "e2", "address": "127.0.0.1:10", "availability_zone": "a", "version": "v2", "slots": 1}]}],
+		"routes": [{"name": "all", "pool": "p", "path": "/"}],
+		"moves": [{"name": "m1", "pool": "p", "from_version": "v1", "to_version": "v2",
+			"deadline_unix_ms": %d}]}`, strings.Join(list, ","), time.Now().Add(time.Hour).UnixMilli())
+	return write(t, text)
+}
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "manifest.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestValidate(t *testing.T) {
+	b := newBench(t)
+	b.expect(t, ExitOK, "no findings", "validate", file(t, "a"))
+	bad := write(t, `{"deployment": "", "colour": 1}`)
+	code, _, stderr := b.run(t, "validate", bad)
+	if code != ExitFindings || strings.Count(stderr, bad+":1:") < 5 {
+		t.Errorf("exit code %d, findings:\n%s", code, stderr)
+	}
+}
+
+func TestCommitAndGet(t *testing.T) {
+	b := newBench(t)
+	b.expect(t, ExitFailed, "not found", "get")
+	one, two := file(t, "a"), file(t, "a", "b")
+	b.expect(t, ExitOK, "committed version 1", "commit", one)
+	b.expect(t, ExitOK, "unchanged at version 1", "commit", one)
+	b.expect(t, ExitConflict, "added client account b", "commit", two, "--if-version", "0")
+	b.expect(t, ExitOK, "committed version 2", "commit", two, "--if-version", "1")
+	code, stdout, _ := b.run(t, "get", "--json")
+	var got struct{ Version uint64 }
+	if err := json.Unmarshal([]byte(stdout), &got); code != ExitOK || err != nil || got.Version != 2 {
+		t.Errorf("get: %d %v %s", code, err, stdout)
+	}
+}
+
+func TestRacingCommits(t *testing.T) {
+	b := newBench(t)
+	b.expect(t, ExitOK, "committed version 1", "commit", file(t, "a"))
+	type result struct {
+		code   int
+		stderr string
+	}
+	const racers = 6
+	results := ring.New[result]("test", racers)
+	for i := range racers {
+		path := file(t, "a", fmt.Sprint("racer-", i))
+		go func() {
+			var out, errOut bytes.Buffer
+			code := Run(t.Context(), []string{"--platform", b.url, "commit", path, "--if-version", "1"}, &out, &errOut)
+			_ = results.TryPut(result{code, errOut.String()})
+		}()
+	}
+	won := 0
+	for range racers {
+		r, err := results.Take(t.Context())
+		switch {
+		case err != nil:
+			t.Fatal(err)
+		case r.code == ExitOK:
+			won++
+		case r.code != ExitConflict || !strings.Contains(r.stderr, "the committed version is 2, not 1") ||
+			!strings.Contains(r.stderr, "added client account racer-"):
+			t.Errorf("a loser saw exit code %d: %s", r.code, r.stderr)
+		}
+	}
+	if won != 1 {
+		t.Errorf("%d commits won", won)
+	}
+}
+
+func TestCommitRecoversALostAnswer(t *testing.T) {
+	b := newBench(t)
+	b.fault(t, `{"lose_answers": 1}`)
+	b.expect(t, ExitOK, "committed version 1", "commit", file(t, "a"))
+	b.fault(t, `{"outage": true}`)
+	b.expect(t, ExitUnavailable, "unavailable", "commit", file(t, "b"))
+}
+
+// TestCommitThatStaysUnknown lets the write through and then takes away the
+// means to find out.
+func TestCommitThatStaysUnknown(t *testing.T) {
+	b := newBench(t)
+	lost := false
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if lost = lost || r.Method == http.MethodPut; lost {
+			panic(http.ErrAbortHandler)
+		}
+		b.forward(w, r)
+	}))
+	defer front.Close()
+	var out, errOut bytes.Buffer
+	code := Run(t.Context(), []string{"--platform", front.URL, "--timeout", "1s", "commit", file(t, "a")}, &out, &errOut)
+	if code != ExitUnknown || !strings.Contains(errOut.String(), "may or may not") {
+		t.Errorf("exit code %d: %s", code, errOut.String())
+	}
+}
+
+func (b *bench) forward(w http.ResponseWriter, r *http.Request) {
+	response, err := http.Get(b.url + r.URL.RequestURI())
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer response.Body.Close()
+	w.WriteHeader(response.StatusCode)
+	body, _ := codec.ReadLimited(response.Body, 1<<20)
+	_, _ = w.Write(body)
+}
+
+func TestCommitRefusesAMoveToABadVersion(t *testing.T) {
+	b := newBench(t)
+	if _, err := b.client.Put(t.Context(), "verdicts/p/v2", 0, message.BadVersion{Pool: "p", Version: "v2"}); err != nil {
+		t.Fatal(err)
+	}
+	b.expect(t, ExitFindings, `moves[0].to_version: version "v2" of pool "p" was judged bad`, "commit", file(t, "a"))
+}
+
+func TestMoves(t *testing.T) {
+	b := newBench(t)
+	b.expect(t, ExitOK, "committed", "commit", file(t, "a"))
+	b.expect(t, ExitOK, "pending", "moves")
+	stage := message.MoveStage{Move: "m1", Pool: "p", Stage: message.StageReverted, Reason: "errors on all"}
+	if _, err := b.client.Put(t.Context(), "status/moves/m1", 0, stage); err != nil {
+		t.Fatal(err)
+	}
+	b.expect(t, ExitOK, "errors on all", "moves")
+	b.expect(t, ExitOK, `"stage": "reverted"`, "moves", "--json")
+}
+
+func TestStatusAsksTheMembersNamed(t *testing.T) {
+	b := newBench(t)
+	serve := func(s *message.Status) string {
+		server := httptest.NewServer(codec.Handle(
+			func(context.Context, *message.StatusRequest) (*message.Status, error) { return s, nil }))
+		t.Cleanup(server.Close)
+		return server.Listener.Addr().String()
+	}
+	second := &message.Status{Member: message.Member{Host: "h2", Role: message.RoleScheduler}, Ready: true, ManifestVersion: 7}
+	first := &message.Status{Member: message.Member{Host: "h1", Role: message.RoleEntry, Leaving: true}, ManifestVersion: 6,
+		RejectedVersion: 8, Members: []message.Member{{Address: serve(second)}, {Address: "127.0.0.1:1"}},
+		Pools: []message.PoolStatus{{Name: "p", Endpoints: 2, Leaving: []string{"e1"}}}}
+	list := message.HostList{Hosts: []message.ListedHost{{Name: "h1", ControlAddress: serve(first)}}}
+	if _, err := b.client.Put(t.Context(), "hosts", 0, list); err != nil {
+		t.Fatal(err)
+	}
+	code, stdout, _ := b.run(t, "status")
+	for _, want := range []string{"no answer", "6 (refused 8)", "leaving", "h2", "ready"} {
+		if code != ExitOK || !strings.Contains(stdout, want) {
+			t.Errorf("exit code %d, no %q in\n%s", code, want, stdout)
+		}
+	}
+	b.expect(t, ExitOK, `"manifest_version": 7`, "status", "--json")
+	b.expect(t, ExitUnavailable, "none of 1 processes answered", "status", "--address", "127.0.0.1:1")
+}
+
+func TestCommandLine(t *testing.T) {
+	b := newBench(t)
+	for _, shell := range []string{"bash", "zsh", "fish"} {
+		b.expect(t, ExitOK, "commit", "completion", shell)
+	}
+	b.expect(t, ExitOK, "kingcupctl", "--version")
+	b.expect(t, ExitOK, "another commit", "--help")
+	b.expect(t, ExitFindings, "unexpected", "frobnicate")
+	var out bytes.Buffer
+	t.Setenv("KINGCUP_PLATFORM", "")
+	if code := Run(t.Context(), []string{"get"}, &out, &out); code != ExitFindings {
+		t.Errorf("no platform: exit code %d: %s", code, out.String())
+	}
+}
--- a/internal/ctl/supervisor.go
+++ b/internal/ctl/supervisor.go
@@ -33,7 +33,7 @@
 	}
 	children = append(children, supervisor.Child{Name: "command", Duty: c})
 	tree := supervisor.New(supervisor.Spec{Name: program, Children: children}, zap.NewNop())
-	_ = tree.Serve(ctx)       // ends when the command has ended
+	_ = tree.Serve(ctx)      // ends when the command has ended
 	c.ended.Send(errCrashed) // counts only if the command has not answered
 	err, _ := c.ended.Wait(context.Background())
 	return err
