Entry tests: hidden retries, resume, silence, poison, drain, refusals

net/http repeats a request on a reused connection if it may be rewound; TestUsualRequestIsRepeated shows the server of the test provokes that (two arrivals) and TestNoRequestIsRepeatedBehindOurBack shows one arrival for every method, body and kind of route on the entry's path.

The time limit on a body now begins before the admission and stays on unless the body was read whole: net/http reads the rest of a body before it sends a refusal, so that a slow caller never got its answer (found by TestSlowCallerIsRefused).

--- a/internal/entry/callers/body.go
+++ b/internal/entry/callers/body.go
@@ -13,18 +13,24 @@
 // bodyTimeout bounds how long a caller may take to send its body.
 const bodyTimeout = 10 * time.Second
 
-// readBody reads the whole request body, limited in size and time.
+// limitBodyTime begins the time that the caller has for its body. net/http
+// reads the rest of a body before it sends a refusal, so the limit stays on
+// unless the body was read whole.
+func limitBodyTime(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+}
+
+// readBody reads the whole request body, limited in size and in the time
+// begun by limitBodyTime.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *core.Refusal) {
 	if r.ContentLength > limit {
 		return nil, core.Refuse(core.ReasonTooLarge, "the request body is larger than the route allows")
 	}
-	connection := http.NewResponseController(w)
-	_ = connection.SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = connection.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 		return body, nil
 	case errors.As(err, &tooLarge):
 		return nil, core.Refuse(core.ReasonTooLarge, "the request body is larger than the route allows")
--- a/internal/entry/callers/grant.go
+++ b/internal/entry/callers/grant.go
@@ -18,6 +18,9 @@
 	// keyedPatience bounds how long a run-once request looks for an owner
 	// that answers: long enough for the members to agree on a new one.
 	keyedPatience = 10 * time.Second
+	// refusalMargin is the time that is left before the deadline for telling
+	// the caller that none was found.
+	refusalMargin = 100 * time.Millisecond
 	// roundPause is the wait before all owners are asked again.
 	roundPause = 200 * time.Millisecond
 )
@@ -29,10 +32,13 @@
 // errNoScheduler if none answers, or the context's error.
 func (c *call) grant(ctx context.Context) (message.GrantReply, error) {
 	patience := time.Now().Add(keyedPatience)
+	if last := c.ticket.Deadline.Add(-refusalMargin); last.Before(patience) {
+		patience = last
+	}
 	owners := c.ticket.Owners
 	for {
 		reply, err := c.askInTurn(ctx, owners)
-		if err == nil || ctx.Err() != nil || !c.ticket.RunOnce || time.Now().After(patience) {
+		if err == nil || ctx.Err() != nil || !c.ticket.RunOnce || time.Now().Add(roundPause).After(patience) {
 			return reply, err
 		}
 		if err := ring.Pause(ctx, roundPause); err != nil {
--- a/internal/entry/callers/handler.go
+++ b/internal/entry/callers/handler.go
@@ -47,6 +47,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	limitBodyTime(w)
 	c := newCall(h, w, r)
 	defer c.close()
 	if refusal := c.admit(r.Context()); refusal != nil {
--- /dev/null
+++ b/internal/entry/faults_test.go
@@ -0,0 +1,279 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"kingcupcourse/internal/control"
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/message"
+)
+
+const draft = `{"model":"draft","prompt":"a citation","max_tokens":40,"stream":true}`
+
+func TestCutStreamIsResumedWithoutLossOrDoubling(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	r := newRig(t, f.back("models", "engine-0"))
+	f.fault("engine-0", `{"cut_streams":2}`)
+	expectWholeStream(t, r.must("POST", "/v1/completions", draft, freshKey()), 40)
+	if runs := f.engineStats("engine-0").Started; runs != 1 {
+		t.Fatalf("%d runs", runs)
+	}
+}
+
+func TestCutStreamCompletesAWholeAnswer(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	r := newRig(t, f.back("models", "engine-0"))
+	f.fault("engine-0", `{"cut_streams":1}`)
+	got := r.must("POST", "/v1/completions", `{"model":"chat","prompt":"a question","max_tokens":12}`)
+	var body struct {
+		Choices []struct {
+			Text         string `json:"text"`
+			FinishReason string `json:"finish_reason"`
+		} `json:"choices"`
+		Usage struct {
+			CompletionTokens int `json:"completion_tokens"`
+		} `json:"usage"`
+	}
+	if err := json.Unmarshal([]byte(got.body), &body); err != nil || got.status != http.StatusOK {
+		t.Fatalf("%d %s: %v", got.status, got.body, err)
+	}
+	if body.Usage.CompletionTokens != 12 || body.Choices[0].Text == "" || body.Choices[0].FinishReason == "" {
+		t.Fatalf("answer %s", got.body)
+	}
+}
+
+func TestSilentConnectionIsLeftForANewOne(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	r := newRig(t, f.back("models", "engine-0"))
+	f.fault("engine-0", `{"slow_factor":4}`)
+	answer := r.background("POST", "/v1/completions",
+		`{"model":"draft","prompt":"p","max_tokens":30,"stream":true}`, freshKey())
+	eventually(t, "the run has started", func() bool { return f.engineStats("engine-0").Started == 1 })
+	f.fault("engine-0", `{"silent_connections":true}`)
+	expectWholeStream(t, answer(), 30)
+}
+
+func TestEndpointThatDiesIsMarkedAndARepeatableRequestMoves(t *testing.T) {
+	f := newFleet(t, 2, 0)
+	r := newRig(t, f.back("models", "engine-0"), f.back("models", "engine-1"))
+	f.fault("engine-0", `{"crash_on":"poison"}`)
+	got := r.must("POST", "/v1/completions", `{"model":"chat","prompt":"poison","max_tokens":5,"stream":true}`)
+	expectWholeStream(t, got, 5)
+	marks := r.control.reported(message.FactPoison)
+	if len(marks) != 1 || !strings.HasSuffix(marks[0], "/engine-0") {
+		t.Fatalf("marks %v", marks)
+	}
+	eventually(t, "both outcomes", func() bool {
+		return slices.Equal(r.scheduler.results(), []core.Result{core.ResultLost, core.ResultOK})
+	})
+}
+
+func TestEndpointThatDiesUnderARunOnceRequestLeavesItsOutcomeUnknown(t *testing.T) {
+	f := newFleet(t, 2, 0)
+	r := newRig(t, f.back("models", "engine-0"), f.back("models", "engine-1"))
+	f.fault("engine-0", `{"crash_on":"poison"}`)
+	got := r.must("POST", "/v1/completions", `{"model":"draft","prompt":"poison","max_tokens":5}`, freshKey())
+	expectRefusal(t, got, http.StatusBadGateway, core.OutcomeUnknown, core.ReasonAnswerIncomplete)
+	if runs := f.engineStats("engine-1").Started; runs != 0 {
+		t.Fatal("a run-once request was dispatched twice")
+	}
+}
+
+func TestPoisonIsRefusedAfterTwoEndpoints(t *testing.T) {
+	f := newFleet(t, 2, 0)
+	r := newRig(t, f.back("models", "engine-0"), f.back("models", "engine-1"))
+	f.fault("engine-0", `{"crash_on":"poison"}`)
+	f.fault("engine-1", `{"crash_on":"poison"}`)
+	const body = `{"model":"chat","prompt":"poison","max_tokens":5,"stream":true}`
+	r.must("POST", "/v1/completions", body)
+	marks := r.control.reported(message.FactPoison)
+	if len(marks) != 2 {
+		t.Fatalf("marks %v", marks)
+	}
+	mark, _, _ := strings.Cut(marks[0], "/")
+	view := r.view()
+	view.PoisonMarks = map[string]int{mark: 2}
+	r.publish(view)
+	expectRefusal(t, r.must("POST", "/v1/completions", body),
+		http.StatusUnprocessableEntity, core.NotRun, core.ReasonPoison)
+}
+
+func TestLeavingEndpointIsReportedAndLeft(t *testing.T) {
+	f := newFleet(t, 0, 2)
+	r := newRig(t, f.back("ledger", "ledger-0"), f.back("ledger", "ledger-1"))
+	f.order("ledger-0", `{"order":"leave"}`)
+	got := r.must("POST", "/v1/transfers", `{"from":"a","to":"b","hours":1}`, freshKey())
+	if got.status != http.StatusCreated {
+		t.Fatalf("%d %s", got.status, got.body)
+	}
+	if keys := r.control.reported(message.FactLeaving); !slices.Equal(keys, []string{"ledger-0"}) {
+		t.Fatalf("leaving %v", keys)
+	}
+	asked := r.scheduler.asked()
+	if len(asked) != 2 || asked[0].Attempt != asked[1].Attempt || !slices.Equal(asked[1].Exclude, []string{"ledger-0"}) {
+		t.Fatalf("grant calls %+v", asked)
+	}
+}
+
+func TestRefusedConnectionMayBePlacedAgain(t *testing.T) {
+	f := newFleet(t, 0, 2)
+	r := newRig(t, f.back("ledger", "ledger-0"), f.back("ledger", "ledger-1"))
+	f.fault("ledger-0", `{"down":true}`)
+	got := r.must("POST", "/v1/transfers", `{"from":"a","to":"b","hours":1}`, freshKey())
+	if got.status != http.StatusCreated {
+		t.Fatalf("%d %s", got.status, got.body)
+	}
+}
+
+func TestSilentLedgerReadIsRetriedElsewhere(t *testing.T) {
+	f := newFleet(t, 0, 2)
+	r := newRig(t, f.back("ledger", "ledger-0"), f.back("ledger", "ledger-1"))
+	f.fault("ledger-0", `{"freeze":true}`)
+	if got := r.must("GET", "/v1/balances/a", ""); got.status != http.StatusOK {
+		t.Fatalf("%d %s", got.status, got.body)
+	}
+	f.fault("ledger-0", `{"freeze":false}`)
+}
+
+func TestCallerWhoGoesReleasesItsPlace(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	r := newRig(t, f.back("models", "engine-0"))
+	f.fault("engine-0", `{"slow_factor":10}`)
+	ctx, cancel := context.WithCancel(t.Context())
+	body := `{"model":"draft","prompt":"p","max_tokens":1000,"stream":true}`
+	answer := r.backgroundContext(ctx, "POST", "/v1/completions", body, freshKey())
+	eventually(t, "the run has started", func() bool { return f.engineStats("engine-0").Started == 1 })
+	cancel()
+	_ = answer
+	eventually(t, "the run is cancelled", func() bool { return f.engineStats("engine-0").Cancelled == 1 })
+	eventually(t, "the outcome", func() bool {
+		return slices.Equal(r.scheduler.results(), []core.Result{core.ResultCancelled})
+	})
+}
+
+func TestCallerWhoGoesWhileItWaitsForAGrantReleasesIt(t *testing.T) {
+	r := newRig(t)
+	waiting := make(chan struct{})
+	r.scheduler.answer = func(message.GrantRequest) *message.GrantReply { <-waiting; return nil }
+	ctx, cancel := context.WithCancel(t.Context())
+	r.backgroundContext(ctx, "POST", "/v1/completions", draft, freshKey())
+	eventually(t, "the grant call", func() bool { return len(r.scheduler.asked()) == 1 })
+	cancel()
+	eventually(t, "the outcome", func() bool {
+		return slices.Equal(r.scheduler.results(), []core.Result{core.ResultNotDispatched})
+	})
+	close(waiting)
+}
+
+func TestEndpointErrorUnderARunOnceRequestIsNotRetried(t *testing.T) {
+	f := newFleet(t, 0, 2)
+	r := newRig(t, f.back("ledger", "ledger-0"), f.back("ledger", "ledger-1"))
+	f.fault("ledger-0", `{"error_rate":1}`)
+	got := r.must("POST", "/v1/transfers", `{"from":"a","to":"b","hours":1}`, freshKey())
+	expectRefusal(t, got, http.StatusBadGateway, core.OutcomeUnknown, core.ReasonEndpointFailed)
+	if got := r.must("GET", "/v1/balances/a", ""); got.status != http.StatusOK {
+		t.Fatalf("a read was not retried: %d %s", got.status, got.body)
+	}
+}
+
+func TestRecordedOutcomeIsReplayed(t *testing.T) {
+	r := newRig(t)
+	r.scheduler.answer = func(message.GrantRequest) *message.GrantReply {
+		return &message.GrantReply{Prior: &core.PriorOutcome{
+			Status: 201, Whole: true, Answer: []byte(`{"ok":1}`), ContentType: "application/json"}}
+	}
+	got := r.must("POST", "/v1/transfers", `{}`, freshKey())
+	if got.status != 201 || got.body != `{"ok":1}` || got.header.Get("Kingcup-Replayed") != "true" {
+		t.Fatalf("%+v", got)
+	}
+}
+
+func TestSchedulerThatHangsIsLeftForTheNext(t *testing.T) {
+	f := newFleet(t, 0, 1)
+	r := newRig(t, f.back("ledger", "ledger-0"))
+	hanging := make(chan struct{})
+	hung := newHangingScheduler(t, hanging)
+	view := r.view()
+	view.Members = []message.Member{r.member(), hung}
+	r.publish(view)
+	got := r.must("POST", "/v1/transfers", `{"from":"a","to":"b","hours":1}`, freshKey())
+	if got.status != http.StatusCreated {
+		t.Fatalf("%d %s", got.status, got.body)
+	}
+	close(hanging)
+}
+
+func TestRequestsArePlacedWithoutASchedulerUnlessTheyRunOnce(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	r := newRig(t, f.back("models", "engine-0"), f.back("ledger", "ledger-0"))
+	r.publish(&control.View{Manifest: r.view().Manifest, ManifestVersion: 1})
+	got := r.must("POST", "/v1/completions", `{"model":"chat","prompt":"hello","max_tokens":8,"stream":true}`)
+	expectWholeStream(t, got, 8)
+	got = r.must("POST", "/v1/transfers", `{}`, freshKey(), "Kingcup-Deadline-Ms: 500")
+	expectRefusal(t, got, http.StatusServiceUnavailable, core.NotRun, core.ReasonJournalDown)
+}
+
+func TestDrainCutsNothing(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	r := newRig(t, f.back("models", "engine-0"))
+	f.fault("engine-0", `{"slow_factor":4}`)
+	answer := r.background("POST", "/v1/completions", draft, freshKey())
+	eventually(t, "the run has started", func() bool { return f.engineStats("engine-0").Started == 1 })
+	r.stop()
+	expectWholeStream(t, answer(), 40)
+	if results := r.scheduler.results(); !slices.Equal(results, []core.Result{core.ResultOK}) {
+		t.Fatalf("reports were not flushed: %v", results)
+	}
+	if r.entry.Ready() || !r.control.left {
+		t.Fatal("the process did not leave")
+	}
+}
+
+func TestResendOfAKeyKeepsTheRequestID(t *testing.T) {
+	f := newFleet(t, 0, 1)
+	r := newRig(t, f.back("ledger", "ledger-0"))
+	key := "Idempotency-Key: " + uuid.Must(uuid.NewV7()).String()
+	first := r.must("POST", "/v1/transfers", `{}`, key)
+	second := r.must("POST", "/v1/transfers", `{}`, key)
+	if first.header.Get("X-Request-Id") != second.header.Get("X-Request-Id") {
+		t.Fatal("the ids differ")
+	}
+}
+
+func (r *rig) view() *control.View {
+	return &control.View{Manifest: r.manifest, ManifestVersion: 1, Members: []message.Member{r.member()}}
+}
+
+// background makes a call on the side; the returned function waits for its
+// answer.
+func (r *rig) background(method, path, body string, headers ...string) func() reply {
+	return r.backgroundContext(r.t.Context(), method, path, body, headers...)
+}
+
+func (r *rig) backgroundContext(ctx context.Context, method, path, body string, headers ...string) func() reply {
+	answers := make(chan reply, 1)
+	go func() {
+		got, err := r.do(ctx, method, path, body, headers...)
+		if err != nil && ctx.Err() == nil {
+			r.t.Errorf("%s %s: %v", method, path, err)
+		}
+		answers <- got
+	}()
+	return func() reply {
+		select {
+		case got := <-answers:
+			return got
+		case <-time.After(30 * time.Second):
+			r.t.Error("no answer")
+			return reply{}
+		}
+	}
+}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -20,6 +20,7 @@
 
 	"kingcupcourse/internal/control"
 	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/ownership"
 	"kingcupcourse/internal/manifest"
 	"kingcupcourse/internal/message"
 	"kingcupcourse/internal/ring"
@@ -33,12 +34,11 @@
 
 // fakeControl publishes views and records facts.
 type fakeControl struct {
-	mu     sync.Mutex
-	views  []control.Subscription
-	facts  []message.Fact
-	left   bool
-	tree   *supervisor.Supervisor
-	marked map[string]int
+	mu    sync.Mutex
+	views []control.Subscription
+	facts []message.Fact
+	left  bool
+	tree  *supervisor.Supervisor
 }
 
 func (c *fakeControl) Supervisor() *supervisor.Supervisor { return c.tree }
@@ -157,6 +157,7 @@
 	control   *fakeControl
 	scheduler *fakeScheduler
 	client    *http.Client
+	manifest  *manifest.Manifest
 	stop      func()
 }
 
@@ -179,8 +180,8 @@
 		scheduler.pools[b.pool] = append(scheduler.pools[b.pool],
 			core.Grant{Endpoint: b.name, Address: b.address, Version: "v1"})
 	}
-	r.publish(&control.View{Manifest: testManifest(t, backs), ManifestVersion: 1,
-		Members: []message.Member{r.member()}})
+	r.manifest = testManifest(t, backs)
+	r.publish(r.view())
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := ring.NewReply[error]()
 	go func() { ended.Send(entry.Supervisor().Serve(ctx)) }()
@@ -212,10 +213,10 @@
 		endpoints[b.pool] = append(endpoints[b.pool], fmt.Sprintf(
 			`{"name":%q,"address":%q,"availability_zone":"north-a","version":"v1","slots":4}`, b.name, b.address))
 	}
-	for pool, list := range endpoints {
-		if len(list) == 0 {
+	for pool, port := range map[string]int{"models": 1, "ledger": 2} {
+		if len(endpoints[pool]) == 0 {
 			endpoints[pool] = []string{fmt.Sprintf(
-				`{"name":"%s-unused","address":"127.0.0.1:1","availability_zone":"north-a","version":"v1","slots":4}`, pool)}
+				`{"name":"%s-unused","address":"127.0.0.1:%d","availability_zone":"north-a","version":"v1","slots":4}`, pool, port)}
 		}
 	}
 	sum := sha256.Sum256([]byte(testKey))
@@ -288,3 +289,38 @@
 		}
 	}
 }
+
+// newHangingScheduler returns a scheduler that takes calls and answers none
+// until released. Its name puts it first in rank for the ledger.
+func newHangingScheduler(t *testing.T, released chan struct{}) message.Member {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-released }))
+	t.Cleanup(server.Close)
+	shard := ownership.Shard{Pool: "ledger", Region: "north"}
+	member := message.Member{Role: message.RoleScheduler, Region: "north",
+		Address: strings.TrimPrefix(server.URL, "http://")}
+	for i := 0; ; i++ {
+		member.Host = fmt.Sprintf("hung-%d", i)
+		other := message.Member{Host: "host-1", Role: message.RoleScheduler, Region: "north"}
+		if ownership.Rank(shard, []message.Member{other, member})[0].Host == member.Host {
+			return member
+		}
+	}
+}
+
+// expectRefusal checks a refusal.
+func expectRefusal(t *testing.T, got reply, status int, disposition core.Disposition, reason core.Reason) {
+	t.Helper()
+	var body struct {
+		Error struct {
+			Disposition core.Disposition `json:"disposition"`
+			Reason      core.Reason      `json:"reason"`
+		} `json:"error"`
+	}
+	err := json.Unmarshal([]byte(got.body), &body)
+	if err != nil || got.status != status || body.Error.Disposition != disposition || body.Error.Reason != reason {
+		t.Fatalf("got %d %s, want %d %s %s", got.status, got.body, status, disposition, reason)
+	}
+	if got.header.Get("Kingcup-Disposition") != string(disposition) {
+		t.Fatalf("header %q", got.header.Get("Kingcup-Disposition"))
+	}
+}
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -60,6 +61,31 @@
 	}
 }
 
+func (f *fleet) order(name, order string) {
+	f.t.Helper()
+	response, err := http.Post("http://"+f.process.Address(name)+"/v1/orders", "application/json", strings.NewReader(order))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		f.t.Fatalf("order %s: %d", order, response.StatusCode)
+	}
+}
+
+func (f *fleet) engineStats(name string) (stats engine.Stats) {
+	f.t.Helper()
+	response, err := http.Get("http://" + f.process.AdminAddress() + "/" + name + "/admin/stats")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(response.Body).Decode(&stats); err != nil {
+		f.t.Fatal(err)
+	}
+	return stats
+}
+
 func TestStreamReachesTheCallerWhole(t *testing.T) {
 	f := newFleet(t, 1, 0)
 	r := newRig(t, f.back("models", "engine-0"))
