--- /dev/null
+++ b/internal/scheduler/supervisor.go
@@ -0,0 +1,96 @@
+// Package scheduler is the supervisor of what kingcup-scheduler adds to its
+// process: the pool shards, the duty that passes views on to them, and the
+// drain duty. It restarts each alone. At the stop of the process the drain
+// duty first hands the shards over while the control listener still serves;
+// the shards stop after the listener.
+package scheduler
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/codec"
+	"kingcupcourse/internal/control"
+	"kingcupcourse/internal/decision/placement"
+	"kingcupcourse/internal/process"
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/scheduler/drain"
+	"kingcupcourse/internal/scheduler/inbox"
+	"kingcupcourse/internal/scheduler/shards"
+	"kingcupcourse/internal/scheduler/shards/shard"
+	"kingcupcourse/internal/scheduler/shards/shard/journal/caller"
+	"kingcupcourse/internal/scheduler/shards/shard/journal/owner"
+	"kingcupcourse/internal/scheduler/shards/shard/queue"
+	"kingcupcourse/internal/scheduler/views"
+	"kingcupcourse/internal/settings"
+	"kingcupcourse/internal/supervisor"
+)
+
+const (
+	// pollHeaderTimeout bounds how long an endpoint may take to answer.
+	pollHeaderTimeout = time.Second
+
+	defaultJournalFlush = 10 * time.Millisecond
+)
+
+// Build returns the duties of kingcup-scheduler.
+func Build(env *process.Environment, s *settings.Scheduler) (process.Duties, error) {
+	if _, ok := placement.NewPolicy(s.Policy); !ok {
+		return process.Duties{}, eris.Errorf("unknown policy %q", s.Policy)
+	}
+	env.Metrics.MustRegister(collectors()...)
+	return build(config{Settings: *s, Views: env.Control.Subscribe(), Mux: env.ControlMux,
+		Platform: env.Platform.WithTimeout(caller.CallTimeout), Log: env.Log}), nil
+}
+
+// config is what the duties are built from.
+type config struct {
+	Settings settings.Scheduler
+	Views    control.Subscription
+	Mux      *http.ServeMux
+	Platform caller.Platform
+	Log      *zap.Logger
+}
+
+func build(c config) process.Duties {
+	in := ring.New[inbox.Shards]("shards", inbox.ShardsCapacity)
+	(&handlers{shards: in}).register(c.Mux)
+	tree := supervisor.New(supervisor.Spec{
+		Name: "scheduler",
+		Children: []supervisor.Child{
+			{Name: "shards", Duty: shards.New(shardConfig(c), in)},
+			{Name: "views", Duty: views.New(c.Views, in)},
+		},
+	}, c.Log)
+	return process.Duties{
+		Behind: []supervisor.Child{{Name: "scheduler", Duty: tree}},
+		Front:  []supervisor.Child{{Name: "handover", Duty: drain.New(in)}},
+	}
+}
+
+func shardConfig(c config) shard.Config {
+	flush := time.Duration(c.Settings.JournalFlushMS) * time.Millisecond
+	if flush <= 0 {
+		flush = defaultJournalFlush
+	}
+	return shard.Config{
+		Host:         c.Settings.Host,
+		Region:       c.Settings.Region,
+		Owner:        c.Settings.Host + "/" + uuid.NewString(),
+		Policy:       c.Settings.Policy,
+		JournalFlush: flush,
+		Platform:     c.Platform,
+		Endpoints:    &http.Client{Transport: codec.NewTransport(pollHeaderTimeout)},
+		Log:          c.Log,
+	}
+}
+
+// collectors returns the metrics of the scheduler.
+func collectors() []prometheus.Collector {
+	return append(queue.Collectors(), owner.Collectors()...)
+}
