--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -139,7 +139,7 @@
 }
 
 func (p *process) cleanUp() {
-	if p.running != nil {
+	if p.running != nil && p.running.Process != nil {
 		_ = p.running.Process.Signal(syscall.SIGCONT)
 		_ = p.running.Process.Kill()
 		_ = p.waitEnd(10 * time.Second)
