Gossip: receive no longer pushes the manifest claim on

Each received message made the receiver push its claim of the manifest to three peers, also when nothing was news, so that messages bred messages until the rings were full.

--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -67,12 +67,17 @@
 	}
 }
 
-// push sends facts, or only the claim of the manifest, to random peers. Each
-// process that learns an urgent fact pushes it on once.
+// push sends urgent facts to random peers. Each process that learns them
+// pushes them on once.
 func (m *members) push(news []message.Fact) {
-	if len(news) == 0 && m.manifest.version == 0 {
-		return
+	if len(news) > 0 {
+		m.pushAll(news)
 	}
+}
+
+// pushAll sends facts, which may be none, and the claim of the manifest in
+// force to random peers.
+func (m *members) pushAll(news []message.Fact) {
 	for i, address := range m.pick(len(m.pushes)) {
 		m.send(m.pushes[i], outgoing{address: address, gossip: m.gossip(news)})
 	}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -135,7 +135,7 @@
 		m.adoptList(e.list, now)
 	case manifestTaken:
 		m.manifest = e
-		m.push(nil)
+		m.pushAll(nil)
 	case leave:
 		m.self.Leaving = true
 		m.push([]message.Fact{m.heartbeat(now)})
