Entry process on process.Main; a placed-again run-once request waits for its release

A run-once request whose endpoint refused it went on under the same attempt. A scheduler that is asked again for a granted attempt grants the same endpoint again, since it must answer a repeated call alike.

--- a/internal/entry/callers/outcome.go
+++ b/internal/entry/callers/outcome.go
@@ -1,10 +1,12 @@
 package callers
 
 import (
+	"context"
 	"time"
 
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/entry/reports"
+	"kingcupcourse/internal/ring"
 )
 
 const (
@@ -14,22 +16,28 @@
 	unkeyedRetention = 30 * time.Second
 )
 
-// settle reports the end of an attempt. A run-once request that is placed
-// again goes on under the same attempt, which therefore has not ended.
-func (c *call) settle(placed placement, end ending, again bool) {
+// settle reports the end of an attempt and begins the next one. The next
+// attempt of a run-once request may begin only when the owner has released
+// its key from this one; settle returns false if that did not come in time.
+func (c *call) settle(ctx context.Context, placed placement, end ending, again bool) bool {
 	c.logEnd(placed, end)
 	if placed.fallback {
 		c.freeAlone()
 	}
-	if again && c.ticket.RunOnce {
-		return
-	}
-	c.tell(reports.Ended{
+	ended := reports.Ended{
 		Shard: c.ticket.Shard, Outcome: c.outcome(placed.grant, end), KeepUntil: c.keepUntil(),
-	})
-	if again {
-		c.attempt = newID()
+		Acknowledged: ring.NewReply[struct{}](),
+	}
+	c.tell(ended)
+	if !again {
+		return false
+	}
+	c.attempt = newID()
+	if !c.ticket.RunOnce {
+		return true
 	}
+	_, err := ended.Acknowledged.Wait(ctx)
+	return err == nil
 }
 
 func (c *call) keepUntil() time.Time {
--- a/internal/entry/callers/place.go
+++ b/internal/entry/callers/place.go
@@ -33,9 +33,6 @@
 	case err != nil:
 		return c.placeAlone(ctx)
 	case reply.Refusal != nil:
-		if c.ticket.RunOnce && c.dispatches > 0 {
-			c.reportUndispatched()
-		}
 		return placement{}, refusalFrom(reply.Refusal)
 	case reply.Prior != nil:
 		return placement{prior: reply.Prior}, nil
--- a/internal/entry/callers/run.go
+++ b/internal/entry/callers/run.go
@@ -25,9 +25,7 @@
 		}
 		c.begin(placed)
 		end := c.dispatch(ctx, placed.grant)
-		again := c.again(ctx, end)
-		c.settle(placed, end, again)
-		if !again {
+		if !c.settle(ctx, placed, end, c.again(ctx, end)) {
 			c.answer(end)
 			return
 		}
--- a/internal/entry/reports/messages.go
+++ b/internal/entry/reports/messages.go
@@ -40,6 +40,9 @@
 	Outcome core.Outcome
 	// KeepUntil is how long the outcome is resent until it is acknowledged.
 	KeepUntil time.Time
+	// Acknowledged is answered when an owner has taken the outcome. It may
+	// be left empty.
+	Acknowledged ring.Reply[struct{}]
 }
 
 // Watch asks that a grant call be cancelled with ErrOwnerSilent when the
--- a/internal/entry/reports/owner.go
+++ b/internal/entry/reports/owner.go
@@ -169,4 +169,4 @@
 	}
 }
 
-func (m Ended) handle(o *Owner, _ time.Time) { o.state(m.Shard).end(m.Outcome, m.KeepUntil) }
+func (m Ended) handle(o *Owner, _ time.Time) { o.state(m.Shard).end(m) }
--- a/internal/entry/reports/shard.go
+++ b/internal/entry/reports/shard.go
@@ -7,6 +7,7 @@
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/ownership"
 	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/ring"
 )
 
 const (
@@ -20,8 +21,9 @@
 
 // unsent is an outcome that no owner has acknowledged.
 type unsent struct {
-	outcome   core.Outcome
-	keepUntil time.Time
+	outcome      core.Outcome
+	keepUntil    time.Time
+	acknowledged ring.Reply[struct{}]
 }
 
 // shardState is what is known of one shard: what runs, what is unsent, and
@@ -51,12 +53,12 @@
 }
 
 // end moves an attempt from the running to the unsent.
-func (s *shardState) end(outcome core.Outcome, keepUntil time.Time) {
-	delete(s.running, outcome.Attempt)
+func (s *shardState) end(m Ended) {
+	delete(s.running, m.Outcome.Attempt)
 	if len(s.unsent) >= maxUnsent {
 		s.dropOne()
 	}
-	s.unsent = append(s.unsent, unsent{outcome, keepUntil})
+	s.unsent = append(s.unsent, unsent{m.Outcome, m.KeepUntil, m.Acknowledged})
 }
 
 // dropOne makes room: the oldest outcome without a key goes first, for only
@@ -131,6 +133,9 @@
 
 // acknowledged forgets what the owner has taken.
 func (s *shardState) acknowledged() {
+	for _, u := range s.unsent[:s.inFlight] {
+		u.acknowledged.Send(struct{}{})
+	}
 	s.unsent = slices.Delete(s.unsent, 0, s.inFlight)
 	s.inFlight, s.failures = 0, 0
 	s.sentAt, s.retry = time.Time{}, time.Time{}
--- a/internal/entry/supervisor.go
+++ b/internal/entry/supervisor.go
@@ -3,8 +3,6 @@
 package entry
 
 import (
-	"context"
-	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -23,78 +21,61 @@
 )
 
 const (
-	// controlGrace bounds open calls to the control listener on stop.
-	controlGrace = 2 * time.Second
 	// stopMargin is how much longer than the drain a stop may take.
 	stopMargin = 5 * time.Second
 	// reportsStop bounds the stop of the reports, which flush first.
 	reportsStop = 15 * time.Second
 )
 
-// Control is what the entry needs of the control supervisor.
+// Control is what the entry needs of the control duties.
 type Control interface {
-	// Supervisor returns the tree of the control duties.
-	Supervisor() *supervisor.Supervisor
 	// Subscribe returns a ring that always holds the newest view.
 	Subscribe() control.Subscription
-	// Report shares a fact with the other processes.
+	// Report shares a fact with the other processes. It does not wait.
 	Report(fact message.Fact) error
-	// Register adds the handlers of the control listener.
-	Register(mux *http.ServeMux)
-	// Ready tells whether the configuration is known.
-	Ready() bool
-	// Leave tells the other processes that this one drains.
-	Leave(ctx context.Context) error
 }
 
-// Entry is the tree of the process.
+// Entry is the supervisor of the entry's own duties.
 type Entry struct {
-	tree     *supervisor.Supervisor
-	callers  *supervisor.HTTP
-	control  *supervisor.HTTP
-	leaving  *departure
-	upstream Control
+	*supervisor.Supervisor
+	callers *supervisor.HTTP
 }
 
-// New binds the listeners and returns the tree, which is not yet running.
+// New binds the callers' listener and returns the supervisor, which is not
+// yet running.
 //
-// Children, in their order: control, the control listener, reports,
-// fallback, admission, the callers' listener, departure. They are stopped in
-// the reverse order: departure makes the process not ready and tells the
-// others; the callers' listener takes no new connection and waits for the
-// requests in progress; reports flushes what has ended; control is last. A
-// child that fails is restarted alone and goes on from the state it kept.
+// Children, in their order: reports, fallback, admission, callers. They are
+// stopped in the reverse order: the callers' listener takes no new
+// connection and waits for the requests in progress, which still need the
+// rest; reports flushes what has ended. A child that fails is restarted
+// alone and goes on from the state that it kept; a restart storm is passed
+// on to the root.
 func New(s settings.Entry, c Control, log *zap.Logger) (*Entry, error) {
-	drain := time.Duration(s.DrainMS) * time.Millisecond
 	peers := peer.NewClient()
-	let := admission.New(admission.Config{Region: s.Region, MaxRequests: s.MaxRequests, Views: c.Subscribe()})
-	alone := fallback.New(fallback.Config{Fraction: s.FallbackFraction, Views: c.Subscribe()})
 	told := reports.New(reports.Config{Host: s.Host, Views: c.Subscribe()}, peers, log)
+	alone := fallback.New(fallback.Config{Fraction: s.FallbackFraction, Views: c.Subscribe()})
+	let := admission.New(admission.Config{Region: s.Region, MaxRequests: s.MaxRequests, Views: c.Subscribe()})
 	handler := callers.NewHandler(callers.Config{
 		Host: s.Host, Admission: let.Inbox(), Reports: told.Inbox, Fallback: alone.Inbox(),
 		Peers: peers, Tell: tell(c, log), Log: log,
 	})
-	callersListener, err := supervisor.Listen(s.Callers, handler, drain)
-	if err != nil {
-		return nil, eris.Wrap(err, "callers listener")
-	}
-	mux := http.NewServeMux()
-	c.Register(mux)
-	controlListener, err := supervisor.Listen(s.Control, mux, controlGrace)
+	drain := time.Duration(s.DrainMS) * time.Millisecond
+	listener, err := supervisor.Listen(s.Callers, handler, drain)
 	if err != nil {
-		return nil, eris.Wrap(err, "control listener")
+		return nil, eris.Wrap(err, "listen for callers")
 	}
-	leaving := &departure{control: c}
 	tree := supervisor.New(supervisor.Spec{Name: "entry", Children: []supervisor.Child{
-		{Name: "control", Duty: c.Supervisor()},
-		{Name: "control-listener", Duty: controlListener},
 		{Name: "reports", Duty: told, StopTimeout: reportsStop},
 		{Name: "fallback", Duty: alone},
 		{Name: "admission", Duty: let},
-		{Name: "callers", Duty: callersListener, StopTimeout: drain + stopMargin},
-		{Name: "departure", Duty: leaving},
+		{Name: "callers", Duty: listener, StopTimeout: drain + stopMargin},
 	}}, log)
-	return &Entry{tree: tree, callers: callersListener, control: controlListener, leaving: leaving, upstream: c}, nil
+	return &Entry{Supervisor: tree, callers: listener}, nil
+}
+
+// StopTimeout is how long the whole supervisor may take to stop.
+func StopTimeout(s settings.Entry) time.Duration {
+	return time.Duration(s.DrainMS)*time.Millisecond + stopMargin + reportsStop + 2*supervisor.DefaultStopTimeout
 }
 
 // tell shares a fact and logs when too many are on their way.
@@ -106,19 +87,10 @@
 	}
 }
 
-// Supervisor returns the tree to run.
-func (e *Entry) Supervisor() *supervisor.Supervisor { return e.tree }
-
 // CallersAddress returns the bound address for callers.
 func (e *Entry) CallersAddress() string { return e.callers.Address() }
 
-// ControlAddress returns the bound address for other processes.
-func (e *Entry) ControlAddress() string { return e.control.Address() }
-
-// Ready tells whether the process wants new requests.
-func (e *Entry) Ready() bool { return e.upstream.Ready() && !e.leaving.begun() }
-
-// Collectors returns the metrics of the process's own duties.
+// Collectors returns the metrics of the entry's duties.
 func Collectors() []prometheus.Collector {
 	var all []prometheus.Collector
 	all = append(all, admission.Collectors()...)
