--- /dev/null
+++ b/internal/decision/fallback/fallback_test.go
@@ -0,0 +1,143 @@
+package fallback
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/message"
+)
+
+var now = time.Unix(1000, 0)
+
+func endpoint(name string, share int) Endpoint {
+	return Endpoint{Endpoint: core.Endpoint{Name: name, Pool: "p"}, Share: share}
+}
+
+func request(attempt string, tier core.Tier) Request {
+	return Request{Attempt: attempt, Pool: "p", Tier: tier, Deadline: now.Add(time.Minute)}
+}
+
+func withEndpoints(endpoints ...Endpoint) *State {
+	s := NewState()
+	s.SetEndpoints(map[string][]Endpoint{"p": endpoints})
+	return s
+}
+
+func TestCandidates(t *testing.T) {
+	m := &manifest.Manifest{
+		Pools: []manifest.Pool{{Name: "p", Endpoints: []manifest.Endpoint{
+			{Name: "good", Version: "v1", Slots: 8}, {Name: "leaving", Version: "v1", Slots: 8},
+			{Name: "bad", Version: "v0", Slots: 8}, {Name: "unproved", Version: "v2", Slots: 8},
+			{Name: "proved", Version: "v3", Slots: 8}, {Name: "reverted", Version: "v4", Slots: 8}}}},
+		Moves: []manifest.Move{{Name: "a", Pool: "p", ToVersion: "v2"}, {Name: "b", Pool: "p", ToVersion: "v3"},
+			{Name: "c", Pool: "p", ToVersion: "v4"}},
+	}
+	know := Knowledge{
+		Leaving:     map[string]bool{"leaving": true},
+		BadVersions: map[core.EndpointVersion]message.BadVersion{{Pool: "p", Version: "v0"}: {}},
+		Moves: map[string]message.MoveStage{"a": {Stage: message.StageRamp}, "b": {Stage: message.StageDone},
+			"c": {Stage: message.StageReverted}},
+	}
+	var names []string
+	for _, e := range Candidates(m, know, 0.25)["p"] {
+		names = append(names, fmt.Sprint(e.Name, e.Share))
+	}
+	if got := fmt.Sprint(names); got != "[good2 proved2]" {
+		t.Fatal(got)
+	}
+}
+
+func TestShareAndFraction(t *testing.T) {
+	if Share(4, 0.14) != 1 || Share(16, 0.25) != 4 {
+		t.Fatal("share")
+	}
+	members := []message.Member{{Role: message.RoleEntry}, {Role: message.RoleEntry},
+		{Role: message.RoleEntry, Leaving: true}, {Role: message.RoleScheduler}}
+	if Fraction(0, members) != 0.5 || Fraction(0.3, members) != 0.3 || Fraction(0, nil) != 1 {
+		t.Fatal("fraction")
+	}
+}
+
+func TestFreedSlotGoesToTheMostImportantFirstComer(t *testing.T) {
+	s := withEndpoints(endpoint("a", 1))
+	if got := s.Add(request("first", 3), now); len(got) != 1 || got[0].Grant.Endpoint != "a" {
+		t.Fatalf("%+v", got)
+	}
+	for i, tier := range []core.Tier{3, 1, 2, 1} {
+		if got := s.Add(request(fmt.Sprint(i), tier), now); len(got) != 0 {
+			t.Fatalf("placed beyond the share: %+v", got)
+		}
+	}
+	last := "first"
+	for _, want := range []string{"1", "3", "2", "0"} {
+		s.Free(last)
+		got := s.Place(now)
+		if len(got) != 1 || got[0].Attempt != want {
+			t.Fatalf("got %+v, want %s", got, want)
+		}
+		last = want
+	}
+}
+
+func TestExcludedAndAbsentEndpointsRefuse(t *testing.T) {
+	s := withEndpoints(endpoint("a", 1))
+	r := request("x", 1)
+	r.Exclude = []string{"a"}
+	if got := s.Add(r, now); len(got) != 1 || got[0].Refusal == nil || got[0].Refusal.Reason != core.ReasonNoEndpoint {
+		t.Fatalf("%+v", got)
+	}
+}
+
+func TestWaitingEndsAtTheDeadline(t *testing.T) {
+	s := withEndpoints(endpoint("a", 1))
+	s.Add(request("runs", 1), now)
+	s.Add(request("waits", 1), now)
+	if !s.NextDeadline().Equal(now.Add(time.Minute)) {
+		t.Fatal(s.NextDeadline())
+	}
+	got := s.Place(now.Add(time.Minute))
+	if len(got) != 1 || got[0].Refusal == nil || got[0].Refusal.Reason != core.ReasonDeadlinePassed {
+		t.Fatalf("%+v", got)
+	}
+}
+
+func TestNeverAboveTheShareAndNeverShedsAHigherTierFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := withEndpoints(endpoint("a", 2), endpoint("b", 3))
+		tiers, running := map[string]core.Tier{}, map[string]string{}
+		for i := range rapid.IntRange(1, 600).Draw(t, "steps") {
+			var placements []Placement
+			if len(running) > 0 && rapid.IntRange(0, 9).Draw(t, "free") == 0 {
+				for attempt := range running {
+					s.Free(attempt)
+					delete(running, attempt)
+					break
+				}
+				placements = s.Place(now)
+			} else {
+				r := request(fmt.Sprint(i), core.Tier(rapid.IntRange(1, 3).Draw(t, "tier")))
+				tiers[r.Attempt] = r.Tier
+				placements = s.Add(r, now)
+			}
+			for _, p := range placements {
+				if p.Refusal == nil {
+					running[p.Attempt] = p.Grant.Endpoint
+				} else if len(s.waiting) > 0 && tiers[p.Attempt] < s.waiting[len(s.waiting)-1].Tier {
+					t.Fatalf("tier %d shed while tier %d waits", tiers[p.Attempt], s.waiting[len(s.waiting)-1].Tier)
+				}
+			}
+			used := map[string]int{}
+			for _, name := range running {
+				used[name]++
+			}
+			if used["a"] > 2 || used["b"] > 3 || len(s.waiting) > MaxWaiting {
+				t.Fatalf("used %v, %d waiting", used, len(s.waiting))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/decision/retry/retry_test.go
@@ -0,0 +1,52 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"kingcupcourse/internal/core"
+)
+
+func TestJudge(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name    string
+		attempt Attempt
+		want    Verdict
+	}{
+		{"not dispatched is free", Attempt{Result: core.ResultNotDispatched, RunOnce: true}, Free},
+		{"rejected is free", Attempt{Result: core.ResultRejected, RunOnce: true}, Free},
+		{"lost run-once stops", Attempt{Result: core.ResultLost, RunOnce: true}, Stop},
+		{"failed run-once stops", Attempt{Result: core.ResultFailed, RunOnce: true}, Stop},
+		{"lost repeatable costs", Attempt{Result: core.ResultLost}, Budgeted},
+		{"failed repeatable costs", Attempt{Result: core.ResultFailed}, Budgeted},
+		{"passed on stops", Attempt{Result: core.ResultLost, Passed: true}, Stop},
+		{"cancelled stops", Attempt{Result: core.ResultCancelled}, Stop},
+		{"ok stops", Attempt{Result: core.ResultOK}, Stop},
+		{"too many attempts stop", Attempt{Result: core.ResultRejected, Dispatches: MaxAttempts}, Stop},
+		{"too near the deadline stops", Attempt{Result: core.ResultLost, Deadline: now.Add(MinRemaining / 2)}, Stop},
+	} {
+		c.attempt.Now = now
+		if c.attempt.Deadline.IsZero() {
+			c.attempt.Deadline = now.Add(time.Minute)
+		}
+		if got := Judge(c.attempt); got != c.want {
+			t.Errorf("%s: got %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+func TestBudgetKeepsRetriesASmallShare(t *testing.T) {
+	budget := NewBudget()
+	const requests = 10_000
+	retries := 0
+	for range requests {
+		budget.Earn()
+		if budget.Spend() {
+			retries++
+		}
+	}
+	if most := int(requests*Share + Burst); retries > most || retries < most-2 {
+		t.Fatalf("%d retries, want about %d", retries, most)
+	}
+}
