--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -76,7 +76,7 @@
 // are ready.
 func startCluster(t *testing.T, o options) *cluster {
 	t.Helper()
-	c := &cluster{t: t, folder: t.TempDir(), client: &http.Client{}}
+	c := &cluster{t: t, folder: keep(t), client: &http.Client{}}
 	t.Cleanup(c.client.CloseIdleConnections)
 	c.buildFleet(o)
 	c.buildHosts(o)
@@ -306,3 +306,18 @@
 	seconds, _ := strconv.Atoi(r.Header.Get("Retry-After"))
 	return seconds
 }
+
+// keep returns the folder for a test's settings and logs. KINGCUP_TEST_OUT
+// names one to keep; otherwise it is removed after the test.
+func keep(t *testing.T) string {
+	t.Helper()
+	out := os.Getenv("KINGCUP_TEST_OUT")
+	if out == "" {
+		return t.TempDir()
+	}
+	folder := filepath.Join(out, t.Name())
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		t.Fatal(err)
+	}
+	return folder
+}
