--- a/internal/load/caller/answer.go
+++ b/internal/load/caller/answer.go
@@ -14,6 +14,10 @@
 	"kingcupcourse/internal/standin/tokens"
 )
 
+// dispositionHeader marks a refusal of an entry host; an error status
+// without it is the endpoint's own answer.
+const dispositionHeader = "Kingcup-Disposition"
+
 const (
 	maxAnswerBytes = 8 << 20
 	maxLineBytes   = 1 << 20
@@ -44,15 +48,15 @@
 	sample.RequestID = response.Header.Get("X-Request-Id")
 	body := io.LimitReader(response.Body, maxAnswerBytes)
 	switch {
-	case response.StatusCode >= http.StatusBadRequest:
+	case response.Header.Get(dispositionHeader) != "":
 		readRefusal(sample, body)
 	case strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream"):
 		readStream(sample, body, a, due)
-	case a.Class.Model != "":
+	case a.Class.Model != "" && response.StatusCode == http.StatusOK:
 		readCompletion(sample, body, a)
 	default:
 		_, err := io.Copy(io.Discard, body)
-		sample.Whole = err == nil
+		sample.Whole = err == nil && response.StatusCode < http.StatusInternalServerError
 		sample.Failure = text(err)
 	}
 }
--- a/internal/load/collector/result.go
+++ b/internal/load/collector/result.go
@@ -18,6 +18,8 @@
 	Seed       uint64  `json:"seed"`
 	LoadFactor float64 `json:"load_factor"`
 	DurationMS int64   `json:"duration_ms"`
+	// All holds the counts of all requests together.
+	All Group `json:"all"`
 	// Tiers and Classes hold the counts, the most important tier first.
 	Tiers   []Group `json:"tiers"`
 	Classes []Group `json:"classes"`
@@ -110,6 +112,9 @@
 	r := &Result{DurationMS: duration.Milliseconds()}
 	r.Tiers = groups(samples, func(s *Sample) string { return "tier " + strconv.Itoa(int(s.Tier)) })
 	r.Classes = groups(samples, func(s *Sample) string { return s.Class })
+	if all := groups(samples, func(*Sample) string { return "all" }); len(all) == 1 {
+		r.All = all[0]
+	}
 	r.Refusals = refusals(samples)
 	r.Inversions = inversions(samples)
 	r.Series = series(samples, duration)
--- a/internal/load/report/compare.go
+++ b/internal/load/report/compare.go
@@ -55,6 +55,8 @@
 			measure{"first token p95 ms " + name, func(r *collector.Result) float64 { return group(r, name).FirstToken.P95 }})
 	}
 	return append(rows,
+		measure{"total p50 ms", func(r *collector.Result) float64 { return r.All.Total.P50 }},
+		measure{"total p99 ms", func(r *collector.Result) float64 { return r.All.Total.P99 }},
 		measure{"wasted prefill tokens", wastedPrefill},
 		measure{"prefill tokens", func(r *collector.Result) float64 { return float64(engineCounts(r).PrefillTokens) }},
 		measure{"runs started", func(r *collector.Result) float64 { return float64(engineCounts(r).Started) }},
