Membership by probes in place of heartbeats; compare facts by hashes

Cause: a heartbeat of every process each second, told to all, costs each process bytes in proportion to the fleet.

Now a process announces itself once, and each probes one random peer every 500 ms with a hash of all its facts. Two failed calls, the second on a new connection, make a suspicion that is told to all; a suspect that does not announce itself again within 2 s counts as dead. A process that was suspected in error, or restarts with an earlier clock, outranks what is held about it.

--- a/internal/codec/call.go
+++ b/internal/codec/call.go
@@ -83,6 +83,7 @@
 		return eris.Wrapf(err, "call %s%s", address, path)
 	}
 	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("User-Agent", "") // not sent, to keep small messages small
 	response, err := client.Do(request)
 	if err != nil {
 		return &CallError{Address: address, Path: path, Cause: err}
--- a/internal/codec/handle.go
+++ b/internal/codec/handle.go
@@ -51,6 +51,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header()["Date"] = nil // not sent, to keep small messages small
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body) // the caller is gone; there is nobody to tell
 }
--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -2,16 +2,19 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"kingcupcourse/internal/codec"
 	"kingcupcourse/internal/message"
 	"kingcupcourse/internal/ring"
 )
 
-// exchangeTimeout bounds one gossip call.
-const exchangeTimeout = 300 * time.Millisecond
+// gossipTimeout bounds one gossip call.
+const gossipTimeout = 300 * time.Millisecond
 
 // outgoing is gossip for the process at an address.
 type outgoing struct {
@@ -19,10 +22,12 @@
 	gossip  message.Gossip
 }
 
-// caller is what the duties that call peers have in common.
+// caller is what the duties that call peers have in common. The client keeps
+// connections; fresh opens one for each call, as open ones may have gone
+// silent.
 type caller struct {
-	self    string
 	client  *http.Client
+	fresh   *http.Client
 	members *ring.Ring[event]
 	metrics *metrics
 }
@@ -36,34 +41,58 @@
 
 // Serve implements supervisor.Duty.
 func (e *exchanger) Serve(ctx context.Context) error {
-	return ring.Loop(ctx, e.inbox, func(o outgoing) error { return e.call(ctx, o) })
+	return ring.Loop(ctx, e.inbox, func(o outgoing) error { return e.exchange(ctx, o) })
 }
 
-func (e *exchanger) call(ctx context.Context, o outgoing) error {
-	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	reply := new(message.Gossip)
-	err := codec.Call(callCtx, e.client, o.address, message.PathGossip, o.gossip, reply)
-	if err != nil {
+// exchange makes a call, once more if it fails, and hands on the answer.
+func (e *exchanger) exchange(ctx context.Context, o outgoing) error {
+	for _, client := range []*http.Client{e.client, e.fresh} {
+		reply, err := call(ctx, client, o)
+		if err == nil {
+			e.metrics.gossipCalls.WithLabelValues("ok").Inc()
+			return e.members.Put(ctx, answered{address: o.address, gossip: reply})
+		}
 		e.metrics.gossipCalls.WithLabelValues("failed").Inc()
-		return nil // an unheard peer is found by its missing heartbeat
 	}
-	e.metrics.gossipCalls.WithLabelValues("ok").Inc()
-	return e.members.Put(ctx, answered{gossip: reply})
+	return e.members.Put(ctx, unreached{address: o.address})
 }
 
-// countingTransport counts the bytes of the bodies that it carries.
-type countingTransport struct {
-	http.RoundTripper
-	metrics *metrics
+func call(ctx context.Context, client *http.Client, o outgoing) (*message.Gossip, error) {
+	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
+	defer cancel()
+	reply := new(message.Gossip)
+	err := codec.Call(ctx, client, o.address, message.PathGossip, o.gossip, reply)
+	return reply, err
 }
 
-// RoundTrip implements http.RoundTripper.
-func (t countingTransport) RoundTrip(request *http.Request) (*http.Response, error) {
-	t.metrics.gossipBytes.WithLabelValues("sent").Add(float64(max(request.ContentLength, 0)))
-	response, err := t.RoundTripper.RoundTrip(request)
-	if err == nil {
-		t.metrics.gossipBytes.WithLabelValues("received").Add(float64(max(response.ContentLength, 0)))
+// countBytes makes a transport count what its connections carry.
+func countBytes(transport *http.Transport, counts *prometheus.CounterVec) {
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countingConn{connection, counts.WithLabelValues("sent"), counts.WithLabelValues("received")}, nil
 	}
-	return response, err
+}
+
+// countingConn counts the bytes of a connection.
+type countingConn struct {
+	net.Conn
+	sent, received prometheus.Counter
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(float64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(float64(n))
+	return n, err
 }
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -10,9 +10,9 @@
 	"kingcupcourse/internal/ring"
 )
 
-// seedShare is the share of exchanges that go to a configured address that is
-// no known member, so that a split system finds together again.
-const seedShare = 0.1
+// strangerShare is the share of probes that go to an address at which no live
+// member is known, so that a split system finds together again.
+const strangerShare = 0.1
 
 // gossip returns a message with the claim of the manifest in force.
 func (m *members) gossip(list []message.Fact) message.Gossip {
@@ -24,22 +24,22 @@
 	return g
 }
 
-// exchange sends the digest of all facts to one random peer. The answer holds
-// what this process lacks and names what the peer lacks.
-func (m *members) exchange() {
-	address, ok := m.exchangePeer()
+// probe sends the hash of all facts to one random peer, which shows whether it
+// is alive and holds the same facts.
+func (m *members) probe() {
+	address, ok := m.probed()
 	if !ok {
 		return
 	}
 	g := m.gossip(nil)
-	g.Digest = m.store.Digest()
-	m.send(m.exchanges, outgoing{address: address, gossip: g})
+	g.Hash = m.store.Hash()
+	m.send(m.probes, outgoing{address: address, gossip: g})
 }
 
-func (m *members) exchangePeer() (string, bool) {
+func (m *members) probed() (string, bool) {
 	peers := m.pick(1)
 	strangers := m.strangers()
-	if len(strangers) > 0 && (len(peers) == 0 || rand.Float64() < seedShare) {
+	if len(strangers) > 0 && (len(peers) == 0 || rand.Float64() < strangerShare) {
 		return strangers[rand.IntN(len(strangers))], true
 	}
 	if len(peers) == 0 {
@@ -48,27 +48,38 @@
 	return peers[0], true
 }
 
-// answer returns what a peer that sent its digest lacks, and names what this
-// process lacks. Gossip without a digest is a push; it gets no facts back.
+// answer returns the answer to a peer's gossip.
 func (m *members) answer(g *message.Gossip) *message.Gossip {
-	if len(g.Digest) == 0 {
-		reply := m.gossip(nil)
-		return &reply
+	reply := m.gossip(nil)
+	switch {
+	case len(g.Scope) > 0:
+		reply = m.gossip(m.store.Missing(g.Scope, g.Digest, maxFactsPerMessage))
+		reply.Digest = m.store.Wanted(g.Digest, maxFactsPerMessage)
+	case g.Hash != 0:
+		reply.Hash = m.store.Hash()
+		if reply.Hash != g.Hash {
+			reply.Buckets = m.store.BucketHashes()
+		}
 	}
-	reply := m.gossip(m.store.Missing(g.Digest, maxFactsPerMessage))
-	reply.Digest = m.store.Wanted(g.Digest, maxFactsPerMessage)
 	return &reply
 }
 
-// sendWanted completes an exchange with the facts that the answer asks for.
-func (m *members) sendWanted(answer *message.Gossip) {
+// continueComparison sends what an answer calls for: the digest of the
+// buckets that differ, or the facts that the peer wants.
+func (m *members) continueComparison(address string, answer *message.Gossip) {
+	if scope := m.store.Differing(answer.Buckets); len(scope) > 0 {
+		g := m.gossip(nil)
+		g.Scope, g.Digest = scope, m.store.Digest(scope)
+		m.send(m.probes, outgoing{address: address, gossip: g})
+		return
+	}
 	if asked := m.store.Asked(answer.Digest); len(asked) > 0 {
-		m.send(m.exchanges, outgoing{address: answer.From, gossip: m.gossip(asked)})
+		m.send(m.probes, outgoing{address: address, gossip: m.gossip(asked)})
 	}
 }
 
-// push sends urgent facts to random peers. Each process that learns them
-// pushes them on once.
+// push sends news to random peers. Each process that learns it pushes it on
+// once.
 func (m *members) push(news []message.Fact) {
 	if len(news) > 0 {
 		m.pushAll(news)
@@ -84,7 +95,7 @@
 }
 
 // send hands gossip to a duty that calls the peer. A full ring drops it; the
-// next exchange makes up for it.
+// next probe makes up for it.
 func (m *members) send(to *ring.Ring[outgoing], o outgoing) {
 	if to.TryPut(o) != nil {
 		m.metrics.gossipCalls.WithLabelValues("dropped").Inc()
@@ -116,28 +127,25 @@
 	return peers
 }
 
-// strangers returns the configured addresses that belong to no live member.
+// strangers returns the addresses, of dead members or from the settings and
+// the platform's list, at which no live member is known.
 func (m *members) strangers() []string {
 	taken := map[string]bool{m.self.Address: true}
 	for _, address := range m.peers() {
 		taken[address] = true
 	}
 	var strangers []string
-	for _, address := range m.seeds {
+	add := func(address string) {
 		if !taken[address] {
+			taken[address] = true
 			strangers = append(strangers, address)
 		}
 	}
-	return strangers
-}
-
-// urgent returns the facts that are not about members.
-func urgent(news []message.Fact) []message.Fact {
-	var list []message.Fact
-	for _, fact := range news {
-		if fact.Kind != message.FactMember {
-			list = append(list, fact)
-		}
+	for _, address := range m.seeds {
+		add(address)
 	}
-	return list
+	for _, member := range m.known {
+		add(member.Address)
+	}
+	return strangers
 }
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -121,6 +121,15 @@
 	return listeners, addresses
 }
 
+func listenAt(t *testing.T, address string) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
 func start(t *testing.T, listener net.Listener, name, platformURL string, peers ...string) *process {
 	t.Helper()
 	p := &process{Control: New(Options{
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -16,15 +16,17 @@
 )
 
 const (
-	// exchangePeriod is how often a process compares its facts with those
-	// of one random peer.
-	exchangePeriod = 500 * time.Millisecond
+	// probePeriod is how often a process probes one random peer.
+	probePeriod = 500 * time.Millisecond
+	// housekeepingPeriod is how often facts are expired and endpoints that
+	// leave are judged again.
+	housekeepingPeriod = time.Second
 	// fetchAgainAfter is how long a fetch of a manifest may take before
 	// another peer is asked for the same version.
 	fetchAgainAfter = 500 * time.Millisecond
 	// maxFactsPerMessage limits the facts, and the entries wanted, in one
 	// gossip message.
-	maxFactsPerMessage = 2048
+	maxFactsPerMessage = 1024
 )
 
 // event is a message to the members duty.
@@ -40,7 +42,13 @@
 }
 
 // answered is a peer's answer to gossip of this process.
-type answered struct{ gossip *message.Gossip }
+type answered struct {
+	address string
+	gossip  *message.Gossip
+}
+
+// unreached tells that a peer did not answer.
+type unreached struct{ address string }
 
 // hostsListed is a newer list of hosts and endpoints from the platform.
 type hostsListed struct{ list message.HostList }
@@ -55,30 +63,34 @@
 func (reported) isEvent()      {}
 func (incoming) isEvent()      {}
 func (answered) isEvent()      {}
+func (unreached) isEvent()     {}
 func (hostsListed) isEvent()   {}
 func (manifestTaken) isEvent() {}
 func (leave) isEvent()         {}
 
-// members is the duty that owns the shared facts. It keeps its own heartbeat,
-// compares facts with a random peer each period, pushes urgent facts on, and
-// tells configuration what has changed. It never waits for another duty.
+// members is the duty that owns the shared facts. It announces its process,
+// probes a random peer each period, compares facts when theirs differ, pushes
+// news on, and tells configuration what has changed. It never waits for
+// another duty.
 type members struct {
 	inbox         *ring.Ring[event]
 	configuration *ring.Ring[change]
-	exchanges     *ring.Ring[outgoing]
+	probes        *ring.Ring[outgoing]
 	pushes        []*ring.Ring[outgoing]
 	fetches       []*ring.Ring[fetch]
 	watches       []*ring.Ring[watchOrder]
 	log           logger
 	metrics       *metrics
 
-	self  message.Member
-	seeds []string // addresses to try besides the members
+	self    message.Member
+	ownRank uint64   // rank of the newest announcement
+	seeds   []string // addresses to try besides the members
 
-	store *facts.Store
-	list  *leaving.List
-	known map[string]message.Member // decoded member facts, by name
-	alive map[string]bool           // names of the members that are alive
+	store       *facts.Store
+	list        *leaving.List
+	known       map[string]message.Member // decoded member facts, by name
+	alive       map[string]bool           // names of the members that are alive
+	suspectedAt map[string]time.Time      // when this process suspected a member
 
 	manifest    manifestTaken
 	lastFetch   fetch
@@ -86,35 +98,35 @@
 	watching    bool
 	changed     bool // the snapshot must be published
 
-	nextHeartbeat, nextExchange time.Time
+	nextHousekeeping, nextProbe time.Time
 }
 
 // Serve implements supervisor.Duty.
 func (m *members) Serve(ctx context.Context) error {
-	m.nextHeartbeat, m.nextExchange = time.Now(), time.Now()
+	m.nextHousekeeping, m.nextProbe = time.Now(), time.Now()
 	return ring.LoopUntil(ctx, m.inbox, m.handle, m.next, m.tick)
 }
 
 func (m *members) next() time.Time {
-	if m.nextHeartbeat.Before(m.nextExchange) {
-		return m.nextHeartbeat
+	if m.nextHousekeeping.Before(m.nextProbe) {
+		return m.nextHousekeeping
 	}
-	return m.nextExchange
+	return m.nextProbe
 }
 
 // tick does what is due by the time.
 func (m *members) tick() error {
 	now := time.Now()
-	if !now.Before(m.nextHeartbeat) {
-		m.nextHeartbeat = now.Add(membership.HeartbeatPeriod)
-		m.heartbeat(now)
+	if !now.Before(m.nextHousekeeping) {
+		m.nextHousekeeping = now.Add(housekeepingPeriod)
+		m.announceIfDue(now)
 		m.expire(now)
 		m.judgeListed(now)
 	}
-	if !now.Before(m.nextExchange) {
-		m.nextExchange = now.Add(exchangePeriod)
+	if !now.Before(m.nextProbe) {
+		m.nextProbe = now.Add(probePeriod)
 		m.updateAlive(now)
-		m.exchange()
+		m.probe()
 	}
 	m.publish()
 	return nil
@@ -130,7 +142,9 @@
 		e.Send(m.answer(e.gossip))
 	case answered:
 		m.receive(e.gossip, now)
-		m.sendWanted(e.gossip)
+		m.continueComparison(e.address, e.gossip)
+	case unreached:
+		m.suspect(e.address, now)
 	case hostsListed:
 		m.adoptList(e.list, now)
 	case manifestTaken:
@@ -138,28 +152,12 @@
 		m.pushAll(nil)
 	case leave:
 		m.self.Leaving = true
-		m.push([]message.Fact{m.heartbeat(now)})
+		m.announce(now)
 	}
 	m.publish()
 	return nil
 }
 
-// heartbeat renews the process's own member fact.
-func (m *members) heartbeat(now time.Time) message.Fact {
-	name := membership.Name(m.self)
-	seen, _ := m.store.Get(message.FactMember, name)
-	rank := membership.NextRank(now, seen.Rank)
-	fact := message.Fact{
-		Kind:          message.FactMember,
-		Key:           name,
-		Rank:          rank,
-		ExpiresUnixMS: int64(rank) + membership.FactLifetime.Milliseconds(),
-		Value:         encodeValue(m.self),
-	}
-	m.take([]message.Fact{fact}, now)
-	return fact
-}
-
 // report takes in a fact of this process.
 func (m *members) report(fact message.Fact, now time.Time) {
 	fact = completed(fact, now)
@@ -169,7 +167,7 @@
 	m.push(m.take([]message.Fact{fact}, now))
 }
 
-// receive takes in the facts of a peer and pushes on those that are urgent.
+// receive takes in the facts of a peer and pushes on those that are news.
 func (m *members) receive(gossip *message.Gossip, now time.Time) {
 	var taken []message.Fact
 	for _, fact := range gossip.Facts {
@@ -179,7 +177,8 @@
 		}
 		taken = append(taken, fact)
 	}
-	m.push(urgent(m.take(taken, now)))
+	m.push(m.take(taken, now))
+	m.refute(now)
 }
 
 // take merges facts into the store and returns those that were news.
@@ -197,48 +196,12 @@
 	return news
 }
 
-func (m *members) learnMember(fact message.Fact) {
-	member, err := decodeValue[message.Member](fact.Value)
-	if err != nil {
-		m.log.Warn("malformed member", zap.String("member", fact.Key), zap.Error(err))
-		return
-	}
-	if m.known[fact.Key] != member {
-		m.known[fact.Key] = member
-		m.changed = true
-	}
-	m.setAlive(fact.Key, true)
-}
-
-func (m *members) setAlive(name string, alive bool) {
-	if m.alive[name] == alive {
-		return
-	}
-	m.changed = true
-	if alive {
-		m.alive[name] = true
-		m.log.Info("member found", zap.String("member", name))
-		return
-	}
-	delete(m.alive, name)
-	m.log.Warn("member unheard, taken for dead", zap.String("member", name))
-}
-
-// updateAlive drops the members that were unheard for too long.
-func (m *members) updateAlive(now time.Time) {
-	for name := range m.alive {
-		heard := m.store.RaisedAt(message.FactMember, name)
-		if name != membership.Name(m.self) && !membership.Alive(heard, now) {
-			m.setAlive(name, false)
-		}
-	}
-}
-
 func (m *members) expire(now time.Time) {
 	for _, fact := range m.store.Expire(now) {
 		if fact.Kind == message.FactMember {
 			delete(m.known, fact.Key)
-			continue
+			delete(m.alive, fact.Key)
+			delete(m.suspectedAt, fact.Key)
 		}
 		m.changed = true
 	}
@@ -252,7 +215,7 @@
 	}
 	s := m.snapshot()
 	m.metrics.members.Set(float64(len(s.members)))
-	m.metrics.facts.Set(float64(len(m.store.All())))
+	m.metrics.facts.Set(float64(m.store.Len()))
 	m.orderWatches(s.members)
 	err := m.configuration.TryPut(shared{snapshot: s})
 	m.changed = errors.Is(err, ring.ErrFull)
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -8,7 +8,7 @@
 	manifestsRejected prometheus.Counter
 	members           prometheus.Gauge
 	facts             prometheus.Gauge
-	gossipBytes       *prometheus.CounterVec
+	peerBytes         *prometheus.CounterVec
 	gossipCalls       *prometheus.CounterVec
 	platformCalls     *prometheus.CounterVec
 }
@@ -23,8 +23,9 @@
 			Name: "kingcup_members", Help: "Processes believed to be alive, this one included."}),
 		facts: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "kingcup_facts", Help: "Facts held."}),
-		gossipBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "kingcup_gossip_bytes_total", Help: "Bytes of gossip bodies in calls made by this process."},
+		peerBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kingcup_control_bytes_total",
+			Help: "Bytes on the connections that the control duties of this process opened to peers."},
 			[]string{"direction"}),
 		gossipCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kingcup_gossip_calls_total", Help: "Gossip calls made by this process."}, []string{"result"}),
@@ -34,7 +35,7 @@
 	}
 	if registry != nil {
 		registry.MustRegister(m.manifestVersion, m.manifestsRejected, m.members, m.facts,
-			m.gossipBytes, m.gossipCalls, m.platformCalls)
+			m.peerBytes, m.gossipCalls, m.platformCalls)
 	}
 	return m
 }
--- a/internal/control/supervisor.go
+++ b/internal/control/supervisor.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// pushers is how many duties push urgent facts, and so how many peers a
+	// pushers is how many duties push news, and so how many peers a
 	// fact is pushed to by each process that learns it.
 	pushers = 3
 	// fetchers is how many duties fetch manifests from peers.
@@ -44,8 +44,9 @@
 func build(options Options) *Control {
 	c := &Control{self: selfOf(options)}
 	counters := newMetrics(options.Metrics)
-	transport := codec.NewTransport(fetchTimeout)
-	client := &http.Client{Transport: countingTransport{transport, counters}}
+	client := newPeerClient(counters)
+	fresh := newPeerClient(counters)
+	fresh.Transport.(*http.Transport).DisableKeepAlives = true
 	c.configuration = newConfiguration(c, options.Log, counters)
 	c.members = newMembers(c, options.Log, counters, options.Settings.Peers)
 	c.configuration.members = c.members.inbox
@@ -55,10 +56,10 @@
 		{Name: "configuration", Duty: c.configuration},
 		{Name: "members", Duty: c.members},
 	}
-	caller := caller{self: c.self.Address, client: client, members: c.members.inbox, metrics: counters}
-	c.members.exchanges = ring.New[outgoing]("control_exchange", outgoingRing)
-	children = append(children, supervisor.Child{Name: "exchange",
-		Duty: &exchanger{caller: caller, inbox: c.members.exchanges}})
+	caller := caller{client: client, fresh: fresh, members: c.members.inbox, metrics: counters}
+	c.members.probes = ring.New[outgoing]("control_probe", outgoingRing)
+	children = append(children, supervisor.Child{Name: "probe",
+		Duty: &exchanger{caller: caller, inbox: c.members.probes}})
 	for i := range pushers {
 		inbox := ring.New[outgoing]("control_push", outgoingRing)
 		c.members.pushes = append(c.members.pushes, inbox)
@@ -67,7 +68,7 @@
 	}
 	for i := range fetchers {
 		children = append(children, supervisor.Child{Name: fmt.Sprintf("fetch-%d", i),
-			Duty: c.newFetcher(i, &http.Client{Transport: transport}, options)})
+			Duty: c.newFetcher(i, client, options)})
 	}
 	children = append(children, c.watchers(options, counters)...)
 	for i := range children {
@@ -77,6 +78,13 @@
 	return c
 }
 
+// newPeerClient returns a client whose connections are counted.
+func newPeerClient(counters *metrics) *http.Client {
+	transport := codec.NewTransport(fetchTimeout)
+	countBytes(transport, counters.peerBytes)
+	return &http.Client{Transport: transport}
+}
+
 func selfOf(options Options) message.Member {
 	return message.Member{
 		Host:             options.Settings.Host,
@@ -139,6 +147,8 @@
 		list:    leaving.NewList(),
 		known:   map[string]message.Member{},
 		alive:   map[string]bool{membership.Name(c.self): true},
+
+		suspectedAt: map[string]time.Time{},
 	}
 }
 
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -3,8 +3,8 @@
 // share. Its duties publish one immutable View to the rings of subscribers.
 //
 // The duties are: configuration, which owns the manifest in force and
-// publishes the View; members, which owns the shared facts; exchange and
-// push, which call peers for members; fetch, which gets manifests from peers;
+// publishes the View; members, which owns the shared facts; probe and push,
+// which call peers for members; fetch, which gets manifests from peers;
 // and watchers, which follow the platform.
 //
 // # Calls to the platform
--- a/internal/decision/membership/membership.go
+++ b/internal/decision/membership/membership.go
@@ -1,5 +1,10 @@
 // Package membership decides which processes count as alive and which of
 // them watch the platform on behalf of all.
+//
+// A process announces itself once. Each process probes a random other one
+// each period, and suspects it when it does not answer. The suspicion is told
+// to all; the suspect, if it is alive, hears of it and announces itself again.
+// The load of a process does not grow with the number of processes.
 package membership
 
 import (
@@ -13,33 +18,46 @@
 )
 
 const (
-	// HeartbeatPeriod is how often a process renews its member fact.
-	HeartbeatPeriod = time.Second
-	// DeadAfter is how long a member may be unheard before it counts as
-	// dead. It is measured on the listener's clock.
-	DeadAfter = 3 * time.Second
-	// ClockSkew is how far the clocks of two hosts may differ.
-	ClockSkew = 5 * time.Second
-	// FactLifetime is how long a member fact lasts after its heartbeat, so
-	// that a dead member is not taken for alive by one who hears of it late.
-	FactLifetime = DeadAfter + ClockSkew
+	// SuspectTimeout is how long a suspect has to announce itself again
+	// before it counts as dead. It is measured on the listener's clock.
+	SuspectTimeout = 2 * time.Second
+	// SuspectAgainAfter is how long a process that was suspected in error is
+	// not suspected again by the same process, so that one broken path
+	// between two processes does not keep all others busy.
+	SuspectAgainAfter = 5 * time.Second
+	// FactLifetime is how long a member's fact lasts after it announced
+	// itself.
+	FactLifetime = time.Hour
+	// AnnouncePeriod is how often a process announces itself unasked, so
+	// that its fact does not expire.
+	AnnouncePeriod = FactLifetime / 3
 	// MaxWatchers is how many processes hold watches on the platform. The
 	// rest learn by gossip and poll slowly.
 	MaxWatchers = 24
 )
 
-// Alive tells whether a member whose heartbeat last rose at heard is alive.
-func Alive(heard, now time.Time) bool {
-	return now.Sub(heard) < DeadAfter
+// Alive tells whether a member counts as alive, whose fact's rank last rose at
+// raised.
+func Alive(m message.Member, raised, now time.Time) bool {
+	return !m.Suspect || now.Sub(raised) < SuspectTimeout
 }
 
-// NextRank returns the rank of the next heartbeat: the time in Unix
+// NextRank returns the rank of the next announcement: the time in Unix
 // milliseconds, but always above the last one that anybody has seen, so that
 // a process that restarts with an earlier clock is heard at once.
 func NextRank(now time.Time, seen uint64) uint64 {
 	return max(uint64(max(now.UnixMilli(), 0)), seen+1)
 }
 
+// Suspicion returns the fact by which a member is suspected: one rank above
+// its own announcement.
+func Suspicion(announced message.Fact, value []byte) message.Fact {
+	suspicion := announced
+	suspicion.Rank++
+	suspicion.Value = value
+	return suspicion
+}
+
 // Name returns the key of a member's fact.
 func Name(m message.Member) string { return m.Host + "/" + string(m.Role) }
 
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -133,8 +133,9 @@
 	RoleRollout   Role = "rollout"
 )
 
-// Member describes a process of the system. Its fact's rank is the time of
-// its newest heartbeat in Unix milliseconds.
+// Member describes a process of the system. Its fact's rank is the time at
+// which the process last announced itself in Unix milliseconds, or one above
+// that for a suspicion.
 type Member struct {
 	Host             string                `json:"host"`
 	Role             Role                  `json:"role"`
@@ -144,6 +145,9 @@
 	Address string `json:"address"`
 	// Leaving tells that the process drains and must get no new work.
 	Leaving bool `json:"leaving,omitempty"`
+	// Suspect tells that another process could not reach this one. It counts
+	// as dead unless it announces itself again soon.
+	Suspect bool `json:"suspect,omitempty"`
 }
 
 // BadVersion tells why a version was judged bad.
@@ -181,12 +185,26 @@
 	Fence uint64 `json:"fence"`
 }
 
-// Gossip is one exchange between two processes: the sender's digest and the
-// facts that it believes the other lacks. The answer has the same form.
+// Gossip is one message between two processes; the answer has the same form.
+//
+// A probe carries the hash of all facts that the sender holds. The answer
+// carries the hash of the other side and, if they differ, the hash of each
+// bucket of facts. A comparison then carries the digest of the buckets that
+// differ, its scope; the answer carries the facts that the sender lacks, and
+// in its digest those that the other side wants. A message without hash and
+// scope only brings facts.
 type Gossip struct {
-	From   string       `json:"from"`
+	// From is the sender's control address.
+	From string `json:"from"`
+	// Hash is the hash of all facts that the sender holds.
+	Hash uint64 `json:"hash,omitempty"`
+	// Buckets are the hashes of the sender's facts, by bucket.
+	Buckets []uint64 `json:"buckets,omitempty"`
+	// Scope lists the buckets that Digest covers.
+	Scope  []int        `json:"scope,omitempty"`
 	Digest []FactDigest `json:"digest,omitempty"`
-	Facts  []Fact       `json:"facts,omitempty"`
+	// Facts always includes the FactManifest that the sender itself holds.
+	Facts []Fact `json:"facts,omitempty"`
 }
 
 // FactDigest names the rank that a process knows of a fact.
