--- a/internal/control/liveness_test.go
+++ b/internal/control/liveness_test.go
@@ -21,7 +21,7 @@
 	a.await(t, soon, "both members", func(v *View) bool { return len(v.Members) == 2 })
 	suspect := b.Self()
 	suspect.Suspect = true
-	rank := uint64(time.Now().Add(5*time.Second).UnixMilli())
+	rank := uint64(time.Now().Add(5 * time.Second).UnixMilli())
 	err := a.Report(message.Fact{Kind: message.FactMember, Key: membership.Name(suspect), Rank: rank, Value: encodeValue(suspect)})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/decision/facts/compare.go
+++ b/internal/decision/facts/compare.go
@@ -1,7 +1,6 @@
 package facts
 
 import (
-	"encoding/binary"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -116,9 +115,15 @@
 // toggle adds a fact to the hash of its bucket, or takes it out.
 func (s *Store) toggle(fact message.Fact) {
 	id := ID{fact.Kind, fact.Key}
-	s.buckets[bucketOf(id)] ^= xxhash.Sum64(binary.BigEndian.AppendUint64(idBytes(id), fact.Rank))
+	s.buckets[bucketOf(id)] ^= hash(id, fact.Rank)
 }
 
-func bucketOf(id ID) int { return int(xxhash.Sum64(idBytes(id)) % Buckets) }
+func bucketOf(id ID) int { return int(hash(id, 0) % Buckets) }
 
-func idBytes(id ID) []byte { return []byte(string(id.Kind) + "\x00" + id.Key) }
+func hash(id ID, seed uint64) uint64 {
+	digest := xxhash.NewWithSeed(seed)
+	_, _ = digest.WriteString(string(id.Kind)) // never fails
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(id.Key)
+	return digest.Sum64()
+}
