--- a/internal/entry/completions/completions.go
+++ b/internal/entry/completions/completions.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
@@ -121,13 +120,3 @@
 	}
 	return text.String()
 }
-
-// AsStream returns the body with "stream" set, all else unchanged.
-func AsStream(raw []byte) ([]byte, error) {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(raw, &fields); err != nil {
-		return nil, eris.Wrap(ErrMalformed, err.Error())
-	}
-	fields["stream"] = json.RawMessage(strconv.FormatBool(true))
-	return json.Marshal(fields)
-}
--- /dev/null
+++ b/internal/entry/reports/reports_test.go
@@ -0,0 +1,219 @@
+package reports
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/control"
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/ownership"
+	"kingcupcourse/internal/entry/peer"
+	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/ring"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var (
+	shard = ownership.Shard{Pool: "p", Region: "n"}
+	now   = time.Unix(1000, 0)
+)
+
+func ended(attempt, key string) Ended {
+	return Ended{Shard: shard, KeepUntil: now.Add(time.Hour),
+		Outcome: core.Outcome{Attempt: attempt, Key: key, Result: core.ResultOK}}
+}
+
+func TestOutcomesStayUntilAcknowledged(t *testing.T) {
+	s := newShardState(shard)
+	s.end(ended("a", ""))
+	if !s.due(now) {
+		t.Fatal("not due at once")
+	}
+	first := s.report("h", 1, now)
+	s.end(ended("b", ""))
+	if s.due(now) {
+		t.Fatal("a second report beside the one on its way")
+	}
+	s.failed(now)
+	if s.due(now) || !s.due(now.Add(retryInterval)) {
+		t.Fatal("no pause after a failure")
+	}
+	second := s.report("h", 1, now.Add(retryInterval))
+	if len(first.Outcomes) != 1 || len(second.Outcomes) != 2 || !second.Full {
+		t.Fatalf("%d then %d outcomes, full %t", len(first.Outcomes), len(second.Outcomes), second.Full)
+	}
+	s.acknowledged()
+	if len(s.unsent) != 0 {
+		t.Fatal("acknowledged outcomes stay")
+	}
+}
+
+func TestFullStoreDropsOutcomesWithoutAKeyFirst(t *testing.T) {
+	s := newShardState(shard)
+	s.end(ended("keyed", "k"))
+	for i := range maxUnsent + 10 {
+		s.end(ended(fmt.Sprint(i), ""))
+	}
+	if len(s.unsent) != maxUnsent || s.unsent[0].outcome.Attempt != "keyed" {
+		t.Fatalf("%d kept, the first is %s", len(s.unsent), s.unsent[0].outcome.Attempt)
+	}
+}
+
+func TestOutcomesExpire(t *testing.T) {
+	s := newShardState(shard)
+	s.end(ended("a", "k"))
+	if report := s.report("h", 1, now.Add(2*time.Hour)); len(report.Outcomes) != 0 {
+		t.Fatal("an outcome outlives its retention")
+	}
+}
+
+func TestRedirectionAndRank(t *testing.T) {
+	s := newShardState(shard)
+	members := []message.Member{{Host: "1", Role: message.RoleScheduler, Region: "n", Address: "one"},
+		{Host: "2", Role: message.RoleScheduler, Region: "n", Address: "two"}}
+	first := s.address(members)
+	s.failed(now)
+	if second := s.address(members); second == first {
+		t.Fatal("the silent owner is asked again at once")
+	}
+	s.redirected("named", now)
+	if s.address(members) != "named" {
+		t.Fatal("the named owner is not asked")
+	}
+	s.acknowledged()
+	if s.address(members) != "named" {
+		t.Fatal("the owner that answered is left")
+	}
+}
+
+// scheduler records reports and answers as told.
+type scheduler struct {
+	*httptest.Server
+	mu      sync.Mutex
+	reports []message.OutcomeReport
+	down    bool
+}
+
+func newScheduler(t *testing.T) *scheduler {
+	s := &scheduler{}
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var report message.OutcomeReport
+		_ = json.NewDecoder(r.Body).Decode(&report)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		s.reports = append(s.reports, report)
+		_ = json.NewEncoder(w).Encode(message.OutcomeAck{})
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func (s *scheduler) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *scheduler) count(holds func(message.OutcomeReport) bool) (count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, report := range s.reports {
+		if holds(report) {
+			count++
+		}
+	}
+	return count
+}
+
+func serve(t *testing.T, s *scheduler) *Reports {
+	views := ring.NewLatest[*control.View]()
+	views.Publish(&control.View{
+		Manifest: &manifest.Manifest{Pools: []manifest.Pool{{Name: "p"}}, Regions: []manifest.Region{{Name: "n"}}},
+		Members: []message.Member{{Host: "1", Role: message.RoleScheduler, Region: "n",
+			Address: strings.TrimPrefix(s.URL, "http://")}}})
+	client := peer.NewClient()
+	r := New(Config{Host: "h", Views: views}, client, zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := ring.NewReply[error]()
+	go func() { stopped.Send(r.Serve(ctx)) }()
+	t.Cleanup(func() {
+		cancel()
+		_, _ = stopped.Wait(context.Background())
+		client.Close()
+	})
+	return r
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+func TestHeartbeatListsWhatRuns(t *testing.T) {
+	s := newScheduler(t)
+	r := serve(t, s)
+	_ = r.Inbox.Put(t.Context(), Started{Shard: shard, Running: message.RunningRequest{Attempt: "a"}})
+	_ = r.Inbox.Put(t.Context(), Progress{Shard: shard, Attempt: "a", OutputTokens: 7})
+	eventually(t, "two heartbeats with the attempt", func() bool {
+		return s.count(func(report message.OutcomeReport) bool {
+			return report.Full && len(report.Running) == 1 && report.Running[0].OutputTokens == 7
+		}) >= 2
+	})
+}
+
+func TestOutcomeIsResentUntilAnOwnerTakesIt(t *testing.T) {
+	s := newScheduler(t)
+	s.setDown(true)
+	r := serve(t, s)
+	m := ended("a", "k")
+	m.KeepUntil = time.Now().Add(time.Hour)
+	m.Acknowledged = ring.NewReply[struct{}]()
+	_ = r.Inbox.Put(t.Context(), m)
+	early, cancel := context.WithTimeout(t.Context(), 3*retryInterval)
+	defer cancel()
+	if _, err := m.Acknowledged.Wait(early); err == nil {
+		t.Fatal("acknowledged by no one")
+	}
+	s.setDown(false)
+	if _, err := m.Acknowledged.Wait(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestGrantCallIsCancelledWhenItsSchedulerIsSilent(t *testing.T) {
+	s := newScheduler(t)
+	s.setDown(true)
+	r := serve(t, s)
+	call, cancel := context.WithCancelCause(t.Context())
+	defer cancel(nil)
+	_ = r.Inbox.Put(t.Context(), Watch{Address: strings.TrimPrefix(s.URL, "http://"), Attempt: "a", Cancel: cancel})
+	select {
+	case <-call.Done():
+	case <-time.After(5 * time.Second):
+		t.Fatal("not cancelled")
+	}
+	if !errors.Is(context.Cause(call), ErrOwnerSilent) {
+		t.Fatal(context.Cause(call))
+	}
+}
