--- /dev/null
+++ b/internal/decision/journal/journal_test.go
@@ -0,0 +1,391 @@
+package journal
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kingcupcourse/internal/core"
+)
+
+// object is one slot in the simulated platform.
+type object struct {
+	version uint64
+	batch   *Batch
+}
+
+// sim runs several owners against one simulated platform.
+type sim struct {
+	t       *rapid.T
+	now     time.Time
+	objects map[int]object
+	version uint64
+	owners  []*simOwner
+	created int
+	// late are writes whose answer is lost and that may still arrive.
+	late []Op
+	// dispatched is the attempt of each key that has left for an endpoint.
+	dispatched map[string]string
+	attempts   int
+}
+
+type simOwner struct {
+	machine *Machine
+	ops     []Op
+	// keys holds the key of each attempt that was asked for here.
+	keys map[string]string
+}
+
+const simSlots = 4
+
+func newSim(t *rapid.T) *sim {
+	s := &sim{t: t, now: time.UnixMilli(1_700_000_000_000), objects: map[int]object{}, dispatched: map[string]string{}}
+	for range 2 {
+		s.owners = append(s.owners, s.newOwner())
+	}
+	return s
+}
+
+func (s *sim) newOwner() *simOwner {
+	s.created++
+	return &simOwner{keys: map[string]string{}, machine: New(Config{
+		Owner: fmt.Sprintf("owner-%d", s.created), Slots: simSlots, Retention: time.Hour, Skew: time.Second,
+		Flush: time.Millisecond, SlotBytes: 250, Random: rand.New(rand.NewPCG(1, uint64(s.created)))})}
+}
+
+func simKey(at time.Time, n int) string {
+	ms := at.UnixMilli()
+	return fmt.Sprintf("%08x-%04x-7000-8000-%012x", ms>>16, ms&0xffff, n)
+}
+
+// step lets one owner go on and deals with its answers.
+func (s *sim) step(o *simOwner) {
+	o.ops = append(o.ops, o.machine.Ops(s.now)...)
+	writes := 0
+	for _, op := range o.ops {
+		if op.Kind == OpWrite {
+			writes++
+		}
+	}
+	if writes > 1 {
+		s.t.Fatal("two writes in flight")
+	}
+	for _, answer := range o.machine.Answers() {
+		s.answered(o, answer)
+	}
+}
+
+// answered plays the entry: a reservation is dispatched or given back.
+func (s *sim) answered(o *simOwner, a Answer) {
+	key, asking := o.keys[a.Attempt]
+	if !a.Reserved || !asking {
+		return
+	}
+	if rapid.Bool().Draw(s.t, "refused by the queue") && s.dispatched[key] != a.Attempt {
+		s.giveUp(o, a.Attempt)
+		return
+	}
+	if before, ok := s.dispatched[key]; ok && before != a.Attempt {
+		s.t.Fatalf("key %s was dispatched as %s and now as %s", key, before, a.Attempt)
+	}
+	s.dispatched[key] = a.Attempt
+}
+
+// giveUp releases an attempt that was not dispatched. Its entry never asks
+// for it again.
+func (s *sim) giveUp(o *simOwner, attempt string) {
+	o.machine.Release(o.keys[attempt], attempt, s.now)
+	for _, owner := range s.owners {
+		delete(owner.keys, attempt)
+	}
+}
+
+// anyAttempt draws one of the attempts that an owner was asked for.
+func (s *sim) anyAttempt(o *simOwner) string {
+	if len(o.keys) == 0 {
+		s.t.Skip("no attempt yet")
+	}
+	return rapid.SampledFrom(slices.Sorted(maps.Keys(o.keys))).Draw(s.t, "attempt")
+}
+
+// call carries one call of an owner out, well or badly.
+func (s *sim) call(o *simOwner) {
+	if len(o.ops) == 0 {
+		return
+	}
+	at := rapid.IntRange(0, len(o.ops)-1).Draw(s.t, "op")
+	s.carryOut(o, at, rapid.SampledFrom([]string{"", "", "", "lost", "dropped", "late", "rejected"}).Draw(s.t, "fault"))
+}
+
+// settle lets one owner's calls work until it wants no more or has made a
+// number of them.
+func (s *sim) settle(o *simOwner, calls int) {
+	for range calls {
+		s.now = s.now.Add(2 * time.Millisecond)
+		s.step(o)
+		if len(o.ops) > 0 {
+			s.carryOut(o, 0, "")
+		}
+	}
+	s.step(o)
+}
+
+func (s *sim) carryOut(o *simOwner, at int, fault string) {
+	op := o.ops[at]
+	o.ops = slices.Delete(o.ops, at, at+1)
+	if op.Kind == OpRead {
+		found := s.objects[op.Slot]
+		o.machine.ReadDone(ReadResult{Slot: op.Slot, Failed: fault != "", Version: found.version, Batch: found.batch}, s.now)
+		return
+	}
+	switch fault {
+	case "":
+		result, version := s.put(op)
+		o.machine.WriteDone(result, version, s.now)
+	case "lost":
+		s.put(op)
+		o.machine.WriteDone(WriteUnknown, 0, s.now)
+	case "late":
+		s.late = append(s.late, op)
+		o.machine.WriteDone(WriteUnknown, 0, s.now)
+	case "dropped":
+		o.machine.WriteDone(WriteUnknown, 0, s.now)
+	case "rejected":
+		o.machine.WriteDone(WriteRejected, 0, s.now)
+	}
+}
+
+func (s *sim) put(op Op) (WriteResult, uint64) {
+	if s.objects[op.Slot].version != op.IfVersion {
+		return WriteConflict, 0
+	}
+	s.version++
+	batch := *op.Batch
+	s.objects[op.Slot] = object{version: s.version, batch: &batch}
+	return WriteApplied, s.version
+}
+
+func (s *sim) owner() *simOwner {
+	return s.owners[rapid.IntRange(0, len(s.owners)-1).Draw(s.t, "owner")]
+}
+
+// TestAtMostOnce races owners that lose answers, are replaced and crash, and
+// checks that no two attempts of a key are ever dispatched.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t)
+		start := s.now
+		t.Repeat(map[string]func(*rapid.T){
+			"own": func(t *rapid.T) {
+				o := s.owner()
+				o.machine.Own(rapid.IntRange(0, 4).Draw(t, "wanted") > 0, s.now)
+				s.step(o)
+			},
+			"ask": func(t *rapid.T) {
+				o := s.owner()
+				key := simKey(start, rapid.IntRange(0, 5).Draw(t, "key"))
+				s.attempts++
+				attempt := fmt.Sprintf("attempt-%d", s.attempts)
+				o.keys[attempt] = key
+				o.machine.Ask(Ask{Key: key, Attempt: attempt, Fingerprint: "f"}, s.now)
+				s.step(o)
+			},
+			"ask again elsewhere": func(t *rapid.T) {
+				from, to := s.owner(), s.owner()
+				attempt := s.anyAttempt(from)
+				to.keys[attempt] = from.keys[attempt]
+				to.machine.Ask(Ask{Key: to.keys[attempt], Attempt: attempt, Fingerprint: "f"}, s.now)
+				s.step(to)
+			},
+			"give up": func(t *rapid.T) {
+				o := s.owner()
+				attempt := s.anyAttempt(o)
+				if s.dispatched[o.keys[attempt]] != attempt {
+					s.giveUp(o, attempt)
+				}
+			},
+			"call": func(t *rapid.T) {
+				o := s.owner()
+				s.call(o)
+				s.step(o)
+			},
+			"settle": func(t *rapid.T) {
+				s.settle(s.owner(), rapid.IntRange(1, 20).Draw(t, "calls"))
+			},
+			"late write": func(t *rapid.T) {
+				if len(s.late) == 0 {
+					t.Skip("none")
+				}
+				at := rapid.IntRange(0, len(s.late)-1).Draw(t, "which")
+				s.put(s.late[at])
+				s.late = slices.Delete(s.late, at, at+1)
+			},
+			"finish": func(t *rapid.T) {
+				key := simKey(start, rapid.IntRange(0, 5).Draw(t, "key"))
+				if attempt, ok := s.dispatched[key]; ok {
+					o := s.owner()
+					o.machine.Finish(Record{Key: key, Attempt: attempt, Result: core.ResultOK, Status: 201}, s.now)
+					s.step(o)
+				}
+			},
+			"crash": func(t *rapid.T) {
+				if rapid.IntRange(0, 4).Draw(t, "seldom") == 0 {
+					s.owners[rapid.IntRange(0, 1).Draw(t, "which")] = s.newOwner()
+				}
+			},
+			"wait": func(t *rapid.T) {
+				s.now = s.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+			},
+		})
+	})
+}
+
+// lone is one owner whose calls all work.
+func lone(t *testing.T) (*Machine, map[int]object, func(time.Time)) {
+	t.Helper()
+	m := New(Config{Owner: "o", Slots: simSlots, Retention: time.Hour, Skew: time.Second, SlotBytes: 500,
+		Random: rand.New(rand.NewPCG(1, 1))})
+	objects, version := map[int]object{}, uint64(0)
+	run := func(now time.Time) {
+		for ops := m.Ops(now); len(ops) > 0; ops = m.Ops(now) {
+			for _, op := range ops {
+				if op.Kind == OpRead {
+					m.ReadDone(ReadResult{Slot: op.Slot, Version: objects[op.Slot].version, Batch: objects[op.Slot].batch}, now)
+					continue
+				}
+				version++
+				objects[op.Slot] = object{version: version, batch: op.Batch}
+				m.WriteDone(WriteApplied, version, now)
+			}
+		}
+	}
+	return m, objects, run
+}
+
+func TestAnswersByTheStateOfTheKey(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	m, _, run := lone(t)
+	m.Own(true, now)
+	run(now)
+	ask := func(key, attempt, fingerprint string) Answer {
+		m.Ask(Ask{Key: key, Attempt: attempt, Fingerprint: fingerprint}, now)
+		run(now)
+		answers := m.Answers()
+		if len(answers) != 1 {
+			t.Fatalf("got %d answers", len(answers))
+		}
+		return answers[0]
+	}
+	done, lost, open, freed := simKey(now, 1), simKey(now, 2), simKey(now, 3), simKey(now, 4)
+	for _, key := range []string{done, lost, open, freed} {
+		if !ask(key, "a", "f").Reserved {
+			t.Fatalf("%s not reserved", key)
+		}
+	}
+	m.Finish(Record{Key: done, Attempt: "a", Result: core.ResultOK, Status: 201, Answer: []byte("x"), Whole: true}, now)
+	m.Finish(Record{Key: lost, Attempt: "a", Result: core.ResultLost}, now)
+	m.Release(freed, "a", now)
+	run(now)
+	for _, test := range []struct {
+		name, key, attempt, fingerprint string
+		want                            string
+	}{
+		{"finished", done, "b", "f", "prior"},
+		{"lost", lost, "b", "f", string(core.OutcomeUnknown)},
+		{"open, another attempt", open, "b", "f", string(core.OutcomeUnknown)},
+		{"open, same attempt", open, "a", "f", "reserved"},
+		{"other body", open, "a", "g", string(core.ReasonKeyReused)},
+		{"released", freed, "b", "f", "reserved"},
+		{"too old", simKey(now.Add(-2*time.Hour), 1), "b", "f", string(core.ReasonKeyExpired)},
+		{"from the future", simKey(now.Add(time.Minute), 1), "b", "f", string(core.ReasonKeyExpired)},
+		{"not a UUIDv7", "key", "b", "f", string(core.ReasonKeyExpired)},
+	} {
+		if got := describe(ask(test.key, test.attempt, test.fingerprint)); got != test.want {
+			t.Errorf("%s: got %s, want %s", test.name, got, test.want)
+		}
+	}
+}
+
+func describe(a Answer) string {
+	switch {
+	case a.Reserved:
+		return "reserved"
+	case a.Prior != nil:
+		return "prior"
+	case a.Refusal.Disposition != core.NotRun:
+		return string(a.Refusal.Disposition)
+	default:
+		return string(a.Refusal.Reason)
+	}
+}
+
+// TestFullJournalRefusesRatherThanForgets fills the ring of slots within the
+// retention, and finds room again when the oldest slot is out of it.
+func TestFullJournalRefusesRatherThanForgets(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	m, objects, run := lone(t)
+	m.Own(true, now)
+	run(now)
+	reserve := func(n int) Answer {
+		m.Ask(Ask{Key: simKey(now, n), Attempt: "a", Fingerprint: "f"}, now)
+		run(now)
+		return m.Answers()[0]
+	}
+	reserved := 0
+	for reserve(reserved).Reserved {
+		reserved++
+	}
+	if len(objects) != simSlots || reserved < 3*simSlots {
+		t.Fatalf("full with %d keys in %d slots", reserved, len(objects))
+	}
+	if a := reserve(reserved); a.Refusal.Reason != core.ReasonJournalDown || a.Refusal.RetryAfter == 0 {
+		t.Fatalf("got %+v", a.Refusal)
+	}
+	now = now.Add(time.Hour + 2*time.Second)
+	if a := reserve(reserved); !a.Reserved {
+		t.Fatalf("after the retention: got %+v", a.Refusal)
+	}
+}
+
+func TestOneBatchIsGatheredWhileAWriteIsInFlight(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	m, objects, run := lone(t)
+	m.Own(true, now)
+	run(now)
+	for n := range 5 {
+		m.Ask(Ask{Key: simKey(now, n), Attempt: "a", Fingerprint: "f"}, now)
+	}
+	before := m.writes
+	run(now)
+	if m.writes != before+1 || len(objects[0].batch.Records) != 6 {
+		t.Fatalf("%d writes, %d records", m.writes-before, len(objects[0].batch.Records))
+	}
+}
+
+func BenchmarkReserveAndFinish(b *testing.B) {
+	now := time.UnixMilli(1_700_000_000_000)
+	m := New(Config{Owner: "o", Slots: simSlots, Retention: time.Millisecond, Random: rand.New(rand.NewPCG(1, 1))})
+	m.Own(true, now)
+	for _, op := range m.Ops(now) {
+		m.ReadDone(ReadResult{Slot: op.Slot}, now)
+	}
+	version := uint64(0)
+	b.ReportAllocs()
+	for i := range b.N {
+		now = now.Add(time.Millisecond)
+		key := simKey(now, i)
+		m.Ask(Ask{Key: key, Attempt: "a", Fingerprint: "f"}, now)
+		m.Finish(Record{Key: key, Attempt: "a", Result: core.ResultOK, Status: 201}, now)
+		for range m.Ops(now) {
+			version++
+			m.WriteDone(WriteApplied, version, now)
+		}
+		m.Answers()
+		m.Prune(now)
+	}
+}
--- a/internal/decision/journal/machine.go
+++ b/internal/decision/journal/machine.go
@@ -94,6 +94,8 @@
 	// reading are the slots whose read is not yet done.
 	reading map[int]bool
 	found   map[int]*Batch
+	// confirmed are the slots that were read after the head was found.
+	confirmed map[int]bool
 	// rereading tells that only the slots from the head on are read.
 	rereading bool
 
@@ -234,7 +236,7 @@
 	m.slots = make([]slot, m.config.Slots)
 	m.keys = map[string]*key{}
 	m.head, m.gathered, m.held = nil, nil, nil
-	m.reading, m.found, m.rereading = nil, nil, false
+	m.reading, m.found, m.confirmed, m.rereading = nil, nil, nil, false
 	m.write, m.nextOps = nil, nil
 }
 
--- a/internal/decision/journal/takeover.go
+++ b/internal/decision/journal/takeover.go
@@ -19,6 +19,7 @@
 	m.forget()
 	m.state = stateReading
 	m.found = map[int]*Batch{}
+	m.confirmed = map[int]bool{}
 	m.reading = map[int]bool{}
 	for i := range m.slots {
 		m.read(i)
@@ -52,16 +53,34 @@
 	if m.rereading && newer {
 		m.read((r.Slot + 1) % len(m.slots))
 	}
-	if len(m.reading) > 0 {
-		return
-	}
-	if !m.wanted {
-		m.resign("this scheduler no longer owns the pool")
+	if len(m.reading) > 0 || m.readSuspects() {
 		return
 	}
 	m.state = stateClaiming
 }
 
+// readSuspects reads again what may have changed since it was read. The
+// slots are not read at one moment: a former owner may have filled a slot
+// after it was read and gone on to the next before that was. A batch that is
+// not the head is final once it is full, and in any case when it is read
+// after the head was found. It returns false if there is nothing to read.
+func (m *Machine) readSuspects() bool {
+	if m.head == nil {
+		return false
+	}
+	oldest := m.head.Seq - min(m.head.Seq, uint64(len(m.slots)-1))
+	for seq := oldest; seq < m.head.Seq; seq++ {
+		at := m.slotOf(seq)
+		batch := m.found[at]
+		final := batch != nil && batch.Seq == seq && batch.size() >= m.config.SlotBytes
+		if !final && !m.confirmed[at] {
+			m.confirmed[at] = true
+			m.read(at)
+		}
+	}
+	return len(m.reading) > 0
+}
+
 // learn notes a slot's content. It tells whether the content is newer than
 // what was known.
 func (m *Machine) learn(r ReadResult) (newer bool) {
@@ -70,6 +89,9 @@
 	if r.Batch != nil {
 		s.seq, s.newest = r.Batch.Seq, r.Batch.newest()
 		m.found[r.Slot] = r.Batch
+		if m.head == nil || r.Batch.Seq > m.head.Seq {
+			clear(m.confirmed)
+		}
 		if m.head == nil || r.Batch.Seq >= m.head.Seq {
 			m.head = r.Batch
 		}
--- a/internal/scheduler/handlers.go
+++ b/internal/scheduler/handlers.go
@@ -58,16 +58,16 @@
 	}
 	reply, err := grant.Wait(ctx)
 	if err != nil {
-		withdraw(ctx, queue, r.Attempt)
+		withdraw(ctx, queue, inbox.Withdraw{Attempt: r.Attempt, Reply: grant.Reply})
 		return nil, err
 	}
 	return &reply, nil
 }
 
-func withdraw(ctx context.Context, queue *ring.Ring[inbox.Queue], attempt string) {
+func withdraw(ctx context.Context, queue *ring.Ring[inbox.Queue], message inbox.Withdraw) {
 	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), withdrawTimeout)
 	defer cancel()
-	_ = queue.Put(bounded, inbox.Withdraw{Attempt: attempt}) // else it is dropped at its deadline
+	_ = queue.Put(bounded, message) // else it is dropped at its deadline
 }
 
 func (h *handlers) outcomes(ctx context.Context, r *message.OutcomeReport) (*message.OutcomeAck, error) {
--- a/internal/scheduler/inbox/queue.go
+++ b/internal/scheduler/inbox/queue.go
@@ -25,8 +25,12 @@
 	Request message.GrantRequest
 }
 
-// Withdraw tells that nobody waits for a grant any more.
-type Withdraw struct{ Attempt string }
+// Withdraw tells that nobody waits for a grant any more. Reply is that of the
+// Grant, since the same attempt may have been asked for again meanwhile.
+type Withdraw struct {
+	Attempt string
+	Reply   ring.Reply[message.GrantReply]
+}
 
 // Report brings an entry's report.
 type Report struct {
--- a/internal/scheduler/shards/shard/queue/duty.go
+++ b/internal/scheduler/shards/shard/queue/duty.go
@@ -127,7 +127,7 @@
 	case inbox.Grant:
 		d.arrive(m, now)
 	case inbox.Withdraw:
-		d.withdraw(m.Attempt)
+		d.withdraw(m)
 	case inbox.Report:
 		d.report(m, now)
 	case inbox.ViewChanged:
--- a/internal/scheduler/shards/shard/queue/refuse.go
+++ b/internal/scheduler/shards/shard/queue/refuse.go
@@ -54,14 +54,15 @@
 
 // withdraw takes a request out whose asker has gone. If it was granted, the
 // asker may have got the grant: its reservation stays.
-func (d *Duty) withdraw(attempt string) {
-	if d.waiting.Remove(attempt) == nil {
+func (d *Duty) withdraw(m inbox.Withdraw) {
+	w := d.waiters[m.Attempt]
+	if w == nil || w.reply != m.Reply {
 		return
 	}
-	if w := d.forget(attempt); w != nil {
-		d.release(w)
-		refusedTotal.WithLabelValues(d.Shard.Pool, tierLabel(w.request.Tier), string(core.ReasonCallerGone)).Inc()
-	}
+	d.waiting.Remove(m.Attempt)
+	d.forget(m.Attempt)
+	d.release(w)
+	refusedTotal.WithLabelValues(d.Shard.Pool, tierLabel(w.request.Tier), string(core.ReasonCallerGone)).Inc()
 }
 
 // expire drops what can no longer finish, and what waits too long for its
