--- a/internal/entry/callers/grant.go
+++ b/internal/entry/callers/grant.go
@@ -18,6 +18,9 @@
 	// keyedPatience bounds how long a run-once request looks for an owner
 	// that answers: long enough for the members to agree on a new one.
 	keyedPatience = 10 * time.Second
+	// journalPatience bounds how long it waits for an owner that has not yet
+	// taken the journal over.
+	journalPatience = 3 * time.Second
 	// refusalMargin is the time that is left before the deadline for telling
 	// the caller that none was found.
 	refusalMargin = 100 * time.Millisecond
@@ -29,16 +32,14 @@
 var errNoScheduler = eris.New("no scheduler answers")
 
 // grant asks the owner of the shard for permission to dispatch. It returns
-// errNoScheduler if none answers, or the context's error.
+// errNoScheduler if none answers, or the context's error. A run-once request
+// has no other way than its owner, so it is patient.
 func (c *call) grant(ctx context.Context) (message.GrantReply, error) {
-	patience := time.Now().Add(keyedPatience)
-	if last := c.ticket.Deadline.Add(-refusalMargin); last.Before(patience) {
-		patience = last
-	}
+	asked := time.Now()
 	owners := c.ticket.Owners
 	for {
 		reply, err := c.askInTurn(ctx, owners)
-		if err == nil || ctx.Err() != nil || !c.ticket.RunOnce || time.Now().Add(roundPause).After(patience) {
+		if ctx.Err() != nil || !c.ticket.RunOnce || !c.mayWait(asked, reply, err) {
 			return reply, err
 		}
 		if err := ring.Pause(ctx, roundPause); err != nil {
@@ -48,6 +49,22 @@
 	}
 }
 
+// mayWait tells whether a run-once request asks again after this answer to
+// the calls that began at the time asked.
+func (c *call) mayWait(asked time.Time, reply message.GrantReply, err error) bool {
+	var until time.Time
+	switch {
+	case err != nil:
+		until = asked.Add(keyedPatience)
+	case reply.Refusal != nil && reply.Refusal.Reason == core.ReasonJournalDown:
+		until = asked.Add(journalPatience)
+	}
+	if last := c.ticket.Deadline.Add(-refusalMargin); last.Before(until) {
+		until = last
+	}
+	return time.Now().Add(roundPause).Before(until)
+}
+
 // newOwners asks the admission duty for the ranking as of now.
 func (c *call) newOwners(ctx context.Context) []message.Member {
 	ask := admission.OwnersAsk{Reply: ring.NewReply[[]message.Member](), Shard: c.ticket.Shard}
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -274,3 +274,19 @@
 		}
 	}
 }
+
+func TestRunOnceRequestWaitsForTheJournalToBeTakenOver(t *testing.T) {
+	f := newFleet(t, 0, 1)
+	r := newRig(t, f.back("ledger", "ledger-0"))
+	calls := 0
+	r.scheduler.answer = func(message.GrantRequest) *message.GrantReply {
+		if calls++; calls > 3 {
+			return nil
+		}
+		refusal := message.Refusal{Refusal: *core.Refuse(core.ReasonJournalDown, "not owned yet")}
+		return &message.GrantReply{Refusal: &refusal}
+	}
+	if got := r.must("POST", "/v1/transfers", `{}`, freshKey()); got.status != http.StatusCreated {
+		t.Fatalf("%d %s", got.status, got.body)
+	}
+}
