--- /dev/null
+++ b/internal/entry/callers/body.go
@@ -0,0 +1,41 @@
+package callers
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"kingcupcourse/internal/core"
+)
+
+// bodyTimeout bounds how long a caller may take to send its body.
+const bodyTimeout = 10 * time.Second
+
+// limitBodyTime begins the time that the caller has for its body. net/http
+// reads the rest of a body before it sends a refusal, so the limit stays on
+// unless the body was read whole.
+func limitBodyTime(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+}
+
+// readBody reads the whole request body, limited in size and in the time
+// begun by limitBodyTime.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *core.Refusal) {
+	if r.ContentLength > limit {
+		return nil, core.Refuse(core.ReasonTooLarge, "the request body is larger than the route allows")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+		return body, nil
+	case errors.As(err, &tooLarge):
+		return nil, core.Refuse(core.ReasonTooLarge, "the request body is larger than the route allows")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, core.Refuse(core.ReasonBadRequest, "the request body came too slowly")
+	}
+	return nil, core.Refuse(core.ReasonBadRequest, "the request body is incomplete")
+}
