--- a/internal/decision/journal/ask.go
+++ b/internal/decision/journal/ask.go
@@ -15,12 +15,12 @@
 // is in the platform, or at once if the key cannot be reserved.
 func (m *Machine) Ask(ask Ask, now time.Time) {
 	switch {
-	case m.state == stateIdle:
-		m.refuse(ask.Attempt, core.RefuseFor(core.ReasonJournalDown, "the pool's journal is not owned here", retryHint))
-	case m.state != stateOwner && m.down:
+	case m.holds() && (m.down || len(m.held) >= maxHeld):
 		m.refuse(ask.Attempt, core.RefuseFor(core.ReasonJournalDown, "the platform does not answer", retryHint))
-	case m.state != stateOwner:
+	case m.holds():
 		m.held = append(m.held, func(now time.Time) { m.Ask(ask, now) })
+	case m.state != stateOwner:
+		m.refuse(ask.Attempt, core.RefuseFor(core.ReasonJournalDown, "the pool's journal is not owned here", retryHint))
 	case !m.keyInForce(ask.Key, now):
 		m.refuse(ask.Attempt, core.Refuse(core.ReasonKeyExpired, "the key's time is outside the retention"))
 	default:
@@ -66,11 +66,10 @@
 // Release takes the reservation of an attempt back that was never granted or
 // never dispatched.
 func (m *Machine) Release(name, attempt string, now time.Time) {
-	switch m.state {
-	case stateIdle:
-		return
-	case stateReading, stateClaiming:
+	if m.holds() {
 		m.held = append(m.held, func(now time.Time) { m.Release(name, attempt, now) })
+	}
+	if m.state != stateOwner {
 		return
 	}
 	k := m.keys[name]
@@ -84,11 +83,10 @@
 // Finish records how the attempt of a key ended. Results other than OK and
 // Failed are recorded as an unknown outcome.
 func (m *Machine) Finish(finish Record, now time.Time) {
-	switch m.state {
-	case stateIdle:
-		return
-	case stateReading, stateClaiming:
+	if m.holds() {
 		m.held = append(m.held, func(now time.Time) { m.Finish(finish, now) })
+	}
+	if m.state != stateOwner {
 		return
 	}
 	k := m.keys[finish.Key]
--- a/internal/decision/journal/machine.go
+++ b/internal/decision/journal/machine.go
@@ -18,9 +18,14 @@
 	// failuresToDown is how many calls must fail in a row before new keys
 	// are refused at once. One lost answer is no outage.
 	failuresToDown = 2
-	// retakeWait is how long a deposed owner waits before it takes the
-	// journal over again, if it is to own it still.
-	retakeWait = time.Second
+	// firstRetake and maxRetake bound how long a deposed owner waits before
+	// it takes the journal over again, if it is to own it still; the wait
+	// doubles until an ownership lasts retakeForgiven.
+	firstRetake    = 100 * time.Millisecond
+	maxRetake      = 2 * time.Second
+	retakeForgiven = 10 * time.Second
+	// maxHeld bounds the requests that wait for a takeover.
+	maxHeld = 4096
 	// retryHint is when a caller that was refused should ask again.
 	retryHint = time.Second
 )
@@ -35,6 +40,10 @@
 	Retention, Skew time.Duration
 	// Flush is the shortest time between two writes.
 	Flush time.Duration
+	// Settle is how long this process must be the one to own the journal
+	// before it takes it over, so that processes that start together do not
+	// take it from each other.
+	Settle time.Duration
 	// SlotBytes is the size from which a slot gets no more records. Default
 	// DefaultSlotBytes.
 	SlotBytes int
@@ -99,13 +108,17 @@
 	// rereading tells that only the slots from the head on are read.
 	rereading bool
 
-	write   *write
-	writes  uint64
-	down    bool
-	failed  int       // calls that failed in a row
-	notNow  time.Time // no call before this time
-	nextOps []Op
-	answers []Answer
+	write  *write
+	writes uint64
+	down   bool
+	failed int       // calls that failed in a row
+	notNow time.Time // no call before this time
+	// retake is the wait after the last deposal, ownerSince when the
+	// ownership began.
+	retake     time.Duration
+	ownerSince time.Time
+	nextOps    []Op
+	answers    []Answer
 }
 
 // New returns a machine that does not own the journal yet.
@@ -154,7 +167,7 @@
 	}
 	m.wanted = wanted
 	if wanted && m.state == stateIdle {
-		m.startReading()
+		m.notNow = later(m.notNow, now.Add(m.config.Settle))
 	}
 	if !wanted && m.write == nil {
 		m.resign("this scheduler no longer owns the pool")
@@ -188,7 +201,7 @@
 	if now.Before(m.notNow) {
 		return nil
 	}
-	if m.state == stateIdle && m.wanted && m.write == nil {
+	if m.waitsToRead() {
 		m.startReading()
 	}
 	m.startWrite(now)
@@ -199,14 +212,19 @@
 
 // Wake returns when Ops has more to say, zero if only after another event.
 func (m *Machine) Wake() time.Time {
-	idle := m.state == stateIdle && !m.wanted
 	writable := m.write == nil && (m.state == stateClaiming || m.state == stateOwner && len(m.gathered) > 0)
-	if len(m.nextOps) > 0 || writable || (m.state == stateIdle && !idle) {
+	if len(m.nextOps) > 0 || writable || m.waitsToRead() {
 		return m.notNow
 	}
 	return time.Time{}
 }
 
+// waitsToRead tells whether the takeover is yet to begin.
+func (m *Machine) waitsToRead() bool { return m.state == stateIdle && m.wanted }
+
+// holds tells whether requests have to wait for the takeover.
+func (m *Machine) holds() bool { return m.state != stateOwner && m.wanted }
+
 // Prune forgets the keys that are out of force.
 func (m *Machine) Prune(now time.Time) {
 	oldest := now.Add(-m.config.Retention - m.config.Skew)
@@ -225,17 +243,19 @@
 		}
 	}
 	held := m.held
+	m.held = nil
 	m.forget()
 	for _, event := range held {
-		event(time.Time{}) // state is idle: each is refused or dropped
+		event(time.Time{}) // not wanted: each is refused or dropped
 	}
 }
 
+// forget drops all but the requests that wait for a takeover.
 func (m *Machine) forget() {
 	m.state = stateIdle
 	m.slots = make([]slot, m.config.Slots)
 	m.keys = map[string]*key{}
-	m.head, m.gathered, m.held = nil, nil, nil
+	m.head, m.gathered = nil, nil
 	m.reading, m.found, m.confirmed, m.rereading = nil, nil, nil, false
 	m.write, m.nextOps = nil, nil
 }
@@ -253,3 +273,10 @@
 func (m *Machine) refuse(attempt string, refusal *core.Refusal) {
 	m.answers = append(m.answers, Answer{Attempt: attempt, Refusal: refusal})
 }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/decision/journal/takeover.go
+++ b/internal/decision/journal/takeover.go
@@ -113,6 +113,7 @@
 // was read.
 func (m *Machine) takenOver(now time.Time) {
 	m.state, m.rereading = stateOwner, false
+	m.ownerSince = now
 	m.found[m.slotOf(m.head.Seq)] = m.head
 	batches := make([]*Batch, 0, len(m.found))
 	for _, batch := range m.found {
--- a/internal/decision/journal/write.go
+++ b/internal/decision/journal/write.go
@@ -35,7 +35,7 @@
 	slot      int
 	ifVersion uint64
 	batch     *Batch
-	reserved  []Record // the reservations that it adds
+	added     []Record
 }
 
 // startWrite begins the next write if one is due and none is in flight.
@@ -81,12 +81,7 @@
 		batch.Records = compact(slices.Concat(m.head.Records, records))
 	}
 	at := m.slotOf(batch.Seq)
-	m.write = &write{slot: at, ifVersion: m.slots[at].version, batch: batch}
-	for i := range records {
-		if records[i].Kind == KindReserve {
-			m.write.reserved = append(m.write.reserved, records[i])
-		}
-	}
+	m.write = &write{slot: at, ifVersion: m.slots[at].version, batch: batch, added: records}
 	m.notNow = now.Add(m.config.Flush)
 	m.callWrite()
 }
@@ -160,10 +155,11 @@
 
 // settle answers those whose reservations have become durable.
 func (m *Machine) settle(w *write) {
-	for i := range w.reserved {
-		k := m.keys[w.reserved[i].Key]
-		if k == nil || k.attempt != w.reserved[i].Attempt {
-			continue // released since
+	for i := range w.added {
+		r := &w.added[i]
+		k := m.keys[r.Key]
+		if r.Kind != KindReserve || k == nil || k.attempt != r.Attempt {
+			continue // no reservation, or released since
 		}
 		k.durable = true
 		if k.waiting {
@@ -173,10 +169,41 @@
 	}
 }
 
-// deposed ends the ownership: another owner has written the journal.
+// deposed ends the ownership: another owner has written the journal. If this
+// process is to own it still, it takes it over again after a wait. What waits
+// for a reservation asks again then, and what was not recorded is recorded.
 func (m *Machine) deposed(now time.Time) {
-	m.resign("another scheduler has taken the pool's journal over")
-	m.notNow = now.Add(retakeWait + time.Duration(m.config.Random.Int64N(int64(retakeWait))))
+	if !m.wanted {
+		m.resign("another scheduler has taken the pool's journal over")
+		return
+	}
+	if now.Sub(m.ownerSince) >= retakeForgiven {
+		m.retake = 0
+	}
+	m.retake = min(maxRetake, max(firstRetake, 2*m.retake))
+	m.holdRecords(m.write.added)
+	m.holdRecords(m.gathered)
+	for name, k := range m.keys {
+		if k.waiting {
+			ask := Ask{Key: name, Attempt: k.attempt, Fingerprint: k.fingerprint}
+			m.held = append(m.held, func(now time.Time) { m.Ask(ask, now) })
+		}
+	}
+	m.forget()
+	m.notNow = now.Add(m.retake + time.Duration(m.config.Random.Int64N(int64(m.retake))))
+}
+
+// holdRecords keeps releases and ends of attempts that were not recorded for
+// the next takeover.
+func (m *Machine) holdRecords(records []Record) {
+	for _, r := range records {
+		switch r.Kind {
+		case KindRelease:
+			m.held = append(m.held, func(now time.Time) { m.Release(r.Key, r.Attempt, now) })
+		case KindFinish:
+			m.held = append(m.held, func(now time.Time) { m.Finish(r, now) })
+		}
+	}
 }
 
 func (m *Machine) slotOf(seq uint64) int { return int(seq % uint64(len(m.slots))) }
--- a/internal/scheduler/shards/shard/journal/caller/caller.go
+++ b/internal/scheduler/shards/shard/journal/caller/caller.go
@@ -72,7 +72,7 @@
 func (d *Duty) write(ctx context.Context, op journal.Op) inbox.Journal {
 	version, err := d.platform.Put(ctx, d.key(op.Slot), op.IfVersion, encode(op.Batch))
 	if err != nil {
-		d.log.Warn("journal write failed", zap.Int("slot", op.Slot), zap.Error(err))
+		d.log.Warn("journal write failed", zap.Int("slot", op.Slot), zap.String("error", err.Error()))
 	}
 	return inbox.WriteDone{Result: writeResult(err), Version: version}
 }
@@ -100,12 +100,12 @@
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
 	case err != nil:
-		d.log.Warn("journal read failed", zap.Int("slot", op.Slot), zap.Error(err))
+		d.log.Warn("journal read failed", zap.Int("slot", op.Slot), zap.String("error", err.Error()))
 		result.Failed = true
 	default:
 		result.Version = object.Version
 		if result.Batch, err = decode(object.Value); err != nil {
-			d.log.Error("journal slot unreadable", zap.Int("slot", op.Slot), zap.Error(err))
+			d.log.Error("journal slot unreadable", zap.Int("slot", op.Slot), zap.String("error", err.Error()))
 			result = journal.ReadResult{Slot: op.Slot, Failed: true}
 		}
 	}
--- a/internal/scheduler/shards/shard/journal/supervisor.go
+++ b/internal/scheduler/shards/shard/journal/supervisor.go
@@ -23,6 +23,9 @@
 	defaultSlots     = 256
 	defaultRetention = time.Hour
 	defaultSkew      = 5 * time.Second
+	// settle is longer than it takes processes that start together to know
+	// each other.
+	settle = 300 * time.Millisecond
 	// callCapacity is how many calls wait for one caller. A call that finds
 	// no room is kept by the owner.
 	callCapacity = 64
@@ -67,6 +70,7 @@
 		Retention: milliseconds(c.Pool.RetentionMS, defaultRetention),
 		Skew:      milliseconds(c.Pool.ClockSkewMS, defaultSkew),
 		Flush:     c.Flush,
+		Settle:    settle,
 		Random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 }
