See a run-once request through a frozen engine and a departed caller

A run-once stream waited for a frozen engine for one probe only and was then told outcome_unknown although the engine went on a second later; and a clerk whose connection broke during a transfer left a record without an answer, so that the resend could not be answered. Poison marks are now set at the first refused connection, so that an engine that restarts quickly is marked too, and not when the caller went meanwhile.

--- a/internal/entry/callers/probe.go
+++ b/internal/entry/callers/probe.go
@@ -48,7 +48,7 @@
 	if silent(cause) {
 		c.h.endpoints.closeIdle()
 	}
-	if err := c.probe(ctx, grant); unreachable(err) && !silent(cause) {
+	if err := c.probe(ctx, grant); unreachable(err) && ctx.Err() == nil && !silent(cause) {
 		c.markPoison(grant.Endpoint)
 	}
 	if ctx.Err() != nil {
--- a/internal/entry/callers/resume.go
+++ b/internal/entry/callers/resume.go
@@ -23,13 +23,14 @@
 func (c *call) resume(ctx context.Context, grant core.Grant, r *relay) (ending, bool) {
 	if silent(r.cause) {
 		c.h.endpoints.closeIdle()
-		if err := c.probe(ctx, grant); err != nil {
-			return c.gaveUp(ctx, grant, "the endpoint is silent"), false
+		if end, ok := c.awaitEndpoint(ctx, grant, r); !ok {
+			return end, false
 		}
 	}
 	patience := time.Now().Add(c.ticket.ProgressTimeout)
 	for {
 		response, err := c.reconnect(ctx, grant, r)
+		c.noteDeath(ctx, grant, r, err)
 		switch {
 		case ctx.Err() != nil:
 			return c.cancelled(grant), false
@@ -43,8 +44,7 @@
 		case err == nil:
 			_ = response.Body.Close()
 			return c.gaveUp(ctx, grant, "the endpoint does not know the run any more"), false
-		case unreachable(err) && (c.canStartOver() || time.Now().After(patience)):
-			c.markPoison(grant.Endpoint)
+		case unreachable(err) && c.canStartOver():
 			return c.gaveUp(ctx, grant, "the endpoint died"), false
 		case time.Now().After(patience):
 			return c.gaveUp(ctx, grant, "the stream could not be resumed"), false
@@ -55,6 +55,37 @@
 	}
 }
 
+// awaitEndpoint probes an endpoint whose connection went silent. It returns
+// false if the endpoint does not answer and the request could as well run on
+// another one. Else it waits for a frozen endpoint until the deadline: the
+// caller can get its answer from nowhere else.
+func (c *call) awaitEndpoint(ctx context.Context, grant core.Grant, r *relay) (ending, bool) {
+	for {
+		err := c.probe(ctx, grant)
+		c.noteDeath(ctx, grant, r, err)
+		switch {
+		case err == nil:
+			return ending{}, true
+		case c.canStartOver():
+			return c.gaveUp(ctx, grant, "the endpoint is silent"), false
+		case unreachable(err):
+			return ending{}, true // the tries to reconnect are bounded
+		}
+		if ring.Pause(ctx, resumePause) != nil {
+			return c.cancelled(grant), false
+		}
+	}
+}
+
+// noteDeath marks the request when its endpoint is seen to have died under
+// it, once an attempt.
+func (c *call) noteDeath(ctx context.Context, grant core.Grant, r *relay, err error) {
+	if unreachable(err) && ctx.Err() == nil && !r.marked {
+		r.marked = true
+		c.markPoison(grant.Endpoint)
+	}
+}
+
 // canStartOver tells whether the request could as well run on another
 // endpoint, so that waiting for this one gains nothing.
 func (c *call) canStartOver() bool { return !c.ticket.RunOnce && !c.sink.passed }
--- a/internal/entry/callers/run.go
+++ b/internal/entry/callers/run.go
@@ -24,7 +24,9 @@
 			return
 		}
 		c.begin(placed)
-		end := c.dispatch(ctx, placed.grant)
+		dispatching, cancel := c.dispatchContext(ctx)
+		end := c.dispatch(dispatching, placed.grant)
+		cancel()
 		if !c.settle(ctx, placed, end, c.again(ctx, end)) {
 			c.answer(end)
 			return
@@ -32,6 +34,16 @@
 	}
 }
 
+// dispatchContext bounds the dispatch: by the caller's presence and the
+// deadline, but a run-once call to a service by the deadline alone. It can't
+// be taken back, and its recorded answer serves the caller's resend.
+func (c *call) dispatchContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if c.ticket.RunOnce && c.ticket.Kind == core.KindService {
+		return context.WithDeadline(context.WithoutCancel(ctx), c.ticket.Deadline)
+	}
+	return context.WithCancel(ctx)
+}
+
 // again decides whether the request is placed on another endpoint.
 func (c *call) again(ctx context.Context, end ending) bool {
 	verdict := retry.Judge(retry.Attempt{
--- a/internal/entry/callers/stream.go
+++ b/internal/entry/callers/stream.go
@@ -33,6 +33,8 @@
 	finished bool
 	first    time.Duration
 	reported time.Time
+	// marked tells that the request has been marked for a dead endpoint.
+	marked bool
 }
 
 // followStream passes the events of a run on until the last one, resuming on
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -290,3 +290,32 @@
 		t.Fatalf("%d %s", got.status, got.body)
 	}
 }
+
+func TestFrozenEngineThatThawsCompletesARunOnceRequest(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	r := newRig(t, f.back("models", "engine-0"))
+	f.fault("engine-0", `{"slow_factor":2}`)
+	answer := r.background("POST", "/v1/completions", draft, freshKey())
+	eventually(t, "the run has started", func() bool { return f.engineStats("engine-0").Started == 1 })
+	f.fault("engine-0", `{"freeze":true}`)
+	time.Sleep(2500 * time.Millisecond) // silence, a failed probe and more
+	f.fault("engine-0", `{"freeze":false}`)
+	expectWholeStream(t, answer(), 40)
+}
+
+func TestTransferGoesOnWhenItsCallerGoes(t *testing.T) {
+	f := newFleet(t, 0, 1)
+	r := newRig(t, f.back("ledger", "ledger-0"))
+	f.fault("ledger-0", `{"slow_factor":100}`)
+	ctx, cancel := context.WithCancel(t.Context())
+	r.backgroundContext(ctx, "POST", "/v1/transfers", `{"from":"a","to":"b","hours":1}`, freshKey())
+	eventually(t, "the grant", func() bool { return len(r.scheduler.asked()) == 1 })
+	time.Sleep(100 * time.Millisecond)
+	cancel()
+	eventually(t, "the outcome with its answer", func() bool {
+		r.scheduler.mu.Lock()
+		defer r.scheduler.mu.Unlock()
+		return len(r.scheduler.outcomes) == 1 && r.scheduler.outcomes[0].Result == core.ResultOK &&
+			r.scheduler.outcomes[0].Status == http.StatusCreated && len(r.scheduler.outcomes[0].Answer) > 0
+	})
+}
