--- a/internal/decision/retry/retry.go
+++ b/internal/decision/retry/retry.go
@@ -45,6 +45,9 @@
 type Attempt struct {
 	RunOnce bool
 	Result  core.Result
+	// Poison tells that so many endpoints died under the request that it is
+	// taken for the cause.
+	Poison bool
 	// Passed tells that a byte of the answer has reached the caller.
 	Passed bool
 	// Dispatches is how many dispatches the request has had.
@@ -68,7 +71,7 @@
 
 // Judge tells whether the request may be placed on another endpoint.
 func Judge(a Attempt) Verdict {
-	if a.Passed || a.Deadline.Sub(a.Now) < MinRemaining || a.Dispatches >= MaxAttempts {
+	if a.Poison || a.Passed || a.Deadline.Sub(a.Now) < MinRemaining || a.Dispatches >= MaxAttempts {
 		return Stop
 	}
 	switch a.Result {
--- a/internal/decision/retry/retry_test.go
+++ b/internal/decision/retry/retry_test.go
@@ -21,6 +21,7 @@
 		{"lost repeatable costs", Attempt{Result: core.ResultLost}, Budgeted},
 		{"failed repeatable costs", Attempt{Result: core.ResultFailed}, Budgeted},
 		{"passed on stops", Attempt{Result: core.ResultLost, Passed: true}, Stop},
+		{"poison stops", Attempt{Result: core.ResultLost, Poison: true}, Stop},
 		{"cancelled stops", Attempt{Result: core.ResultCancelled}, Stop},
 		{"ok stops", Attempt{Result: core.ResultOK}, Stop},
 		{"too many attempts stop", Attempt{Result: core.ResultRejected, Dispatches: MaxAttempts}, Stop},
--- a/internal/entry/callers/call.go
+++ b/internal/entry/callers/call.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/uuid"
 
+	decision "kingcupcourse/internal/decision/admission"
 	"kingcupcourse/internal/entry/admission"
 	"kingcupcourse/internal/entry/completions"
 )
@@ -33,6 +34,8 @@
 	// exclude lists the endpoints that have been tried.
 	exclude    []string
 	dispatches int
+	// deaths counts the endpoints that died under the request.
+	deaths int
 	// mayHaveRun tells that bytes of the request have left for an endpoint
 	// that did not say that it refused them.
 	mayHaveRun   bool
@@ -68,6 +71,10 @@
 // callerGone tells whether the caller has closed its connection.
 func (c *call) callerGone() bool { return c.r.Context().Err() != nil }
 
+// poison tells whether the request is taken for the cause of the deaths of
+// its endpoints.
+func (c *call) poison() bool { return c.deaths >= decision.PoisonLimit }
+
 // streamed tells whether the endpoint is asked for a stream of events: for
 // every completions request whose answer can be put together from one, so
 // that it can be resumed and its progress seen.
--- a/internal/entry/callers/facts.go
+++ b/internal/entry/callers/facts.go
@@ -4,6 +4,7 @@
 
 // markPoison tells all processes that an endpoint died under this request.
 func (c *call) markPoison(endpoint string) {
+	c.deaths++
 	poisonMarksTotal.Inc()
 	c.h.Tell(message.Fact{Kind: message.FactPoison, Key: c.fingerprint + "/" + endpoint})
 }
--- a/internal/entry/callers/refuse.go
+++ b/internal/entry/callers/refuse.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"kingcupcourse/internal/core"
+	decision "kingcupcourse/internal/decision/admission"
 )
 
 const (
@@ -108,6 +109,9 @@
 		return &core.Refusal{Disposition: core.AlreadyRun, Reason: end.reason, Detail: end.detail}
 	case end.result == core.ResultNotDispatched, end.result == core.ResultRejected:
 		return core.RefuseFor(end.reason, end.detail, time.Second)
+	case c.poison():
+		return &core.Refusal{Disposition: core.OutcomeUnknown, Reason: core.ReasonPoison,
+			Detail: "endpoints died under this request", Retry: true, RetryAfter: decision.PoisonRetryAfter}
 	}
 	return &core.Refusal{
 		Disposition: core.OutcomeUnknown, Reason: end.reason, Detail: end.detail, Retry: !c.ticket.RunOnce,
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -88,12 +88,14 @@
 }
 
 func TestPoisonIsRefusedAfterTwoEndpoints(t *testing.T) {
-	f := newFleet(t, 2, 0)
-	r := newRig(t, f.back("models", "engine-0"), f.back("models", "engine-1"))
-	f.fault("engine-0", `{"crash_on":"poison"}`)
-	f.fault("engine-1", `{"crash_on":"poison"}`)
+	f := newFleet(t, 3, 0)
+	r := newRig(t, f.back("models", "engine-0"), f.back("models", "engine-1"), f.back("models", "engine-2"))
+	for _, name := range []string{"engine-0", "engine-1", "engine-2"} {
+		f.fault(name, `{"crash_on":"poison"}`)
+	}
 	const body = `{"model":"chat","prompt":"poison","max_tokens":5,"stream":true}`
-	r.must("POST", "/v1/completions", body)
+	expectRefusal(t, r.must("POST", "/v1/completions", body),
+		http.StatusUnprocessableEntity, core.OutcomeUnknown, core.ReasonPoison)
 	marks := r.control.reported(message.FactPoison)
 	if len(marks) != 2 {
 		t.Fatalf("marks %v", marks)
