--- a/internal/decision/journal/ask.go
+++ b/internal/decision/journal/ask.go
@@ -58,26 +58,30 @@
 		return
 	}
 	at, _ := KeyTime(ask.Key)
-	m.keys[ask.Key] = &key{attempt: ask.Attempt, fingerprint: ask.Fingerprint, time: at, waiting: true}
+	m.keys[ask.Key] = &key{attempt: ask.Attempt, fingerprint: ask.Fingerprint, time: at, waiting: true, own: true}
 	m.gathered = append(m.gathered, Record{Kind: KindReserve, Key: ask.Key, Attempt: ask.Attempt,
 		Fingerprint: ask.Fingerprint, Time: now})
 }
 
-// Release takes the reservation of an attempt back that was never granted or
-// never dispatched.
-func (m *Machine) Release(name, attempt string, now time.Time) {
-	if m.holds() {
-		m.held = append(m.held, func(now time.Time) { m.Release(name, attempt, now) })
+// Release takes back the reservation of an attempt that will never be
+// dispatched. Only the entry that asked for the attempt can know that for
+// good. The queue of an owner knows just that it gave no grant itself: after
+// a change of ownership the next owner may have given it. So a release that
+// does not come from the entry counts only for a reservation that was made in
+// the present ownership.
+func (m *Machine) Release(name, attempt string, byEntry bool, now time.Time) {
+	if m.holds() && byEntry {
+		m.held = append(m.held, func(now time.Time) { m.Release(name, attempt, byEntry, now) })
 	}
 	if m.state != stateOwner {
 		return
 	}
 	k := m.keys[name]
-	if k == nil || k.attempt != attempt || k.finish != nil {
+	if k == nil || k.attempt != attempt || k.finish != nil || (!byEntry && !k.own) {
 		return
 	}
 	delete(m.keys, name)
-	m.gathered = append(m.gathered, Record{Kind: KindRelease, Key: name, Attempt: attempt, Time: now})
+	m.gathered = append(m.gathered, Record{Kind: KindRelease, Key: name, Attempt: attempt, Time: now, byEntry: byEntry})
 }
 
 // Finish records how the attempt of a key ended. Results other than OK and
--- a/internal/decision/journal/journal_test.go
+++ b/internal/decision/journal/journal_test.go
@@ -39,6 +39,8 @@
 	ops     []Op
 	// keys holds the key of each attempt that was asked for here.
 	keys map[string]string
+	// granted holds the attempts that got a grant here.
+	granted map[string]bool
 }
 
 const simSlots = 4
@@ -53,7 +55,7 @@
 
 func (s *sim) newOwner() *simOwner {
 	s.created++
-	return &simOwner{keys: map[string]string{}, machine: New(Config{
+	return &simOwner{keys: map[string]string{}, granted: map[string]bool{}, machine: New(Config{
 		Owner: fmt.Sprintf("owner-%d", s.created), Slots: simSlots, Retention: time.Hour, Skew: time.Second,
 		Flush: time.Millisecond, SlotBytes: 250, Random: rand.New(rand.NewPCG(1, uint64(s.created)))})}
 }
@@ -94,12 +96,21 @@
 		s.t.Fatalf("key %s was dispatched as %s and now as %s", key, before, a.Attempt)
 	}
 	s.dispatched[key] = a.Attempt
+	o.granted[a.Attempt] = true
+}
+
+// withdraw is what the queue of an owner does when the call of an entry
+// breaks before a grant. The entry may go on with the attempt elsewhere.
+func (s *sim) withdraw(o *simOwner, attempt string) {
+	if !o.granted[attempt] {
+		o.machine.Release(o.keys[attempt], attempt, false, s.now)
+	}
 }
 
 // giveUp releases an attempt that was not dispatched. Its entry never asks
 // for it again.
 func (s *sim) giveUp(o *simOwner, attempt string) {
-	o.machine.Release(o.keys[attempt], attempt, s.now)
+	o.machine.Release(o.keys[attempt], attempt, true, s.now)
 	for _, owner := range s.owners {
 		delete(owner.keys, attempt)
 	}
@@ -209,6 +220,11 @@
 					s.giveUp(o, attempt)
 				}
 			},
+			"withdraw": func(t *rapid.T) {
+				o := s.owner()
+				s.withdraw(o, s.anyAttempt(o))
+				s.step(o)
+			},
 			"call": func(t *rapid.T) {
 				o := s.owner()
 				s.call(o)
@@ -289,7 +305,7 @@
 	}
 	m.Finish(Record{Key: done, Attempt: "a", Result: core.ResultOK, Status: 201, Answer: []byte("x"), Whole: true}, now)
 	m.Finish(Record{Key: lost, Attempt: "a", Result: core.ResultLost}, now)
-	m.Release(freed, "a", now)
+	m.Release(freed, "a", true, now)
 	run(now)
 	for _, test := range []struct {
 		name, key, attempt, fingerprint string
@@ -389,3 +405,54 @@
 		m.Prune(now)
 	}
 }
+
+// TestStaleReleaseKeepsTheReservation lets an entry's call to one owner
+// break, the entry get its grant from the next owner, and the first owner
+// come back with the release that it wanted to make.
+func TestStaleReleaseKeepsTheReservation(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t)
+		first, second := s.owners[0], s.owners[1]
+		key := simKey(now, 1)
+		ask := Ask{Key: key, Attempt: "a", Fingerprint: "f"}
+		first.keys["a"], second.keys["a"] = key, key
+		if rapid.Bool().Draw(t, "first owned before") {
+			first.machine.Own(true, s.now)
+			s.settle(first, 20)
+		}
+		second.machine.Own(true, s.now)
+		s.settle(second, 20)
+		second.machine.Ask(ask, s.now)
+		s.settleTo(second, "a")
+		first.machine.Own(true, s.now)
+		first.machine.Ask(ask, s.now)
+		first.machine.Release(key, "a", false, s.now)
+		s.settle(first, 50)
+		s.now = s.now.Add(time.Second)
+		s.settle(first, 50)
+		first.keys["b"] = key
+		first.machine.Ask(Ask{Key: key, Attempt: "b", Fingerprint: "f"}, s.now)
+		s.settle(first, 20)
+	})
+}
+
+// settleTo settles the owner and dispatches the attempt.
+func (s *sim) settleTo(o *simOwner, attempt string) {
+	for range 20 {
+		s.now = s.now.Add(2 * time.Millisecond)
+		o.ops = append(o.ops, o.machine.Ops(s.now)...)
+		if len(o.ops) > 0 {
+			s.carryOut(o, 0, "")
+		}
+		for _, a := range o.machine.Answers() {
+			if a.Attempt == attempt && a.Reserved {
+				s.dispatched[o.keys[attempt]] = attempt
+				o.granted[attempt] = true
+			}
+		}
+	}
+	if !o.granted[attempt] {
+		s.t.Fatalf("%s was not granted", attempt)
+	}
+}
--- a/internal/decision/journal/machine.go
+++ b/internal/decision/journal/machine.go
@@ -71,6 +71,8 @@
 	time                 time.Time
 	// durable tells that the reservation is in the platform.
 	durable bool
+	// own tells that the reservation was made in the present ownership.
+	own bool
 	// waiting tells that an Ask of the attempt has no answer yet.
 	waiting bool
 	// finish is the recorded end, nil while unfinished.
--- a/internal/decision/journal/record.go
+++ b/internal/decision/journal/record.go
@@ -47,6 +47,9 @@
 	Answer      []byte
 	ContentType string
 	Whole       bool
+	// byEntry is set for a KindRelease that comes from the entry; it is not
+	// recorded.
+	byEntry bool
 }
 
 // recordOverhead is about what a record takes besides its texts, in bytes.
--- a/internal/decision/journal/write.go
+++ b/internal/decision/journal/write.go
@@ -193,13 +193,15 @@
 	m.notNow = now.Add(m.retake + time.Duration(m.config.Random.Int64N(int64(m.retake))))
 }
 
-// holdRecords keeps releases and ends of attempts that were not recorded for
-// the next takeover.
+// holdRecords keeps what entries told and was not recorded for the next
+// takeover.
 func (m *Machine) holdRecords(records []Record) {
 	for _, r := range records {
 		switch r.Kind {
 		case KindRelease:
-			m.held = append(m.held, func(now time.Time) { m.Release(r.Key, r.Attempt, now) })
+			if r.byEntry {
+				m.held = append(m.held, func(now time.Time) { m.Release(r.Key, r.Attempt, true, now) })
+			}
 		case KindFinish:
 			m.held = append(m.held, func(now time.Time) { m.Finish(r, now) })
 		}
--- a/internal/scheduler/inbox/journal.go
+++ b/internal/scheduler/inbox/journal.go
@@ -21,7 +21,12 @@
 type Ask struct{ Ask journal.Ask }
 
 // Release gives a reservation back.
-type Release struct{ Key, Attempt string }
+type Release struct {
+	Key, Attempt string
+	// ByEntry tells that the entry that asked for the attempt will never
+	// dispatch it; otherwise the queue gave no grant for it.
+	ByEntry bool
+}
 
 // Finish records the end of an attempt.
 type Finish struct{ Record journal.Record }
--- a/internal/scheduler/shards/shard/journal/owner/owner.go
+++ b/internal/scheduler/shards/shard/journal/owner/owner.go
@@ -91,7 +91,7 @@
 	case inbox.Ask:
 		d.Machine.Ask(m.Ask, now)
 	case inbox.Release:
-		d.Machine.Release(m.Key, m.Attempt, now)
+		d.Machine.Release(m.Key, m.Attempt, m.ByEntry, now)
 	case inbox.Finish:
 		d.Machine.Finish(m.Record, now)
 	case inbox.Own:
--- a/internal/scheduler/shards/shard/queue/journal.go
+++ b/internal/scheduler/shards/shard/queue/journal.go
@@ -53,7 +53,7 @@
 		return
 	}
 	if o.Result == core.ResultNotDispatched || o.Result == core.ResultRejected {
-		d.tellJournal(inbox.Release{Key: o.Key, Attempt: o.Attempt})
+		d.tellJournal(inbox.Release{Key: o.Key, Attempt: o.Attempt, ByEntry: true})
 		return
 	}
 	result := o.Result
