Share of a version: a deadline that needs no message, and the version left behind

Cause: the scheduler capped only the target of an unfinished move, by the last stage it had heard of. A platform outage across the deadline left the target its share for as long as no status was written; a done move left the old version in use; and a new move that took the name of a done one would have been uncapped without any evidence, since a stage did not name its version.

Now decision/share.Caps decides for the scheduler and for the entries' fallback alike: no traffic for a target from RevertTime before the deadline unless its move is known as done, none for the version that a done move left, and a stage counts only for the version that it names. A version without traffic no longer counts as capacity in admission.

TestCandidates of the fallback gave stages without a version; its rows now name them, and rows for a version left behind and a reused name are new.

--- a/internal/decision/fallback/candidates.go
+++ b/internal/decision/fallback/candidates.go
@@ -2,6 +2,7 @@
 
 import (
 	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/share"
 	"kingcupcourse/internal/manifest"
 	"kingcupcourse/internal/message"
 )
@@ -15,9 +16,9 @@
 }
 
 // Candidates returns the endpoints that may get new work without a
-// scheduler, by pool: none that leaves, none of a version judged bad, and
-// none of a version that is the target of an unfinished move, for no one
-// then sees to its share of the traffic. The fraction is this host's part of
+// scheduler, by pool: none that leaves, none of a version judged bad, none of
+// a version that a finished move has left behind, and none of the target of an
+// unfinished move, for no one then sees to its share of the traffic. The fraction is this host's part of
 // each endpoint's slots.
 func Candidates(m *manifest.Manifest, know Knowledge, fraction float64) map[string][]Endpoint {
 	byPool := map[string][]Endpoint{}
@@ -25,10 +26,11 @@
 		return byPool
 	}
 	for _, pool := range m.Pools {
-		unproved := targets(m, know.Moves, pool.Name)
+		caps := share.Caps(pool.Name, m, know.Moves)
 		for _, e := range pool.Endpoints {
 			_, bad := know.BadVersions[core.EndpointVersion{Pool: pool.Name, Version: e.Version}]
-			if bad || unproved[e.Version] || know.Leaving[e.Name] {
+			_, capped := caps[e.Version]
+			if bad || capped || know.Leaving[e.Name] {
 				continue
 			}
 			byPool[pool.Name] = append(byPool[pool.Name], candidate(pool.Name, e, fraction))
@@ -47,18 +49,6 @@
 	}
 }
 
-// targets returns the versions that a move of the pool leads to and that are
-// not yet proved.
-func targets(m *manifest.Manifest, stages map[string]message.MoveStage, pool string) map[core.Version]bool {
-	unproved := map[core.Version]bool{}
-	for _, move := range m.Moves {
-		if move.Pool == pool && stages[move.Name].Stage != message.StageDone {
-			unproved[move.ToVersion] = true
-		}
-	}
-	return unproved
-}
-
 // Fraction returns this host's part of each endpoint's slots: the setting,
 // or one divided by the entry hosts known.
 func Fraction(setting float64, members []message.Member) float64 {
--- a/internal/decision/fallback/fallback_test.go
+++ b/internal/decision/fallback/fallback_test.go
@@ -33,15 +33,17 @@
 		Pools: []manifest.Pool{{Name: "p", Endpoints: []manifest.Endpoint{
 			{Name: "good", Version: "v1", Slots: 8}, {Name: "leaving", Version: "v1", Slots: 8},
 			{Name: "bad", Version: "v0", Slots: 8}, {Name: "unproved", Version: "v2", Slots: 8},
-			{Name: "proved", Version: "v3", Slots: 8}, {Name: "reverted", Version: "v4", Slots: 8}}}},
-		Moves: []manifest.Move{{Name: "a", Pool: "p", ToVersion: "v2"}, {Name: "b", Pool: "p", ToVersion: "v3"},
-			{Name: "c", Pool: "p", ToVersion: "v4"}},
+			{Name: "proved", Version: "v3", Slots: 8}, {Name: "reverted", Version: "v4", Slots: 8},
+			{Name: "left behind", Version: "v-1", Slots: 8}, {Name: "name used again", Version: "v5", Slots: 8}}}},
+		Moves: []manifest.Move{{Name: "a", Pool: "p", ToVersion: "v2"}, {Name: "b", Pool: "p", FromVersion: "v-1", ToVersion: "v3"},
+			{Name: "c", Pool: "p", ToVersion: "v4"}, {Name: "d", Pool: "p", ToVersion: "v5"}},
 	}
 	know := Knowledge{
 		Leaving:     map[string]bool{"leaving": true},
 		BadVersions: map[core.EndpointVersion]message.BadVersion{{Pool: "p", Version: "v0"}: {}},
-		Moves: map[string]message.MoveStage{"a": {Stage: message.StageRamp}, "b": {Stage: message.StageDone},
-			"c": {Stage: message.StageReverted}},
+		Moves: map[string]message.MoveStage{"a": {Stage: message.StageRamp, ToVersion: "v2"},
+			"b": {Stage: message.StageDone, ToVersion: "v3"}, "c": {Stage: message.StageReverted, ToVersion: "v4"},
+			"d": {Stage: message.StageDone, ToVersion: "v4"}},
 	}
 	var names []string
 	for _, e := range Candidates(m, know, 0.25)["p"] {
--- a/internal/decision/placement/filters.go
+++ b/internal/decision/placement/filters.go
@@ -29,6 +29,15 @@
 // Pass implements Filter.
 func (GoodVersion) Pass(c *Candidate, _ *Need) bool { return !c.BadVersion }
 
+// VersionInForce rejects endpoints with a version that may get no traffic.
+type VersionInForce struct{}
+
+// Name implements Filter.
+func (VersionInForce) Name() string { return "version_not_in_force" }
+
+// Pass implements Filter.
+func (VersionInForce) Pass(c *Candidate, _ *Need) bool { return !c.NoTraffic }
+
 // VersionShare rejects endpoints with an unproved version that has all the
 // traffic it may have.
 type VersionShare struct{}
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -15,6 +15,9 @@
 	Version core.Version
 	// Leaving, NotReady and BadVersion keep new work away.
 	Leaving, NotReady, BadVersion bool
+	// NoTraffic tells that the version may get no traffic at all: its move
+	// has not begun, was taken back, or has left it behind.
+	NoTraffic bool
 	// Running is how many attempts the owner counts on the endpoint.
 	Running int
 	// Foreign is how many more the load report shows that the owner did not
--- a/internal/decision/placement/policies.go
+++ b/internal/decision/placement/policies.go
@@ -10,7 +10,7 @@
 
 // rules are the filters that no policy may leave out.
 func rules() []Filter {
-	return []Filter{Leaving{}, Ready{}, GoodVersion{}, Excluded{}, VersionShare{}, FreeSlot{}}
+	return []Filter{Leaving{}, Ready{}, GoodVersion{}, VersionInForce{}, Excluded{}, VersionShare{}, FreeSlot{}}
 }
 
 // NewPolicy returns the policy with the name; an empty name means
--- a/internal/decision/placement/scorers.go
+++ b/internal/decision/placement/scorers.go
@@ -78,5 +78,5 @@
 // or not.
 func Eligible(c *Candidate, need *Need) bool {
 	return Leaving{}.Pass(c, need) && Ready{}.Pass(c, need) &&
-		GoodVersion{}.Pass(c, need) && Excluded{}.Pass(c, need)
+		GoodVersion{}.Pass(c, need) && VersionInForce{}.Pass(c, need) && Excluded{}.Pass(c, need)
 }
--- /dev/null
+++ b/internal/decision/share/cap_test.go
@@ -0,0 +1,50 @@
+package share
+
+import (
+	"testing"
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/move"
+	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/message"
+)
+
+// Each row gives the share of the old and the new version that one move
+// allows, a moment before the revert time and at it; -1 stands for no cap.
+func TestCaps(t *testing.T) {
+	deadline := time.Unix(1000, 0)
+	m := &manifest.Manifest{Moves: []manifest.Move{{Name: "m", Pool: "p", FromVersion: "v1", ToVersion: "v2",
+		DeadlineUnixMS: deadline.UnixMilli()}}}
+	cases := []struct {
+		stage        message.Stage
+		version      core.Version
+		before, late [2]float64
+	}{
+		{"", "v2", [2]float64{-1, 0}, [2]float64{-1, 0}},
+		{message.StageLoading, "v2", [2]float64{-1, 0}, [2]float64{-1, 0}},
+		{message.StageCanary, "v2", [2]float64{-1, 0.3}, [2]float64{-1, 0}},
+		{message.StageRamp, "v2", [2]float64{-1, 0.3}, [2]float64{-1, 0}},
+		{message.StageSoak, "v2", [2]float64{-1, 0.3}, [2]float64{-1, 0}},
+		{message.StageDone, "v2", [2]float64{0, -1}, [2]float64{0, -1}},
+		{message.StageReverted, "v2", [2]float64{-1, 0}, [2]float64{-1, 0}},
+		{message.StageDone, "v3", [2]float64{-1, 0}, [2]float64{-1, 0}}, // the name of an earlier move
+	}
+	for _, c := range cases {
+		stages := map[string]message.MoveStage{"m": {Stage: c.stage, Share: 0.3, ToVersion: c.version}}
+		caps := Caps("p", m, stages)
+		at := func(now time.Time) (shares [2]float64) {
+			for i, v := range []core.Version{"v1", "v2"} {
+				shares[i] = -1
+				if limit, capped := caps[v]; capped {
+					shares[i] = limit.At(now)
+				}
+			}
+			return shares
+		}
+		late := deadline.Add(-move.RevertTime)
+		if before := at(late.Add(-time.Millisecond)); before != c.before || at(late) != c.late {
+			t.Errorf("%s of %s: got %v and %v, want %v and %v", c.stage, c.version, before, at(late), c.before, c.late)
+		}
+	}
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -171,9 +171,12 @@
 
 // MoveStage is how far a planned move has come.
 type MoveStage struct {
-	Move  string `json:"move"`
-	Pool  string `json:"pool"`
-	Stage Stage  `json:"stage"`
+	Move string `json:"move"`
+	Pool string `json:"pool"`
+	// ToVersion is the version that the stage was reached with. The stage
+	// says nothing about a later move of the same name to another version.
+	ToVersion core.Version `json:"to_version"`
+	Stage     Stage        `json:"stage"`
 	// Share is the largest share of the pool's traffic, from 0 to 1, that
 	// the new version may have.
 	Share  float64 `json:"share"`
@@ -227,7 +230,6 @@
 type MoveStatus struct {
 	MoveStage
 	FromVersion    core.Version `json:"from_version"`
-	ToVersion      core.Version `json:"to_version"`
 	DeadlineUnixMS int64        `json:"deadline_unix_ms"`
 	// SinceUnixMS is when the stage and share were set.
 	SinceUnixMS int64  `json:"since_unix_ms"`
--- a/internal/rollout/moves/mover/status.go
+++ b/internal/rollout/moves/mover/status.go
@@ -57,10 +57,9 @@
 
 func (m *Mover) statusOf(next move.Status, known move.Knowledge) message.MoveStatus {
 	return message.MoveStatus{
-		MoveStage: message.MoveStage{Move: m.move.Name, Pool: m.move.Pool, Stage: next.Stage, Share: next.Share,
-			Reason: next.Reason, Fence: m.held.Fence},
+		MoveStage: message.MoveStage{Move: m.move.Name, Pool: m.move.Pool, ToVersion: m.move.ToVersion,
+			Stage: next.Stage, Share: next.Share, Reason: next.Reason, Fence: m.held.Fence},
 		FromVersion:    m.move.FromVersion,
-		ToVersion:      m.move.ToVersion,
 		DeadlineUnixMS: m.move.DeadlineUnixMS,
 		SinceUnixMS:    next.Since.UnixMilli(),
 		Holder:         m.holder,
--- a/internal/scheduler/shards/shard/queue/candidates.go
+++ b/internal/scheduler/shards/shard/queue/candidates.go
@@ -41,6 +41,7 @@
 			Leaving:    d.leaving(e),
 			NotReady:   !e.health.Reachable() || rests || !isReady(e),
 			BadVersion: d.bad(e),
+			NoTraffic:  d.noTraffic(e.version, now),
 		})
 		d.count(&d.candidates[len(d.candidates)-1], now)
 	}
@@ -74,7 +75,7 @@
 			c.LeastTime = time.Duration(doubtFactor * float64(c.LeastTime))
 		}
 		c.Near = c.Endpoint.AvailabilityZone == zone
-		c.ShareReached = !d.shareAllows(c.Version)
+		c.ShareReached = !d.shareAllows(c.Version, now)
 	}
 }
 
@@ -87,14 +88,20 @@
 	return prefill, prefill + d.speeds.Decode(c.Endpoint, c.Version, c.Running+1, output)
 }
 
+// noTraffic tells whether a version may get no traffic at all for now.
+func (d *Duty) noTraffic(v core.Version, now time.Time) bool {
+	limit, capped := d.caps[v]
+	return capped && limit.At(now) <= 0
+}
+
 // shareAllows tells whether a version may get one more attempt.
-func (d *Duty) shareAllows(v core.Version) bool {
+func (d *Duty) shareAllows(v core.Version, now time.Time) bool {
 	limit, capped := d.caps[v]
 	if !capped {
 		return true
 	}
 	running, total := d.book.VersionRunning(v)
-	return share.Allows(limit, d.recent.Of(v), share.Traffic{Version: running, Total: total})
+	return share.Allows(limit.At(now), d.recent.Of(v), share.Traffic{Version: running, Total: total})
 }
 
 // outputTokens is the output length that a fraction of the requests of the
--- a/internal/scheduler/shards/shard/queue/duty.go
+++ b/internal/scheduler/shards/shard/queue/duty.go
@@ -60,8 +60,8 @@
 	fleet    map[string]*endpoint
 	// zones holds the availability zone of each entry host.
 	zones map[string]core.AvailabilityZone
-	// caps is the largest share of each unproved version.
-	caps map[core.Version]float64
+	// caps bounds the traffic of the versions that a move is about.
+	caps map[core.Version]share.Cap
 
 	owned bool
 	// next is the control address of the owner while this scheduler is not.
@@ -105,7 +105,7 @@
 		accounts: map[string]float64{},
 		fleet:    map[string]*endpoint{},
 		zones:    map[string]core.AvailabilityZone{},
-		caps:     map[core.Version]float64{},
+		caps:     map[core.Version]share.Cap{},
 		waiting:  waitlist.New(waitlist.Limits{}),
 		waiters:  map[string]*waiter{},
 		book:     outstanding.NewBook(),
--- a/internal/scheduler/shards/shard/queue/place.go
+++ b/internal/scheduler/shards/shard/queue/place.go
@@ -39,7 +39,7 @@
 func (d *Duty) anyFree() bool {
 	for i := range d.candidates {
 		c := &d.candidates[i]
-		if !c.Leaving && !c.NotReady && !c.BadVersion && c.Running+c.Foreign < c.Endpoint.Slots {
+		if !c.Leaving && !c.NotReady && !c.BadVersion && !c.NoTraffic && c.Running+c.Foreign < c.Endpoint.Slots {
 			return true
 		}
 	}
--- a/internal/scheduler/shards/shard/queue/view.go
+++ b/internal/scheduler/shards/shard/queue/view.go
@@ -10,6 +10,7 @@
 	"kingcupcourse/internal/decision/outstanding"
 	"kingcupcourse/internal/decision/ownership"
 	waitlist "kingcupcourse/internal/decision/queue"
+	"kingcupcourse/internal/decision/share"
 	"kingcupcourse/internal/manifest"
 	"kingcupcourse/internal/message"
 	"kingcupcourse/internal/scheduler/inbox"
@@ -32,7 +33,7 @@
 	for _, member := range view.Members {
 		d.zones[member.Host] = member.AvailabilityZone
 	}
-	d.caps = versionCaps(d.Shard.Pool, view)
+	d.caps = share.Caps(d.Shard.Pool, view.Manifest, view.Moves)
 	d.changeOwner(now)
 }
 
@@ -89,29 +90,6 @@
 		Version: e.Version, Slots: e.Slots, PrefillRate: e.PrefillRate, DecodeRate: e.DecodeRate}
 }
 
-// versionCaps returns the largest share of traffic of each version of the
-// pool that is not proved: the target of a move that is not done. Without a
-// stage it gets none.
-func versionCaps(pool string, view *control.View) map[core.Version]float64 {
-	caps := map[core.Version]float64{}
-	if view.Manifest == nil {
-		return caps
-	}
-	for _, move := range view.Manifest.Moves {
-		if move.Pool != pool {
-			continue
-		}
-		stage, known := view.Moves[move.Name]
-		switch {
-		case !known || stage.Stage == message.StageReverted:
-			caps[move.ToVersion] = 0
-		case stage.Stage != message.StageDone:
-			caps[move.ToVersion] = stage.Share
-		}
-	}
-	return caps
-}
-
 // changeOwner begins or ends the ownership of the shard as the view says.
 func (d *Duty) changeOwner(now time.Time) {
 	rank := ownership.Rank(d.Shard, d.view.Members)
