Scheduler: evidence about unproved versions and the verdict

Cause: nothing compared the versions of a move, so no version was ever judged and no move could leave the canary stage: PathEvidence had no server.

decision/trial keeps one verdict monitor for each version that an unfinished move leads to. The queue duty feeds it every outcome; on a verdict it places nothing more on the version from its own state, tells all hosts, and logs one line. Placement uses the share: the unproved version is preferred while it is below its cap, in the canary stage first for routes that still lack a proof.

Ruled out as evidence: what the endpoint did not start, callers' errors (4xx) and cancellations before the first token. One crash or one pause counts once: lost attempts of an endpoint within a second, and slow ones of a route within 250 ms, are not independent, and the test takes independence for granted. A route with fewer than 5 requests in 30 s on the proved version needs no proof; it would hold the move up until its deadline.

After the end of the move the version is watched for a minute or its soak time against the last baseline. A fault then raises an alarm (log line and kingcup_late_faults_total), not a verdict: the version is in force.

A mover counted the requests of a ramp step from the former owner's count, so that a change of owner held the ramp up; it now counts from zero then.

--- a/internal/decision/move/move.go
+++ b/internal/decision/move/move.go
@@ -145,9 +145,7 @@
 }
 
 func nextRamp(plan Plan, status Status, now time.Time, known Knowledge) Status {
-	ready := now.Sub(status.Since) >= stepTime && quiet(known.Evidence) &&
-		requests(known.Evidence) >= status.Requests+stepRequests
-	if !ready {
+	if now.Sub(status.Since) < stepTime || !quiet(known.Evidence) || newRequests(status, known) < stepRequests {
 		return status
 	}
 	if next := rampIndex(status.Share) + 1; next < len(rampShares()) {
@@ -156,10 +154,21 @@
 	return enter(message.StageSoak, status.Share, now, known, "ramp ended without a fault")
 }
 
+// newRequests is how many requests the new version has had since the stage
+// and share were set, as far as known: a new owner of the pool counts from
+// zero.
+func newRequests(status Status, known Knowledge) int {
+	total := requests(known.Evidence)
+	if total < status.Requests {
+		return total
+	}
+	return total - status.Requests
+}
+
 func provedEverywhere(evidence []verdict.RouteEvidence) bool {
 	proved := 0
 	for _, e := range evidence {
-		if e.ProvedVersion > 0 && !e.Proved {
+		if e.ProvedVersion >= verdict.MinTraffic && !e.Proved {
 			return false
 		}
 		if e.Proved {
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -44,8 +44,21 @@
 	// ShareReached tells that the version has all the traffic that it may
 	// have for now.
 	ShareReached bool
+	// Preference tells whether the trial of an unproved version gains by the
+	// request.
+	Preference Preference
 }
 
+// Preference puts a candidate before or after all others.
+type Preference int
+
+// The preferences.
+const (
+	NoPreference Preference = iota
+	Preferred
+	Avoided
+)
+
 // Finish is the expected time from now to the end of the request.
 func (c *Candidate) Finish() time.Duration { return c.PendingPrefill + c.RunTime }
 
--- a/internal/decision/placement/scorers.go
+++ b/internal/decision/placement/scorers.go
@@ -9,6 +9,8 @@
 	// farPenalty is what an endpoint in another availability zone costs, in
 	// seconds. It decides between endpoints that are otherwise alike.
 	farPenalty = 0.002
+	// preferenceWeight, in seconds, is above any difference in time.
+	preferenceWeight = 1e6
 )
 
 // ExpectedFinish scores by the expected finish of the request, the prefill
@@ -24,6 +26,12 @@
 	if !c.Near {
 		score += farPenalty
 	}
+	switch c.Preference {
+	case Preferred:
+		score -= preferenceWeight
+	case Avoided:
+		score += preferenceWeight
+	}
 	return score
 }
 
--- /dev/null
+++ b/internal/decision/trial/trial.go
@@ -0,0 +1,178 @@
+// Package trial holds the trials of unproved versions in one pool: for each
+// version that an unfinished move leads to, the evidence from the outcomes of
+// requests and, once that shows it as bad, the verdict.
+package trial
+
+import (
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/share"
+	"kingcupcourse/internal/decision/verdict"
+	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/message"
+)
+
+// minWatch is how long at least a version is watched after its move is done.
+const minWatch = time.Minute
+
+// Trial is the evidence about one version.
+type Trial struct {
+	move    manifest.Move
+	stage   message.Stage
+	monitor *verdict.Monitor
+	// doneAt is when the move was seen to be done, zero before.
+	doneAt time.Time
+	// alarmed tells that the version was found bad after its move was done.
+	alarmed bool
+	// lastLost is when an attempt on an endpoint was last lost.
+	lastLost map[string]time.Time
+}
+
+// Set holds the trials of one pool. It is owned by one duty.
+type Set struct {
+	pool   string
+	trials map[core.Version]*Trial
+	bad    map[core.Version]message.BadVersion
+}
+
+// NewSet returns a set without trials.
+func NewSet(pool string) *Set {
+	return &Set{pool: pool, trials: map[core.Version]*Trial{}, bad: map[core.Version]message.BadVersion{}}
+}
+
+// Follow brings the trials in line with the planned moves and their stages.
+// A done move's version is watched on; one that is done when first seen has
+// no evidence to be watched with.
+func (s *Set) Follow(m *manifest.Manifest, stages map[string]message.MoveStage, now time.Time) {
+	planned := map[core.Version]bool{}
+	for _, move := range m.Moves {
+		if move.Pool != s.pool {
+			continue
+		}
+		stage := share.StageOf(move, stages).Stage
+		if stage == message.StageReverted {
+			continue
+		}
+		planned[move.ToVersion] = true
+		s.follow(move, stage, now)
+	}
+	for version := range s.trials {
+		if !planned[version] {
+			delete(s.trials, version)
+		}
+	}
+}
+
+func (s *Set) follow(move manifest.Move, stage message.Stage, now time.Time) {
+	t := s.trials[move.ToVersion]
+	done := stage == message.StageDone
+	switch {
+	case t == nil && done:
+		return
+	case t == nil || t.move.FromVersion != move.FromVersion:
+		t = &Trial{monitor: verdict.New(verdict.DefaultSettings()), lastLost: map[string]time.Time{}}
+		s.trials[move.ToVersion] = t
+	}
+	t.move, t.stage = move, stage
+	if done && t.doneAt.IsZero() {
+		t.doneAt = now
+		t.monitor.KeepBaseline()
+	}
+}
+
+// Restart forgets the evidence, for an owner that did not see all of it. The
+// verdicts stay.
+func (s *Set) Restart() { clear(s.trials) }
+
+// Bad tells whether a version was judged bad here.
+func (s *Set) Bad(v core.Version) bool {
+	_, bad := s.bad[v]
+	return bad
+}
+
+// Evidence returns the evidence about a version, by route.
+func (s *Set) Evidence(v core.Version, now time.Time) []verdict.RouteEvidence {
+	if t := s.trials[v]; t != nil {
+		return t.monitor.Evidence(now)
+	}
+	return nil
+}
+
+// Finding is a version that has just been found bad.
+type Finding struct {
+	message.BadVersion
+	Move string
+	// Late tells that the move was done, so that the version is in force: no
+	// verdict can take it back, and operators have to be told.
+	Late bool
+}
+
+// Observe takes in an outcome, and returns what it brings to light.
+func (s *Set) Observe(o *core.Outcome, kind core.Kind, now time.Time) []Finding {
+	observed, ok := observation(o, kind)
+	if !ok {
+		return nil
+	}
+	var findings []Finding
+	for version, t := range s.trials {
+		if !t.takes(o, now) {
+			continue
+		}
+		if o.Version == t.move.FromVersion {
+			t.monitor.ObserveProved(now, o.Route, observed)
+			continue
+		}
+		t.monitor.ObserveUnproved(now, o.Route, observed)
+		if found, bad := s.judge(version, t); bad {
+			findings = append(findings, found)
+		}
+	}
+	return findings
+}
+
+// judge returns a finding once for each trial.
+func (s *Set) judge(version core.Version, t *Trial) (Finding, bool) {
+	route, reason, bad := t.monitor.Bad()
+	if !bad || s.Bad(version) || t.alarmed {
+		return Finding{}, false
+	}
+	found := Finding{Move: t.move.Name, Late: !t.doneAt.IsZero(),
+		BadVersion: message.BadVersion{Pool: s.pool, Version: version, Route: route, Reason: reason}}
+	if found.Late {
+		t.alarmed = true
+	} else {
+		s.bad[version] = found.BadVersion
+	}
+	return found, true
+}
+
+// takes tells whether an outcome counts in the trial.
+func (t *Trial) takes(o *core.Outcome, now time.Time) bool {
+	switch {
+	case o.Version != t.move.FromVersion && o.Version != t.move.ToVersion:
+		return false
+	case !t.doneAt.IsZero() && now.Sub(t.doneAt) > t.watch():
+		return false
+	case o.Result == core.ResultLost:
+		return t.newLoss(o.Endpoint, now)
+	}
+	return true
+}
+
+func (t *Trial) watch() time.Duration {
+	return max(minWatch, time.Duration(t.move.SoakMS)*time.Millisecond)
+}
+
+// lossSpacing is the shortest time between two losses of an endpoint that
+// count. An endpoint that dies takes all its attempts along; that is one
+// observation of its version.
+const lossSpacing = time.Second
+
+func (t *Trial) newLoss(endpoint string, now time.Time) bool {
+	if last, ok := t.lastLost[endpoint]; ok && now.Sub(last) < lossSpacing {
+		return false
+	}
+	t.lastLost[endpoint] = now
+	return true
+}
--- /dev/null
+++ b/internal/decision/trial/trial_test.go
@@ -0,0 +1,130 @@
+package trial
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/message"
+)
+
+const requests = 30
+
+var start = time.Unix(1000, 0)
+
+// follow brings a set to a stage of the move from v1 to v2.
+func follow(s *Set, stage message.Stage, now time.Time) {
+	m := &manifest.Manifest{Moves: []manifest.Move{{Name: "m", Pool: "p", FromVersion: "v1", ToVersion: "v2"}}}
+	s.Follow(m, map[string]message.MoveStage{"m": {Stage: stage, ToVersion: "v2"}}, now)
+}
+
+func outcome(v core.Version, result core.Result, status int) *core.Outcome {
+	return &core.Outcome{Route: "r", Endpoint: "e-" + string(v), Version: v, Result: result, Status: status,
+		FirstTokenMS: 20, BetweenTokensMS: 10, OutputTokens: 20, TotalMS: 220}
+}
+
+// feed gives the set good outcomes of v1 and the given ones of v2, and returns
+// what it finds.
+func feed(s *Set, now time.Time, spacing time.Duration, tried *core.Outcome) (found []Finding) {
+	for range requests {
+		now = now.Add(spacing)
+		s.Observe(outcome("v1", core.ResultOK, http.StatusOK), core.KindModel, now)
+		found = append(found, s.Observe(tried, core.KindModel, now)...)
+	}
+	return found
+}
+
+func TestWhatCountsAgainstAVersion(t *testing.T) {
+	slow := outcome("v2", core.ResultOK, http.StatusOK)
+	slow.FirstTokenMS *= 5
+	cutOff := outcome("v2", core.ResultCancelled, 0)
+	cutOff.BetweenTokensMS *= 5
+	gaveUp := outcome("v2", core.ResultCancelled, 0)
+	gaveUp.FirstTokenMS, gaveUp.OutputTokens = 0, 0
+	cases := []struct {
+		name    string
+		tried   *core.Outcome
+		spacing time.Duration
+		bad     bool
+	}{
+		{"good", outcome("v2", core.ResultOK, http.StatusOK), time.Second, false},
+		{"failing", outcome("v2", core.ResultFailed, http.StatusInternalServerError), time.Second, true},
+		{"cut or malformed answer", outcome("v2", core.ResultFailed, http.StatusOK), time.Second, true},
+		{"lost again and again", outcome("v2", core.ResultLost, 0), time.Second, true},
+		{"lost with one crash", outcome("v2", core.ResultLost, 0), time.Millisecond, false},
+		{"slow", slow, time.Second, true},
+		{"slow until the deadline", cutOff, time.Second, true},
+		{"slow in one pause", slow, time.Millisecond, false},
+		{"callers' errors", outcome("v2", core.ResultOK, http.StatusNotFound), time.Second, false},
+		{"request seen before", outcome("v2", core.ResultFailed, http.StatusConflict), time.Second, false},
+		{"given up by its caller", gaveUp, time.Second, false},
+		{"not dispatched", outcome("v2", core.ResultNotDispatched, 0), time.Second, false},
+		{"not started", outcome("v2", core.ResultRejected, http.StatusServiceUnavailable), time.Second, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := NewSet("p")
+			follow(s, message.StageCanary, start)
+			feed(s, start, time.Second, outcome("v2", core.ResultOK, http.StatusOK))
+			found := feed(s, start.Add(requests*time.Second), c.spacing, c.tried)
+			if bad := len(found) == 1 && !found[0].Late; bad != c.bad || s.Bad("v2") != c.bad {
+				t.Fatalf("got %+v, want bad %v", found, c.bad)
+			}
+		})
+	}
+}
+
+func TestVerdictOutlivesItsTrial(t *testing.T) {
+	s := NewSet("p")
+	follow(s, message.StageCanary, start)
+	feed(s, start, time.Second, outcome("v2", core.ResultFailed, http.StatusInternalServerError))
+	s.Restart()
+	follow(s, message.StageReverted, start)
+	follow(s, message.StageCanary, start)
+	if !s.Bad("v2") || s.Interest("v2", "r", start) != Neutral {
+		t.Fatal("the verdict is forgotten")
+	}
+}
+
+// After the end of a move the version has no other to go back to, so a fault
+// raises one alarm, and only as long as the version is watched.
+func TestFaultAfterTheMoveIsDone(t *testing.T) {
+	for _, c := range []struct {
+		after time.Duration
+		want  int
+	}{{0, 1}, {2 * minWatch, 0}} {
+		s := NewSet("p")
+		follow(s, message.StageSoak, start)
+		feed(s, start, time.Second, outcome("v2", core.ResultOK, http.StatusOK))
+		done := start.Add(requests * time.Second)
+		follow(s, message.StageDone, done)
+		found := feed(s, done.Add(c.after), time.Second, outcome("v2", core.ResultFailed, http.StatusInternalServerError))
+		if len(found) != c.want || s.Bad("v2") {
+			t.Fatalf("after %v: got %+v, want %d", c.after, found, c.want)
+		}
+	}
+}
+
+func TestShareIsLeftToRoutesWithoutProof(t *testing.T) {
+	s := NewSet("p")
+	follow(s, message.StageCanary, start)
+	feed(s, start, time.Second, outcome("v2", core.ResultOK, http.StatusOK))
+	now := start.Add(requests * time.Second)
+	if got := s.Interest("v2", "r", now); got != Wanted {
+		t.Fatalf("all proved: got %v", got)
+	}
+	other := outcome("v1", core.ResultOK, http.StatusOK)
+	other.Route = "other"
+	for range requests {
+		s.Observe(other, core.KindModel, now)
+	}
+	if s.Interest("v2", "r", now) != Spared || s.Interest("v2", "other", now) != Wanted {
+		t.Fatal("the proved route is not spared")
+	}
+	follow(s, message.StageRamp, now)
+	if s.Interest("v2", "r", now) != Wanted {
+		t.Fatal("the ramp needs the load of all routes")
+	}
+}
--- a/internal/decision/verdict/verdict.go
+++ b/internal/decision/verdict/verdict.go
@@ -53,6 +53,13 @@
 	// SlowFactor is how many times the proved version's 95th percentile an
 	// observation must take to count as slow.
 	SlowFactor float64
+	// SlowSlack is added to that, so that times near the clock's noise are
+	// not compared by their ratio alone.
+	SlowSlack time.Duration
+	// SlowSpacing is the shortest time between two slow observations of a
+	// route that count. One pause of a host or network delays all requests in
+	// progress; they are one observation.
+	SlowSpacing time.Duration
 	// Window is how long observations of the proved version count.
 	Window time.Duration
 }
@@ -60,7 +67,7 @@
 // DefaultSettings return the settings in use.
 func DefaultSettings() Settings {
 	return Settings{FalseAlarm: 1e-6, MissedProof: 0.01, BaseRate: 0.01, AddedRate: 0.2,
-		SlowFactor: 1.5, Window: 30 * time.Second}
+		SlowFactor: 1.5, SlowSlack: 5 * time.Millisecond, SlowSpacing: 250 * time.Millisecond, Window: 30 * time.Second}
 }
 
 // Monitor holds the evidence about one unproved version. It is not safe for
@@ -68,6 +75,8 @@
 type Monitor struct {
 	settings Settings
 	routes   map[string]*route
+	// kept tells that the baseline no longer expires.
+	kept bool
 }
 
 // route is the evidence about one route.
@@ -77,6 +86,8 @@
 	sums     [kinds]float64
 	proof    [kinds]float64
 	bad      [kinds]int
+	// lastSlow is when a slow observation last counted.
+	lastSlow [kinds]time.Time
 }
 
 // New returns a monitor without evidence.
@@ -101,24 +112,41 @@
 // ObserveUnproved adds an observation of the unproved version.
 func (m *Monitor) ObserveUnproved(now time.Time, routeName string, o Observation) {
 	r := m.route(routeName)
-	r.proved.expire(now.Add(-m.settings.Window))
+	m.expire(r, now)
 	r.requests++
 	r.step(KindError, o.Failed, r.proved.errorRate(m.settings.BaseRate), m.settings)
 	if o.Failed {
 		return
 	}
-	m.stepSlow(r, KindFirstToken, o.FirstToken)
-	m.stepSlow(r, KindBetweenTokens, o.BetweenTokens)
+	m.stepSlow(now, r, KindFirstToken, o.FirstToken)
+	m.stepSlow(now, r, KindBetweenTokens, o.BetweenTokens)
+}
+
+// KeepBaseline makes the observations of the proved version count for good:
+// they are the last ones, once it gets no more traffic.
+func (m *Monitor) KeepBaseline() { m.kept = true }
+
+func (m *Monitor) expire(r *route, now time.Time) {
+	if !m.kept {
+		r.proved.expire(now.Add(-m.settings.Window))
+	}
 }
 
 // stepSlow compares a time with the proved version's. Without enough of
 // these the time proves nothing either way.
-func (m *Monitor) stepSlow(r *route, kind Kind, took time.Duration) {
+func (m *Monitor) stepSlow(now time.Time, r *route, kind Kind, took time.Duration) {
 	limit, ok := r.proved.limit(kind, m.settings.SlowFactor)
 	if took == 0 || !ok {
 		return
 	}
-	r.step(kind, took > limit, m.settings.BaseRate, m.settings)
+	slow := took > limit+m.settings.SlowSlack
+	if slow && now.Sub(r.lastSlow[kind]) < m.settings.SlowSpacing {
+		return
+	}
+	if slow {
+		r.lastSlow[kind] = now
+	}
+	r.step(kind, slow, m.settings.BaseRate, m.settings)
 }
 
 // step adds the log likelihood ratio of one observation, with the base rate
@@ -152,6 +180,22 @@
 	return "", "", false
 }
 
+// Lacking tells whether a route with traffic has not been proved yet.
+func (m *Monitor) Lacking(now time.Time) bool {
+	for name, r := range m.routes {
+		m.expire(r, now)
+		if len(r.proved.window) >= MinTraffic && !m.Proved(name) {
+			return true
+		}
+	}
+	return false
+}
+
+// MinTraffic is how many requests the proved version must have had on a route
+// in the window for the route to need a proof. A route with less would hold a
+// move up until its deadline.
+const MinTraffic = 5
+
 // Proved tells whether the version has been shown to be no worse on the
 // route, by the sequential probability ratio test on errors. The times have
 // no proof of their own: a slow version is found by its sum.
@@ -173,10 +217,11 @@
 }
 
 // Evidence returns the evidence by route, ordered by name.
-func (m *Monitor) Evidence() []RouteEvidence {
+func (m *Monitor) Evidence(now time.Time) []RouteEvidence {
 	var out []RouteEvidence
 	for _, name := range m.names() {
 		r := m.routes[name]
+		m.expire(r, now)
 		out = append(out, RouteEvidence{Route: name, Requests: r.requests, Errors: r.bad[KindError],
 			SlowFirst: r.bad[KindFirstToken], SlowBetween: r.bad[KindBetweenTokens],
 			Proved: m.Proved(name), ProvedVersion: len(r.proved.window),
--- a/internal/scheduler/handlers.go
+++ b/internal/scheduler/handlers.go
@@ -31,6 +31,7 @@
 func (h *handlers) register(mux *http.ServeMux) {
 	mux.Handle(message.PathGrants, codec.Handle(h.grant))
 	mux.Handle(message.PathOutcomes, codec.Handle(h.outcomes))
+	mux.Handle(message.PathEvidence, codec.Handle(h.evidence))
 }
 
 // find returns the ring of the pool's queue, nil if there is none here.
@@ -86,6 +87,23 @@
 	return &ack, err
 }
 
+// evidence answers the holder of a move.
+func (h *handlers) evidence(ctx context.Context, r *message.EvidenceRequest) (*message.EvidenceReply, error) {
+	queue, err := h.find(ctx, r.Pool)
+	if err != nil {
+		return nil, err
+	}
+	if queue == nil {
+		return nil, &codec.StatusError{Status: http.StatusServiceUnavailable, Message: "the pool is not known here"}
+	}
+	asked := inbox.Evidence{Reply: ring.NewReply[message.EvidenceReply](), Version: r.Version}
+	if err := queue.Put(ctx, asked); err != nil {
+		return nil, err
+	}
+	reply, err := asked.Wait(ctx)
+	return &reply, err
+}
+
 func refused(refusal *core.Refusal) *message.GrantReply {
 	return &message.GrantReply{Refusal: &message.Refusal{Refusal: *refusal, RetryAfterMS: refusal.RetryAfter.Milliseconds()}}
 }
--- a/internal/scheduler/inbox/queue.go
+++ b/internal/scheduler/inbox/queue.go
@@ -76,6 +76,12 @@
 // JournalAnswer brings the journal's answer to an Ask.
 type JournalAnswer struct{ Answer journal.Answer }
 
+// Evidence asks what was seen of a version that is being moved to.
+type Evidence struct {
+	ring.Reply[message.EvidenceReply]
+	Version core.Version
+}
+
 // Drain asks the queue to place nothing more, to refuse what waits and to
 // answer when that is done.
 type Drain struct{ ring.Reply[struct{}] }
@@ -87,4 +93,5 @@
 func (Reading) toQueue()       {}
 func (CacheEvents) toQueue()   {}
 func (JournalAnswer) toQueue() {}
+func (Evidence) toQueue()      {}
 func (Drain) toQueue()         {}
--- a/internal/scheduler/shards/shard/queue/candidates.go
+++ b/internal/scheduler/shards/shard/queue/candidates.go
@@ -76,6 +76,7 @@
 		}
 		c.Near = c.Endpoint.AvailabilityZone == zone
 		c.ShareReached = !d.shareAllows(c.Version, now)
+		c.Preference = d.preference(c.Version, request.Route, now)
 	}
 }
 
--- a/internal/scheduler/shards/shard/queue/duty.go
+++ b/internal/scheduler/shards/shard/queue/duty.go
@@ -17,6 +17,7 @@
 	"kingcupcourse/internal/decision/placement"
 	waitlist "kingcupcourse/internal/decision/queue"
 	"kingcupcourse/internal/decision/share"
+	"kingcupcourse/internal/decision/trial"
 	"kingcupcourse/internal/manifest"
 	"kingcupcourse/internal/message"
 	"kingcupcourse/internal/ring"
@@ -44,7 +45,9 @@
 	// Inbox is the duty's own ring, Journal that of the journal's owner.
 	Inbox   *ring.Ring[inbox.Queue]
 	Journal *ring.Ring[inbox.Journal]
-	Log     *zap.Logger
+	// Report tells a fact to all hosts.
+	Report func(message.Fact) error
+	Log    *zap.Logger
 }
 
 // Duty is the owner of one pool shard's state.
@@ -75,7 +78,10 @@
 	speeds  *estimate.Speeds
 	lengths *estimate.Lengths
 	recent  *share.Recent
+	trials  *trial.Set
 	unsent  []inbox.Journal
+	// untold are verdicts that could not be told to the other hosts yet.
+	untold []message.BadVersion
 
 	candidates []placement.Candidate
 	tickAt     time.Time
@@ -112,6 +118,7 @@
 		speeds:   estimate.NewSpeeds(),
 		lengths:  estimate.NewLengths(),
 		recent:   share.NewRecent(),
+		trials:   trial.NewSet(config.Shard.Pool),
 	}
 }
 
@@ -138,6 +145,8 @@
 		d.cacheEvents(m)
 	case inbox.JournalAnswer:
 		d.journalAnswer(m.Answer, now)
+	case inbox.Evidence:
+		d.evidence(m, now)
 	case inbox.Drain:
 		d.drain(m, now)
 	}
@@ -146,12 +155,14 @@
 }
 
 // tick does what no message triggers: it drops what can no longer finish,
-// forgets silent entries and tells the journal what it could not take.
+// forgets silent entries, and tells the journal and the other hosts what they
+// could not take.
 func (d *Duty) tick() error {
 	now := time.Now()
 	d.expire(now)
 	d.forgetSilent(now)
 	d.sendUnsent()
+	d.tellUntold()
 	d.place(now)
 	d.observeDepth()
 	d.tickAt = now.Add(tickIdle)
--- a/internal/scheduler/shards/shard/queue/fleet.go
+++ b/internal/scheduler/shards/shard/queue/fleet.go
@@ -79,11 +79,5 @@
 	return d.view.Leaving[e.Name] || e.state == inbox.EndpointLeaving || !e.leavingSince.IsZero()
 }
 
-// bad tells whether an endpoint's version was judged bad.
-func (d *Duty) bad(e *endpoint) bool {
-	_, bad := d.view.BadVersions[core.EndpointVersion{Pool: d.Shard.Pool, Version: e.version}]
-	return bad
-}
-
 // isReady tells whether an endpoint has reported that it serves.
 func isReady(e *endpoint) bool { return e.state == inbox.EndpointReady || e.state == "" }
--- a/internal/scheduler/shards/shard/queue/metrics.go
+++ b/internal/scheduler/shards/shard/queue/metrics.go
@@ -33,6 +33,14 @@
 		Name: "kingcup_released_attempts_total",
 		Help: "Attempts taken from the count without an outcome.",
 	}, []string{"pool"})
+	badVersionsTotal = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_bad_versions_total",
+		Help: "Versions judged bad by this scheduler.",
+	}, []string{"pool"})
+	lateFaultsTotal = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_late_faults_total",
+		Help: "Versions found bad after their move was done. They stay in force until operators act.",
+	}, []string{"pool"})
 	inversions = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kingcup_tier_inversions_total",
 		Help: "Requests refused for want of room while a less important one waited. Must stay zero.",
@@ -57,7 +65,7 @@
 // Collectors returns the metrics of the queue duties.
 func Collectors() []prometheus.Collector {
 	return []prometheus.Collector{depthGauge, outstandingGauge, grantsTotal, refusedTotal, outcomesTotal, releasedTotal,
-		inversions, grantWaitSeconds, reservationSeconds, placementSeconds}
+		badVersionsTotal, lateFaultsTotal, inversions, grantWaitSeconds, reservationSeconds, placementSeconds}
 }
 
 func (d *Duty) observeDepth() {
--- a/internal/scheduler/shards/shard/queue/view.go
+++ b/internal/scheduler/shards/shard/queue/view.go
@@ -35,6 +35,9 @@
 	}
 	d.caps = share.Caps(d.Shard.Pool, view.Manifest, view.Moves)
 	d.changeOwner(now)
+	if view.Manifest != nil {
+		d.trials.Follow(view.Manifest, view.Moves, now)
+	}
 }
 
 func (d *Duty) changeManifest(m *manifest.Manifest) {
@@ -103,6 +106,7 @@
 	d.tellJournal(inbox.Own{Wanted: owned})
 	if owned {
 		d.book = outstanding.NewBook()
+		d.trials.Restart()
 		d.gatherUntil = now.Add(gatherTime)
 		d.tickAt = now
 		return
--- a/internal/scheduler/shards/shard/supervisor.go
+++ b/internal/scheduler/shards/shard/supervisor.go
@@ -15,6 +15,7 @@
 	"kingcupcourse/internal/decision/ownership"
 	"kingcupcourse/internal/decision/placement"
 	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/message"
 	"kingcupcourse/internal/ring"
 	"kingcupcourse/internal/scheduler/inbox"
 	"kingcupcourse/internal/scheduler/shards/shard/endpoint"
@@ -37,7 +38,9 @@
 	Platform     caller.Platform
 	// Endpoints is the client for load reports.
 	Endpoints *http.Client
-	Log       *zap.Logger
+	// Report tells a fact to all hosts.
+	Report func(message.Fact) error
+	Log    *zap.Logger
 }
 
 // Shard is one pool shard as the manager of the shards sees it.
@@ -71,7 +74,7 @@
 			{Name: "journal", Duty: journal.New(journal.Config{Pool: pool, Owner: config.Owner,
 				Flush: config.JournalFlush, Inbox: s.Journal, Queue: s.Queue, Platform: config.Platform, Log: config.Log})},
 			{Name: "queue", Duty: queue.New(queue.Config{Shard: s.id, Host: config.Host, Policy: policy,
-				Inbox: s.Queue, Journal: s.Journal, Log: config.Log})},
+				Inbox: s.Queue, Journal: s.Journal, Report: config.Report, Log: config.Log})},
 		},
 	}, config.Log)
 	return s
--- a/internal/scheduler/supervisor.go
+++ b/internal/scheduler/supervisor.go
@@ -17,6 +17,7 @@
 	"kingcupcourse/internal/codec"
 	"kingcupcourse/internal/control"
 	"kingcupcourse/internal/decision/placement"
+	"kingcupcourse/internal/message"
 	"kingcupcourse/internal/process"
 	"kingcupcourse/internal/ring"
 	"kingcupcourse/internal/scheduler/drain"
@@ -45,7 +46,7 @@
 	}
 	env.Metrics.MustRegister(collectors()...)
 	return build(config{Settings: *s, Views: env.Control.Subscribe(), Mux: env.ControlMux,
-		Platform: env.Platform.WithTimeout(caller.CallTimeout), Log: env.Log}), nil
+		Platform: env.Platform.WithTimeout(caller.CallTimeout), Report: env.Control.Report, Log: env.Log}), nil
 }
 
 // config is what the duties are built from.
@@ -54,7 +55,9 @@
 	Views    control.Subscription
 	Mux      *http.ServeMux
 	Platform caller.Platform
-	Log      *zap.Logger
+	// Report tells a fact to all hosts.
+	Report func(message.Fact) error
+	Log    *zap.Logger
 }
 
 func build(c config) process.Duties {
@@ -86,6 +89,7 @@
 		JournalFlush: flush,
 		Platform:     c.Platform,
 		Endpoints:    &http.Client{Transport: codec.NewTransport(pollHeaderTimeout)},
+		Report:       c.Report,
 		Log:          c.Log,
 	}
 }
