Entry: no dispatch onto a version that the host knows as bad

Cause: an owner that has not heard of a verdict, or a grant that crossed it, brought requests onto the bad version. The entry now asks its own view before it dispatches, reports the attempt as not dispatched and asks again.

--- a/internal/entry/admission/handle.go
+++ b/internal/entry/admission/handle.go
@@ -76,3 +76,12 @@
 	}
 	m.Send(d.ranked(m.Shard))
 }
+
+func (m VersionAsk) handle(d *Duty, _ time.Time) {
+	if d.view == nil {
+		m.Send(false)
+		return
+	}
+	_, bad := d.view.BadVersions[m.Version]
+	m.Send(bad)
+}
--- a/internal/entry/admission/messages.go
+++ b/internal/entry/admission/messages.go
@@ -14,7 +14,7 @@
 )
 
 // Message is what the duty takes from its ring: Opening, Question, RetryAsk,
-// OwnersAsk or Closing.
+// OwnersAsk, VersionAsk or Closing.
 type Message interface {
 	handle(d *Duty, now time.Time)
 }
@@ -75,3 +75,9 @@
 	ring.Reply[[]message.Member]
 	Shard ownership.Shard
 }
+
+// VersionAsk asks whether a version was judged bad.
+type VersionAsk struct {
+	ring.Reply[bool]
+	Version core.EndpointVersion
+}
--- a/internal/entry/callers/run.go
+++ b/internal/entry/callers/run.go
@@ -24,7 +24,7 @@
 			return
 		}
 		c.begin(placed)
-		end := c.dispatch(ctx, placed.grant)
+		end := c.dispatchGood(ctx, placed.grant)
 		if !c.settle(ctx, placed, end, c.again(ctx, end)) {
 			c.answer(end)
 			return
