Moves: withdrawn moves, reused names, and unloads that cut nothing off

Cause, each seen by reading: a manifest that withdrew a running move also took its target's cap away, so that an unproved version got all traffic; a move under the name of an earlier one went on from that one's status; a revert unloaded the version from engines that still ran requests; and a restarted process repeated the last orders of a move that had ended long ago.

Not covered: if every rollout process is restarted after a move was withdrawn, nobody writes its status as reverted. It still gets no traffic.

--- a/cmd/kingcup-rollout/main.go
+++ b/cmd/kingcup-rollout/main.go
@@ -1,5 +1,5 @@
 // Command kingcup-rollout is the process that carries out planned version
-// moves. So far it only logs the stage of each move.
+// moves.
 package main
 
 import (
--- a/internal/ctl/commit.go
+++ b/internal/ctl/commit.go
@@ -82,7 +82,28 @@
 		bad[core.EndpointVersion{Pool: pool, Version: core.Version(version)}] = true
 	}
 	list := manifest.Check(parsed, bad)
-	return asFindings(file, append(list, lateMoves(parsed, base, time.Now())...))
+	list = append(list, lateMoves(parsed, base, time.Now())...)
+	return asFindings(file, append(list, renamedMoves(parsed, base)...))
+}
+
+// renamedMoves reports the moves whose name belongs to another move of the
+// committed manifest: a name stands for one pair of versions for good.
+func renamedMoves(parsed *manifest.Manifest, base platform.Object) findings.List {
+	committed := map[string]manifest.Move{}
+	if old, list := manifest.Parse(base.Value); len(list) == 0 {
+		for _, move := range old.Moves {
+			committed[move.Name] = move
+		}
+	}
+	var list findings.List
+	for i, move := range parsed.Moves {
+		old, known := committed[move.Name]
+		if known && (old.Pool != move.Pool || old.FromVersion != move.FromVersion || old.ToVersion != move.ToVersion) {
+			list.Add(strictjson.Field(strictjson.Item("moves", i), "name"),
+				"is that of the move of pool %q from %q to %q; use a new one", old.Pool, old.FromVersion, old.ToVersion)
+		}
+	}
+	return list
 }
 
 // lateMoves reports the moves that the committed manifest does not have and
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -254,3 +254,15 @@
 		t.Errorf("no platform: exit code %d: %s", code, out.String())
 	}
 }
+
+func TestCommitRefusesTheNameOfAnotherMove(t *testing.T) {
+	b := newBench(t)
+	b.expect(t, ExitOK, "committed", "commit", file(t, "a"))
+	text, err := os.ReadFile(file(t, "b"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	turned := strings.NewReplacer(`"from_version": "v1", "to_version": "v2"`, `"from_version": "v2", "to_version": "v1"`)
+	b.expect(t, ExitFindings, `moves[0].name: is that of the move of pool "p" from "v1" to "v2"`,
+		"commit", write(t, turned.Replace(string(text))))
+}
--- a/internal/decision/share/cap.go
+++ b/internal/decision/share/cap.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"slices"
 	"time"
 
 	"kingcupcourse/internal/core"
@@ -29,8 +30,9 @@
 }
 
 // Caps returns the caps of a pool's versions; a version without one may get
-// all traffic. The target of a move gets none before the canary stage and
-// after a revert, and the version that a done move leaves gets none.
+// all traffic. The target of a move gets none before the canary stage, after
+// a revert and after the move was withdrawn, and the version that a done move
+// leaves gets none.
 func Caps(pool string, m *manifest.Manifest, stages map[string]message.MoveStage) map[core.Version]Cap {
 	caps := map[core.Version]Cap{}
 	if m == nil {
@@ -48,9 +50,52 @@
 		caps[planned.ToVersion] = Cap{Share: targetShare(stage),
 			Until: time.UnixMilli(planned.DeadlineUnixMS).Add(-move.RevertTime)}
 	}
+	capWithdrawn(caps, pool, m, stages)
 	return caps
 }
 
+// capWithdrawn caps the targets of moves that were begun and that the
+// manifest no longer has: without their move they are as unproved as before.
+// A pool that has no other version any more is left alone.
+func capWithdrawn(caps map[core.Version]Cap, pool string, m *manifest.Manifest, stages map[string]message.MoveStage) {
+	proved := map[core.Version]bool{}
+	for _, stage := range stages {
+		if stage.Pool == pool && stage.Stage == message.StageDone {
+			proved[stage.ToVersion] = true
+		}
+	}
+	withdrawn := map[core.Version]bool{}
+	for name, stage := range stages {
+		_, capped := caps[stage.ToVersion]
+		if stage.Pool == pool && !capped && !proved[stage.ToVersion] && !planned(m, name) {
+			withdrawn[stage.ToVersion] = true
+		}
+	}
+	if !hasOther(pool, m, caps, withdrawn) {
+		return
+	}
+	for version := range withdrawn {
+		caps[version] = Cap{}
+	}
+}
+
+func planned(m *manifest.Manifest, name string) bool {
+	return slices.ContainsFunc(m.Moves, func(p manifest.Move) bool { return p.Name == name })
+}
+
+// hasOther tells whether the pool has a version that is neither capped nor
+// withdrawn.
+func hasOther(pool string, m *manifest.Manifest, caps map[core.Version]Cap, withdrawn map[core.Version]bool) bool {
+	for _, p := range m.Pools {
+		for _, e := range p.Endpoints {
+			if _, capped := caps[e.Version]; p.Name == pool && !capped && !withdrawn[e.Version] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // StageOf returns the stage of a planned move; the zero stage if none is
 // known, or only that of a move with the same name to another version.
 func StageOf(planned manifest.Move, stages map[string]message.MoveStage) message.MoveStage {
--- a/internal/decision/share/cap_test.go
+++ b/internal/decision/share/cap_test.go
@@ -48,3 +48,31 @@
 		}
 	}
 }
+
+func TestWithdrawnMoveLeavesItsTargetWithoutTraffic(t *testing.T) {
+	pool := func(versions ...core.Version) *manifest.Manifest {
+		p := manifest.Pool{Name: "p"}
+		for _, v := range versions {
+			p.Endpoints = append(p.Endpoints, manifest.Endpoint{Version: v})
+		}
+		return &manifest.Manifest{Pools: []manifest.Pool{p}}
+	}
+	stages := func(stage message.Stage) map[string]message.MoveStage {
+		return map[string]message.MoveStage{"m": {Move: "m", Pool: "p", Stage: stage, Share: 0.5, ToVersion: "v2"}}
+	}
+	for _, c := range []struct {
+		m      *manifest.Manifest
+		stage  message.Stage
+		capped bool
+	}{
+		{pool("v1", "v2"), message.StageRamp, true},
+		{pool("v1", "v2"), message.StageReverted, true},
+		{pool("v1", "v2"), message.StageDone, false},
+		{pool("v2"), message.StageReverted, false}, // the operators have replaced v1
+	} {
+		limit, capped := Caps("p", c.m, stages(c.stage))["v2"]
+		if capped != c.capped || limit.Share != 0 {
+			t.Errorf("%v %s: got %+v %v", c.m.Pools, c.stage, limit, capped)
+		}
+	}
+}
--- a/internal/rollout/moves/mover/mover.go
+++ b/internal/rollout/moves/mover/mover.go
@@ -49,8 +49,8 @@
 	move   manifest.Move
 	views  control.Subscription
 	log    *zap.Logger
-	// idle is never put into; the mover waits on it for the time to pass.
-	idle *ring.Ring[struct{}]
+	// steps is never put into; the mover waits on it for the time to pass.
+	steps *ring.Ring[struct{}]
 
 	view *control.View
 	// holder names this run of the duty in the lease, so that a restarted
@@ -71,7 +71,7 @@
 
 // New returns a mover for the move.
 func New(config Config, m manifest.Move, views control.Subscription) *Mover {
-	return &Mover{config: config, move: m, views: views, idle: ring.New[struct{}]("rollout_idle", 1),
+	return &Mover{config: config, move: m, views: views, steps: ring.New[struct{}]("rollout_steps", 1),
 		holder: config.Holder + "/" + uuid.NewString(),
 		log:    config.Log.With(zap.String("move", m.Name), zap.String("pool", m.Pool))}
 }
@@ -79,7 +79,7 @@
 // Serve implements supervisor.Duty. It returns supervisor.ErrDone once the
 // move has ended and its last orders are given.
 func (m *Mover) Serve(ctx context.Context) error {
-	err := ring.LoopUntil(ctx, m.idle, func(struct{}) error { return nil },
+	err := ring.LoopUntil(ctx, m.steps, func(struct{}) error { return nil },
 		func() time.Time { return m.next }, func() error { return m.step(ctx) })
 	m.giveBack(context.WithoutCancel(ctx))
 	return err
@@ -103,6 +103,9 @@
 	if !m.loaded && !m.readStatus(ctx) {
 		return nil
 	}
+	if m.nameTaken() {
+		return supervisor.ErrDone
+	}
 	m.advance(ctx)
 	if m.finished() && m.settle(ctx) {
 		return supervisor.ErrDone
--- a/internal/rollout/moves/mover/orders.go
+++ b/internal/rollout/moves/mover/orders.go
@@ -25,6 +25,9 @@
 	// loadSpacing is the shortest time between two load orders, because the
 	// weight store limits its rate.
 	loadSpacing = 500 * time.Millisecond
+	// lastPlacement is how long after a revert a host that has not heard of
+	// it may still place a request, and a load report not show it yet.
+	lastPlacement = 3 * time.Second
 )
 
 // order is an order to an endpoint. It is safe to give twice or late: it
@@ -66,7 +69,7 @@
 			continue
 		}
 		missing++
-		if time.Since(m.orders.last) < spacing {
+		if time.Since(m.orders.last) < spacing || (what == orderUnload && !m.idle(ctx, e)) {
 			continue
 		}
 		m.orders.last = time.Now()
@@ -96,10 +99,23 @@
 	return err == nil
 }
 
-// loadReport is the part of an endpoint's load report that tells its version.
+// idle tells whether nothing runs or waits on an endpoint, so that an unload
+// cuts off no request. The load report lags, so it counts only a while after
+// the last request could have been placed.
+func (m *Mover) idle(ctx context.Context, e manifest.Endpoint) bool {
+	if time.Since(time.UnixMilli(m.status.SinceUnixMS)) < lastPlacement {
+		return false
+	}
+	report, ok := m.load(ctx, e)
+	return ok && report.Running == 0 && report.Waiting == 0
+}
+
+// loadReport is the part of an endpoint's load report that a mover needs.
 type loadReport struct {
 	Version core.Version `json:"version"`
 	State   string       `json:"state"`
+	Running int          `json:"running"`
+	Waiting int          `json:"waiting"`
 }
 
 // ready tells whether every endpoint of the new version serves it. An
@@ -119,9 +135,15 @@
 }
 
 func (m *Mover) serves(ctx context.Context, e manifest.Endpoint) bool {
+	report, ok := m.load(ctx, e)
+	return ok && report.State == stateReady && report.Version == m.move.ToVersion
+}
+
+// load asks an endpoint for its load report.
+func (m *Mover) load(ctx context.Context, e manifest.Endpoint) (loadReport, bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var report loadReport
 	err := codec.Fetch(ctx, m.config.Client, e.Address, pathLoad, &report)
-	return err == nil && report.State == stateReady && report.Version == m.move.ToVersion
+	return report, err == nil
 }
--- a/internal/rollout/moves/mover/status.go
+++ b/internal/rollout/moves/mover/status.go
@@ -32,9 +32,20 @@
 		m.statusVersion = object.Version
 	}
 	m.loaded = true
+	if m.nameTaken() {
+		m.log.Error("the name belongs to an earlier move; plan this one under a new name",
+			zap.String("earlier_version", string(m.status.ToVersion)))
+	}
 	return true
 }
 
+// nameTaken tells whether the status is that of an earlier move of the same
+// name. Its stage says nothing about this move, which is not begun.
+func (m *Mover) nameTaken() bool {
+	return m.statusVersion > 0 && (m.status.Pool != m.move.Pool ||
+		m.status.FromVersion != m.move.FromVersion || m.status.ToVersion != m.move.ToVersion)
+}
+
 // writeStatus writes the status on the condition that it is still the one
 // that the decision was made on, and tells all hosts. A conflict or an
 // answer that stays unknown makes the mover read the status again: deciding
@@ -110,9 +121,11 @@
 // settle gives the last orders of a move that has ended and tells whether
 // that is done or has been tried long enough.
 func (m *Mover) settle(ctx context.Context) bool {
+	if time.Since(time.UnixMilli(m.status.SinceUnixMS)) > settleLimit {
+		return true
+	}
 	m.giveOrders(ctx)
-	since := time.Since(time.UnixMilli(m.status.SinceUnixMS))
-	return m.orders.complete || since > settleLimit
+	return m.orders.complete
 }
 
 // settleLimit bounds how long last orders are tried: an endpoint that is gone
