--- a/internal/decision/trial/observation.go
+++ b/internal/decision/trial/observation.go
@@ -1,7 +1,6 @@
 package trial
 
 import (
-	"net/http"
 	"time"
 
 	"kingcupcourse/internal/core"
@@ -40,8 +39,7 @@
 	return verdict.Observation{FirstToken: milliseconds(o.FirstTokenMS), BetweenTokens: milliseconds(o.BetweenTokensMS)}
 }
 
-func callerError(status int) bool {
-	return status >= http.StatusBadRequest && status < http.StatusInternalServerError
-}
+// callerError tells whether an HTTP status blames the caller.
+func callerError(status int) bool { return status >= 400 && status < 500 }
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
