--- a/internal/entry/callers/run.go
+++ b/internal/entry/callers/run.go
@@ -25,7 +25,7 @@
 		}
 		c.begin(placed)
 		dispatching, cancel := c.dispatchContext(ctx)
-		end := c.dispatch(dispatching, placed.grant)
+		end := c.dispatchGood(dispatching, placed.grant)
 		cancel()
 		if !c.settle(ctx, placed, end, c.again(ctx, end)) {
 			c.answer(end)
