A process is ready only when it knows the other members

Cause: a process that had restarted published a manifest before it had heard of anybody, so that a scheduler would for a moment have taken itself for the owner of every pool. It now compares its facts with a peer first (three more probes at once until that is done, 5 s at most) and its views carry no manifest until it is ready.

A watcher that only polls no longer retries faster than it polls, so that an outage does not multiply the calls of a large fleet.

--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -31,6 +31,10 @@
 // answered tells whether any answered.
 type peersAsked struct{ answered bool }
 
+// peersMet tells that this process knows what its peers share, or has waited
+// for it long enough.
+type peersMet struct{}
+
 // platformAsked tells how the newest call of the manifest watch ended.
 type platformAsked struct{ up bool }
 
@@ -49,6 +53,7 @@
 
 func (offered) isChange()         {}
 func (peersAsked) isChange()      {}
+func (peersMet) isChange()        {}
 func (platformAsked) isChange()   {}
 func (shared) isChange()          {}
 func (manifestRequest) isChange() {}
@@ -70,9 +75,11 @@
 	text     json.RawMessage
 	rejected uint64 // highest version refused because of its findings
 
-	fetchersDone  int
-	platformTried bool
-	answered      bool // the platform or a peer has answered
+	fetchersDone     int
+	platformTried    bool
+	platformAnswered bool // the platform has answered once
+	peerAnswered     bool // a peer has answered at start
+	met              bool // the facts that the peers share are known
 }
 
 // Serve implements supervisor.Duty.
@@ -90,9 +97,11 @@
 		return c.consider(ctx, m)
 	case peersAsked:
 		c.fetchersDone++
-		c.answered = c.answered || m.answered
+		c.peerAnswered = c.peerAnswered || m.answered
+	case peersMet:
+		c.met = true
 	case platformAsked:
-		c.platformAnswered(m.up)
+		c.adoptPlatform(m.up)
 	case shared:
 		c.adopt(m.snapshot)
 	case manifestRequest:
@@ -123,7 +132,6 @@
 		zap.Uint64("previous", c.view.ManifestVersion), zap.String("source", m.source))
 	c.view.Manifest, c.view.ManifestVersion, c.text = parsed, m.version, m.text
 	c.metrics.manifestVersion.Set(float64(m.version))
-	c.updateReady()
 	c.publish()
 	return c.announce(ctx)
 }
@@ -134,9 +142,9 @@
 	return c.members.Put(ctx, manifestTaken{version: c.view.ManifestVersion, rejected: c.rejected})
 }
 
-func (c *configuration) platformAnswered(up bool) {
+func (c *configuration) adoptPlatform(up bool) {
 	c.platformTried = true
-	c.answered = c.answered || up
+	c.platformAnswered = c.platformAnswered || up
 	if c.view.PlatformUp == up {
 		return
 	}
@@ -154,20 +162,37 @@
 	c.publish()
 }
 
-// updateReady makes the process ready once it has a manifest and has asked
-// everybody who may hold a newer one. It stays ready afterwards.
+// updateReady makes the process ready once it has a manifest, has asked
+// everybody who may hold a newer one, and knows the other members if there is
+// any that answers. It stays ready afterwards.
 func (c *configuration) updateReady() {
-	asked := c.platformTried && c.fetchersDone >= fetchers && c.answered
-	if c.view.Manifest == nil || !asked || c.ready.Load() {
+	if c.ready.Load() || c.view.Manifest == nil || !c.asked() {
 		return
 	}
 	c.ready.Store(true)
-	c.log.Info("configuration ready", zap.Uint64("version", c.view.ManifestVersion))
+	c.log.Info("configuration ready", zap.Uint64("version", c.view.ManifestVersion),
+		zap.Int("members", len(c.view.Members)))
+	c.publish()
+}
+
+func (c *configuration) asked() bool {
+	if !c.platformTried || c.fetchersDone < fetchers {
+		return false
+	}
+	if c.peerAnswered {
+		return c.met
+	}
+	return c.platformAnswered
 }
 
-// publish hands a copy of the view to every subscriber.
+// publish hands a copy of the view to every subscriber. Until the process is
+// ready the copy has no manifest, so that nothing is decided on an old one or
+// without the other members.
 func (c *configuration) publish() {
 	view := c.view
+	if !c.ready.Load() {
+		view.Manifest, view.ManifestVersion = nil, 0
+	}
 	for _, s := range c.subscribers {
 		s.Publish(&view)
 	}
--- a/internal/control/exchange.go
+++ b/internal/control/exchange.go
@@ -50,7 +50,7 @@
 		reply, err := call(ctx, client, o)
 		if err == nil {
 			e.metrics.gossipCalls.WithLabelValues("ok").Inc()
-			return e.members.Put(ctx, answered{address: o.address, gossip: reply})
+			return e.members.Put(ctx, answered{sent: o, gossip: reply})
 		}
 		e.metrics.gossipCalls.WithLabelValues("failed").Inc()
 	}
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -26,14 +26,32 @@
 
 // probe sends the hash of all facts to one random peer, which shows whether it
 // is alive and holds the same facts.
-func (m *members) probe() {
+func (m *members) probe() { m.probeBy(m.probes) }
+
+func (m *members) probeBy(to *ring.Ring[outgoing]) {
 	address, ok := m.probed()
 	if !ok {
 		return
 	}
 	g := m.gossip(nil)
 	g.Hash = m.store.Hash()
-	m.send(m.probes, outgoing{address: address, gossip: g})
+	m.send(to, outgoing{address: address, gossip: g})
+}
+
+// meet probes more peers at once until what they share is known.
+func (m *members) meet(now time.Time) {
+	if m.met {
+		return
+	}
+	m.met = now.Sub(m.started) >= meetTimeout
+	for _, push := range m.pushes {
+		m.probeBy(push)
+	}
+}
+
+// isCompared tells whether an answer completes a comparison of all facts.
+func (m *members) isCompared(e answered) bool {
+	return len(e.sent.gossip.Scope) > 0 || (e.gossip.Hash != 0 && e.gossip.Hash == m.store.Hash())
 }
 
 func (m *members) probed() (string, bool) {
--- a/internal/control/liveness_test.go
+++ b/internal/control/liveness_test.go
@@ -86,3 +86,22 @@
 	}
 	return total
 }
+
+// TestReadyOnlyWithTheOtherMembers checks that a process that starts decides
+// nothing before it knows who else is there, and has a manifest only then.
+func TestReadyOnlyWithTheOtherMembers(t *testing.T) {
+	t.Parallel()
+	f := newPlatform(t)
+	f.set("manifest", 1, manifestOf("one"))
+	processes := startSeven(t, f)
+	for _, p := range processes {
+		p.await(t, soon, "seven members", func(v *View) bool { return len(v.Members) == 7 })
+	}
+	known := processes[0].Self().Address
+	listeners, _ := listen(t, 1)
+	late := start(t, listeners[0], "late", f.url, known)
+	first := late.await(t, soon, "a manifest", func(v *View) bool { return v.Manifest != nil })
+	if len(first.Members) != 8 {
+		t.Fatalf("the first view with a manifest has %d members, want 8", len(first.Members))
+	}
+}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -26,7 +26,10 @@
 	fetchAgainAfter = 500 * time.Millisecond
 	// maxFactsPerMessage limits the facts, and the entries wanted, in one
 	// gossip message.
-	maxFactsPerMessage = 1024
+	maxFactsPerMessage = 4096
+	// meetTimeout is how long a process that starts may wait until it has
+	// learned what its peers share.
+	meetTimeout = 5 * time.Second
 )
 
 // event is a message to the members duty.
@@ -43,8 +46,8 @@
 
 // answered is a peer's answer to gossip of this process.
 type answered struct {
-	address string
-	gossip  *message.Gossip
+	sent   outgoing
+	gossip *message.Gossip
 }
 
 // unreached tells that a peer did not answer.
@@ -97,13 +100,20 @@
 	lastFetchAt time.Time
 	watching    bool
 	changed     bool // the snapshot must be published
+	started     time.Time
+	met         bool // what the peers share is known
+	metTold     bool // configuration knows that
 
 	nextHousekeeping, nextProbe time.Time
 }
 
 // Serve implements supervisor.Duty.
 func (m *members) Serve(ctx context.Context) error {
-	m.nextHousekeeping, m.nextProbe = time.Now(), time.Now()
+	now := time.Now()
+	m.nextHousekeeping, m.nextProbe = now, now
+	if m.started.IsZero() {
+		m.started = now
+	}
 	return ring.LoopUntil(ctx, m.inbox, m.handle, m.next, m.tick)
 }
 
@@ -127,6 +137,7 @@
 		m.nextProbe = now.Add(probePeriod)
 		m.updateAlive(now)
 		m.probe()
+		m.meet(now)
 	}
 	m.publish()
 	return nil
@@ -142,7 +153,8 @@
 		e.Send(m.answer(e.gossip))
 	case answered:
 		m.receive(e.gossip, now)
-		m.continueComparison(e.address, e.gossip)
+		m.continueComparison(e.sent.address, e.gossip)
+		m.met = m.met || m.isCompared(e)
 	case unreached:
 		m.suspect(e.address, now)
 	case hostsListed:
@@ -210,9 +222,15 @@
 // publish tells the other duties what has changed. If a ring is full, it is
 // told at the next chance.
 func (m *members) publish() {
-	if !m.changed {
-		return
+	if m.changed {
+		m.publishSnapshot()
 	}
+	if m.met && !m.metTold && !m.changed {
+		m.metTold = m.configuration.TryPut(peersMet{}) == nil
+	}
+}
+
+func (m *members) publishSnapshot() {
 	s := m.snapshot()
 	m.metrics.members.Set(float64(len(s.members)))
 	m.metrics.facts.Set(float64(m.store.Len()))
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -28,7 +28,8 @@
 // View is what a process knows at one moment. It is immutable once
 // published, so that duties may share it.
 type View struct {
-	// Manifest is the highest manifest ever seen, nil before the first.
+	// Manifest is the highest manifest ever seen, nil until the process is
+	// ready.
 	Manifest *manifest.Manifest
 	// ManifestVersion is its version in the platform.
 	ManifestVersion uint64
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -118,7 +118,7 @@
 	if w.failures == 1 {
 		w.log.Warn("platform watch failed", zap.String("prefix", w.prefix), zap.Error(failure))
 	}
-	delay := backoff.Delay(w.failures, rand.Float64())
+	delay := backoff.Delay(w.failures, w.longestBackoff(), rand.Float64())
 	var limited *platform.RateLimitedError
 	if errors.As(failure, &limited) {
 		delay += limited.After
@@ -126,6 +126,15 @@
 	return delay
 }
 
+// longestBackoff bounds the wait after failures. A process that only polls
+// does not call more often in an outage than at other times.
+func (w *watcher) longestBackoff() time.Duration {
+	if w.long {
+		return backoff.Max
+	}
+	return pollPeriod
+}
+
 // period is the pause between two successful calls. A change may be followed
 // by others at once; a watch that ends early without one must not come back
 // at once.
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -168,9 +169,12 @@
 // means to find out.
 func TestCommitThatStaysUnknown(t *testing.T) {
 	b := newBench(t)
-	lost := false
+	var lost atomic.Bool
 	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if lost = lost || r.Method == http.MethodPut; lost {
+		if r.Method == http.MethodPut {
+			lost.Store(true)
+		}
+		if lost.Load() {
 			panic(http.ErrAbortHandler)
 		}
 		b.forward(w, r)
--- a/internal/decision/backoff/backoff.go
+++ b/internal/decision/backoff/backoff.go
@@ -6,20 +6,22 @@
 const (
 	// Min is the longest wait after the first failure.
 	Min = 200 * time.Millisecond
-	// Max is the longest wait after many failures.
+	// Max is the longest wait after many failures of a call that somebody
+	// waits for.
 	Max = 5 * time.Second
 )
 
 // Delay returns the wait after failures in a row, at least one. It doubles
-// from Min to Max and is then spread by jitter, a random number in [0, 1),
-// over its upper half, so that many callers do not return at once.
-func Delay(failures int, jitter float64) time.Duration {
-	ceiling := Min
+// from Min to the limit and is then spread by jitter, a random number in
+// [0, 1), over its upper half, so that many callers do not return at once.
+func Delay(failures int, limit time.Duration, jitter float64) time.Duration {
+	wait := Min
 	for range failures - 1 {
-		ceiling = min(2*ceiling, Max)
-		if ceiling == Max {
+		if wait >= limit {
 			break
 		}
+		wait *= 2
 	}
-	return ceiling/2 + time.Duration(jitter*float64(ceiling/2))
+	wait = min(wait, limit)
+	return wait/2 + time.Duration(jitter*float64(wait/2))
 }
