--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -15,6 +15,9 @@
 	Version core.Version
 	// Leaving, NotReady and BadVersion keep new work away.
 	Leaving, NotReady, BadVersion bool
+	// NoTraffic tells that the version may get no traffic at all: its move
+	// has not begun, was taken back, or has left it behind.
+	NoTraffic bool
 	// Running is how many attempts the owner counts on the endpoint.
 	Running int
 	// Foreign is how many more the load report shows that the owner did not
@@ -41,8 +44,21 @@
 	// ShareReached tells that the version has all the traffic that it may
 	// have for now.
 	ShareReached bool
+	// Preference tells whether the trial of an unproved version gains by the
+	// request.
+	Preference Preference
 }
 
+// Preference puts a candidate before or after all others.
+type Preference int
+
+// The preferences.
+const (
+	NoPreference Preference = iota
+	Preferred
+	Avoided
+)
+
 // Finish is the expected time from now to the end of the request.
 func (c *Candidate) Finish() time.Duration { return c.PendingPrefill + c.RunTime }
 
