--- a/internal/decision/retry/retry.go
+++ b/internal/decision/retry/retry.go
@@ -6,6 +6,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"kingcupcourse/internal/core"
 )
 
@@ -19,6 +21,9 @@
 	// MinRemaining is the least time to the deadline that makes a retry
 	// worth its cost.
 	MinRemaining = 50 * time.Millisecond
+	// deathSpread is the time over which the requests of an endpoint that
+	// died are placed again.
+	deathSpread = 400 * time.Millisecond
 )
 
 // Budget is a token bucket that is filled by requests and not by time.
@@ -69,6 +74,14 @@
 	Budgeted
 )
 
+// PauseAfterDeath returns how long a request waits before it is placed again
+// after its endpoint died. One of the endpoint's requests may be the cause
+// and kill the next endpoint as well; the others, which wait for other times,
+// are then seldom on that one too.
+func PauseAfterDeath(fingerprint string) time.Duration {
+	return time.Duration(xxhash.Sum64String(fingerprint) % uint64(deathSpread))
+}
+
 // Judge tells whether the request may be placed on another endpoint.
 func Judge(a Attempt) Verdict {
 	if a.Poison || a.Passed || a.Deadline.Sub(a.Now) < MinRemaining || a.Dispatches >= MaxAttempts {
--- a/internal/decision/retry/retry_test.go
+++ b/internal/decision/retry/retry_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -37,6 +38,23 @@
 	}
 }
 
+func TestPausesAfterADeathAreSpread(t *testing.T) {
+	var early, late int
+	for i := range 1000 {
+		switch pause := PauseAfterDeath(strconv.Itoa(i)); {
+		case pause < 0 || pause >= deathSpread:
+			t.Fatal(pause)
+		case pause < deathSpread/2:
+			early++
+		default:
+			late++
+		}
+	}
+	if early < 400 || late < 400 {
+		t.Fatalf("%d early, %d late", early, late)
+	}
+}
+
 func TestBudgetKeepsRetriesASmallShare(t *testing.T) {
 	budget := NewBudget()
 	const requests = 10_000
--- a/internal/entry/callers/run.go
+++ b/internal/entry/callers/run.go
@@ -24,10 +24,11 @@
 			return
 		}
 		c.begin(placed)
+		deaths := c.deaths
 		dispatching, cancel := c.dispatchContext(ctx)
 		end := c.dispatch(dispatching, placed.grant)
 		cancel()
-		if !c.settle(ctx, placed, end, c.again(ctx, end)) {
+		if !c.settle(ctx, placed, end, c.again(ctx, end, deaths)) {
 			c.answer(end)
 			return
 		}
@@ -44,8 +45,9 @@
 	return context.WithCancel(ctx)
 }
 
-// again decides whether the request is placed on another endpoint.
-func (c *call) again(ctx context.Context, end ending) bool {
+// again decides whether the request is placed on another endpoint. Deaths is
+// how many endpoints had died under it before this attempt.
+func (c *call) again(ctx context.Context, end ending, deaths int) bool {
 	verdict := retry.Judge(retry.Attempt{
 		RunOnce: c.ticket.RunOnce, Result: end.result, Poison: c.poison(), Passed: c.sink.passed,
 		Dispatches: c.dispatches, Now: time.Now(), Deadline: c.ticket.Deadline,
@@ -64,7 +66,16 @@
 		return false
 	}
 	retriesTotal.WithLabelValues("budgeted").Inc()
-	return true
+	return c.pauseAfterDeath(ctx, deaths) == nil
+}
+
+// pauseAfterDeath waits before the next attempt if the endpoint died under
+// the last one.
+func (c *call) pauseAfterDeath(ctx context.Context, before int) error {
+	if c.deaths == before {
+		return nil
+	}
+	return ring.Pause(ctx, retry.PauseAfterDeath(c.fingerprint))
 }
 
 // answer gives the caller the result of the last attempt.
