Place sure finishes first, and run-once requests not on a chance

Under overload the earliest deadlines of a tier are those hardest to meet. Requests that finish in time with the 0.85 quantile of the output length now go first within their tier; what slots are left go to those that may finish.

--- a/internal/decision/placement/filters.go
+++ b/internal/decision/placement/filters.go
@@ -63,7 +63,8 @@
 	return c.Running+c.Foreign < c.Endpoint.Slots
 }
 
-// MeetsDeadline rejects endpoints that cannot finish the request in time.
+// MeetsDeadline rejects endpoints that cannot finish the request in time, or
+// on demand those that may not.
 type MeetsDeadline struct{}
 
 // Name implements Filter.
@@ -71,5 +72,8 @@
 
 // Pass implements Filter.
 func (MeetsDeadline) Pass(c *Candidate, n *Need) bool {
+	if n.Sure {
+		return c.PendingPrefill+c.SureTime <= n.Left()
+	}
 	return c.PendingPrefill+c.LeastTime <= n.Left()
 }
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -30,9 +30,9 @@
 	// RunTime is how long the request would take on the endpoint, prefill
 	// of the uncached prompt included.
 	RunTime time.Duration
-	// LeastTime is how long it would take at the least: what is compared
-	// with the deadline.
-	LeastTime time.Duration
+	// LeastTime is how long it would take at the least, SureTime how long it
+	// would hardly exceed.
+	LeastTime, SureTime time.Duration
 	// Prefill is the part of RunTime that is prefill.
 	Prefill time.Duration
 	// Near tells that the endpoint is in the availability zone of the entry
@@ -50,6 +50,8 @@
 type Need struct {
 	Request *core.Request
 	Now     time.Time
+	// Sure asks for endpoints that will almost surely finish in time.
+	Sure bool
 }
 
 // Left is the time to the deadline.
--- a/internal/decision/placement/placement_test.go
+++ b/internal/decision/placement/placement_test.go
@@ -12,7 +12,7 @@
 
 func candidate(name string, change func(*Candidate)) Candidate {
 	c := Candidate{Endpoint: core.Endpoint{Name: name, Slots: 4}, Version: "v1",
-		RunTime: time.Second, LeastTime: time.Second, Prefill: 100 * time.Millisecond, Near: true}
+		RunTime: time.Second, LeastTime: time.Second, SureTime: time.Second, Prefill: 100 * time.Millisecond, Near: true}
 	if change != nil {
 		change(&c)
 	}
@@ -46,6 +46,19 @@
 	}
 }
 
+func TestASureFinishIsAskedForOnDemand(t *testing.T) {
+	policy, _ := NewPolicy(PolicyKingcup)
+	doubtful := []Candidate{candidate("e", func(c *Candidate) { c.SureTime = 11 * time.Second })}
+	n := need()
+	if policy.Place(doubtful, n).Chosen == nil {
+		t.Error("not chosen although it may finish")
+	}
+	n.Sure = true
+	if policy.Place(doubtful, n).Chosen != nil {
+		t.Error("chosen although it may not finish")
+	}
+}
+
 func TestPoliciesChoose(t *testing.T) {
 	fast := candidate("fast", func(c *Candidate) { c.OutstandingTokens, c.Running = 900, 3 })
 	slow := candidate("slow", func(c *Candidate) { c.RunTime = 5 * time.Second })
--- a/internal/decision/queue/queue.go
+++ b/internal/decision/queue/queue.go
@@ -68,23 +68,40 @@
 	return shed, true
 }
 
-// Pop takes the item out that is to be placed next, charging its account, or
-// returns nil if nothing waits. Each popped item must go to Placed or Return.
+// Pop takes the item out that is to be placed next of all tiers, see PopTier.
 func (q *Queue) Pop() *Item {
-	for _, t := range q.tiers {
-		a := t.next()
-		if a == nil {
-			continue
+	for number := range q.tiers {
+		if item := q.PopTier(core.Tier(number)); item != nil {
+			return item
 		}
-		item := a.items[0]
-		q.remove(item)
-		item.start = a.virtual
-		a.virtual += item.cost()
-		return item
 	}
 	return nil
 }
 
+// PopTier takes the item of one tier out that is to be placed next, charging
+// its account, or returns nil if none waits. Each popped item must go to
+// Placed or Return, unless it is dropped.
+func (q *Queue) PopTier(number core.Tier) *Item {
+	if int(number) >= len(q.tiers) {
+		return nil
+	}
+	a := q.tiers[number].next()
+	if a == nil {
+		return nil
+	}
+	item := a.items[0]
+	q.remove(item)
+	item.start = a.virtual
+	a.virtual += item.cost()
+	return item
+}
+
+// Dropped refunds the account of a popped item that is not placed and does
+// not wait any more.
+func (q *Queue) Dropped(item *Item) {
+	q.tier(item.Request.Tier).account(item.Request.Account).virtual -= item.cost()
+}
+
 // Placed confirms that a popped item was placed.
 func (q *Queue) Placed(item *Item) {
 	t := q.tier(item.Request.Tier)
@@ -93,8 +110,7 @@
 
 // Return puts a popped item back in its place and refunds its account.
 func (q *Queue) Return(item *Item) {
-	a := q.tier(item.Request.Tier).account(item.Request.Account)
-	a.virtual -= item.cost()
+	q.Dropped(item)
 	q.insert(item)
 }
 
--- a/internal/scheduler/shards/shard/queue/candidates.go
+++ b/internal/scheduler/shards/shard/queue/candidates.go
@@ -17,6 +17,8 @@
 	// shortQuantile of them is what decides whether a request can finish in
 	// time at all.
 	shortQuantile = 0.25
+	// longQuantile of them is what a request will hardly exceed.
+	longQuantile = 0.85
 	// doubtFactor shortens a run time that was not learned lately, when it
 	// decides whether a request can finish at all. Without it an endpoint
 	// that was once slow would never be tried again.
@@ -63,21 +65,39 @@
 // suit fills in what holds for one request.
 func (d *Duty) suit(r *message.GrantRequest, request *core.Request, now time.Time) {
 	zone := d.zones[r.Host]
-	usual, short := d.outputTokens(request, usualQuantile), d.outputTokens(request, shortQuantile)
+	lengths := d.expectLengths(request)
 	for i := range d.candidates {
 		c := &d.candidates[i]
 		e := d.fleet[c.Endpoint.Name]
 		c.CachedTokens = min(request.PromptTokens, e.cache.Tokens(request.PrefixBlocks))
-		c.Prefill, c.RunTime = d.runTime(c, request, usual)
-		_, c.LeastTime = d.runTime(c, request, short)
-		if !d.speeds.Fresh(c.Endpoint, c.Version, now) {
-			c.LeastTime = time.Duration(doubtFactor * float64(c.LeastTime))
-		}
+		d.expectTimes(c, request, lengths, now)
 		c.Near = c.Endpoint.AvailabilityZone == zone
 		c.ShareReached = !d.shareAllows(c.Version)
 	}
 }
 
+// lengths are output lengths that a request may have.
+type lengths struct{ short, usual, long int }
+
+func (d *Duty) expectLengths(r *core.Request) lengths {
+	return lengths{d.outputTokens(r, shortQuantile), d.outputTokens(r, usualQuantile), d.outputTokens(r, longQuantile)}
+}
+
+// expectTimes fills in how long a request would take on a candidate. A
+// run-once request is not begun on the chance that its answer is short: if
+// it is cut off at its deadline, its outcome is unknown for good.
+func (d *Duty) expectTimes(c *placement.Candidate, request *core.Request, l lengths, now time.Time) {
+	c.Prefill, c.RunTime = d.runTime(c, request, l.usual)
+	_, c.SureTime = d.runTime(c, request, l.long)
+	_, c.LeastTime = d.runTime(c, request, l.short)
+	if request.Key != "" {
+		c.LeastTime = c.RunTime
+	}
+	if !d.speeds.Fresh(c.Endpoint, c.Version, now) {
+		c.LeastTime = time.Duration(doubtFactor * float64(c.LeastTime))
+	}
+}
+
 // runTime is the expected time of a request on a candidate from its start.
 func (d *Duty) runTime(c *placement.Candidate, request *core.Request, output int) (prefill, total time.Duration) {
 	if d.pool.Kind != core.KindModel {
--- a/internal/scheduler/shards/shard/queue/place.go
+++ b/internal/scheduler/shards/shard/queue/place.go
@@ -10,8 +10,8 @@
 	"kingcupcourse/internal/message"
 )
 
-// maxSetAside is how many requests one round may pass over because no free
-// endpoint suits them.
+// maxSetAside is how many requests of a tier one round may pass over because
+// no free endpoint suits them.
 const maxSetAside = 256
 
 // place runs one placement round: it takes requests in their order and
@@ -21,18 +21,30 @@
 		return
 	}
 	d.survey(now)
+	for tier := core.Tier(1); tier <= d.waiting.Tiers() && d.anyFree(); tier++ {
+		d.placeTier(tier, now)
+	}
+}
+
+// placeTier places requests of one tier. Those that will almost surely finish
+// in time go first: under overload the earliest deadlines are those that are
+// hardest to meet, and a slot spent on one that fails is lost to all. What
+// slots are left go to those that may finish, before the next tier.
+func (d *Duty) placeTier(tier core.Tier, now time.Time) {
 	var aside []*waitlist.Item
 	for len(aside) < maxSetAside && d.anyFree() {
-		item := d.waiting.Pop()
+		item := d.waiting.PopTier(tier)
 		if item == nil {
 			break
 		}
-		if !d.tryPlace(item, now) {
+		if !d.tryPlace(item, true, now) {
 			aside = append(aside, item)
 		}
 	}
 	for _, item := range aside {
-		d.waiting.Return(item)
+		if !d.anyFree() || !d.tryPlace(item, false, now) {
+			d.waiting.Return(item)
+		}
 	}
 }
 
@@ -48,18 +60,20 @@
 
 // tryPlace places or drops a popped item. It returns false if the item has
 // to wait on.
-func (d *Duty) tryPlace(item *waitlist.Item, now time.Time) bool {
+func (d *Duty) tryPlace(item *waitlist.Item, sure bool, now time.Time) bool {
 	w := d.waiters[item.ID]
 	if w == nil {
+		d.waiting.Dropped(item)
 		return true
 	}
 	if !w.ready() {
 		return false
 	}
 	begun := time.Now()
-	need := placement.Need{Request: &item.Request, Now: now}
+	need := placement.Need{Request: &item.Request, Now: now, Sure: sure}
 	d.suit(&w.request, &item.Request, now)
 	if best, ok := placement.Best(d.candidates, &need); ok && best > need.Left() {
+		d.waiting.Dropped(item)
 		d.drop(item, core.Refuse(core.ReasonDeadlineTooSoon, "it can no longer finish in time"), now)
 		return true
 	}
