--- a/internal/decision/placement/filters.go
+++ b/internal/decision/placement/filters.go
@@ -29,6 +29,15 @@
 // Pass implements Filter.
 func (GoodVersion) Pass(c *Candidate, _ *Need) bool { return !c.BadVersion }
 
+// VersionInForce rejects endpoints with a version that may get no traffic.
+type VersionInForce struct{}
+
+// Name implements Filter.
+func (VersionInForce) Name() string { return "version_not_in_force" }
+
+// Pass implements Filter.
+func (VersionInForce) Pass(c *Candidate, _ *Need) bool { return !c.NoTraffic }
+
 // VersionShare rejects endpoints with an unproved version that has all the
 // traffic it may have.
 type VersionShare struct{}
@@ -63,7 +72,8 @@
 	return c.Running+c.Foreign < c.Endpoint.Slots
 }
 
-// MeetsDeadline rejects endpoints that cannot finish the request in time.
+// MeetsDeadline rejects endpoints that cannot finish the request in time, or
+// on demand those that may not.
 type MeetsDeadline struct{}
 
 // Name implements Filter.
@@ -71,5 +81,8 @@
 
 // Pass implements Filter.
 func (MeetsDeadline) Pass(c *Candidate, n *Need) bool {
+	if n.Sure {
+		return c.PendingPrefill+c.SureTime <= n.Left()
+	}
 	return c.PendingPrefill+c.LeastTime <= n.Left()
 }
--- a/internal/entry/callers/run.go
+++ b/internal/entry/callers/run.go
@@ -26,7 +26,7 @@
 		c.begin(placed)
 		deaths := c.deaths
 		dispatching, cancel := c.dispatchContext(ctx)
-		end := c.dispatch(dispatching, placed.grant)
+		end := c.dispatchGood(dispatching, placed.grant)
 		cancel()
 		if !c.settle(ctx, placed, end, c.again(ctx, end, deaths)) {
 			c.answer(end)
--- a/internal/scheduler/shards/shard/queue/duty.go
+++ b/internal/scheduler/shards/shard/queue/duty.go
@@ -17,6 +17,7 @@
 	"kingcupcourse/internal/decision/placement"
 	waitlist "kingcupcourse/internal/decision/queue"
 	"kingcupcourse/internal/decision/share"
+	"kingcupcourse/internal/decision/trial"
 	"kingcupcourse/internal/manifest"
 	"kingcupcourse/internal/message"
 	"kingcupcourse/internal/ring"
@@ -44,7 +45,9 @@
 	// Inbox is the duty's own ring, Journal that of the journal's owner.
 	Inbox   *ring.Ring[inbox.Queue]
 	Journal *ring.Ring[inbox.Journal]
-	Log     *zap.Logger
+	// Report tells a fact to all hosts.
+	Report func(message.Fact) error
+	Log    *zap.Logger
 }
 
 // Duty is the owner of one pool shard's state.
@@ -60,8 +63,8 @@
 	fleet    map[string]*endpoint
 	// zones holds the availability zone of each entry host.
 	zones map[string]core.AvailabilityZone
-	// caps is the largest share of each unproved version.
-	caps map[core.Version]float64
+	// caps bounds the traffic of the versions that a move is about.
+	caps map[core.Version]share.Cap
 
 	owned bool
 	// next is the control address of the owner while this scheduler is not.
@@ -75,7 +78,10 @@
 	speeds  *estimate.Speeds
 	lengths *estimate.Lengths
 	recent  *share.Recent
+	trials  *trial.Set
 	unsent  []inbox.Journal
+	// untold are verdicts that could not be told to the other hosts yet.
+	untold []message.BadVersion
 
 	candidates []placement.Candidate
 	tickAt     time.Time
@@ -105,13 +111,14 @@
 		accounts: map[string]float64{},
 		fleet:    map[string]*endpoint{},
 		zones:    map[string]core.AvailabilityZone{},
-		caps:     map[core.Version]float64{},
+		caps:     map[core.Version]share.Cap{},
 		waiting:  waitlist.New(waitlist.Limits{}),
 		waiters:  map[string]*waiter{},
 		book:     outstanding.NewBook(),
 		speeds:   estimate.NewSpeeds(),
 		lengths:  estimate.NewLengths(),
 		recent:   share.NewRecent(),
+		trials:   trial.NewSet(config.Shard.Pool),
 	}
 }
 
@@ -138,6 +145,8 @@
 		d.cacheEvents(m)
 	case inbox.JournalAnswer:
 		d.journalAnswer(m.Answer, now)
+	case inbox.Evidence:
+		d.evidence(m, now)
 	case inbox.Drain:
 		d.drain(m, now)
 	}
@@ -146,12 +155,14 @@
 }
 
 // tick does what no message triggers: it drops what can no longer finish,
-// forgets silent entries and tells the journal what it could not take.
+// forgets silent entries, and tells the journal and the other hosts what they
+// could not take.
 func (d *Duty) tick() error {
 	now := time.Now()
 	d.expire(now)
 	d.forgetSilent(now)
 	d.sendUnsent()
+	d.tellUntold()
 	d.place(now)
 	d.observeDepth()
 	d.tickAt = now.Add(tickIdle)
