Cancel waiting grant calls only when their scheduler is silent

Any error answer to a heartbeat cancelled every grant call at that scheduler, also one for another pool, and so did one slow answer under load. Now it takes a refused connection, or two reports in a row without an answer.

--- a/internal/entry/callers/stream.go
+++ b/internal/entry/callers/stream.go
@@ -6,6 +6,8 @@
 	"io"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/entry/completions"
 	"kingcupcourse/internal/entry/reports"
@@ -16,10 +18,10 @@
 const progressInterval = 250 * time.Millisecond
 
 var (
-	errCallerWrite = errors.New("the caller does not take the answer")
-	errEventGap    = errors.New("an event of the stream is missing")
-	errUnfinished  = errors.New("the stream ended without a finish")
-	errMalformed   = errors.New("the stream holds a malformed event")
+	errCallerWrite = eris.New("the caller does not take the answer")
+	errEventGap    = eris.New("an event of the stream is missing")
+	errUnfinished  = eris.New("the stream ended without a finish")
+	errMalformed   = eris.New("the stream holds a malformed event")
 )
 
 // relay is the state of one stream over all its connections.
--- a/internal/entry/callers/whole.go
+++ b/internal/entry/callers/whole.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"kingcupcourse/internal/core"
 )
 
@@ -19,8 +21,8 @@
 const answerTimeout = 30 * time.Second
 
 var (
-	errAnswerTooLarge  = errors.New("the endpoint's answer is too large")
-	errAnswerMalformed = errors.New("the endpoint's answer is not whole JSON")
+	errAnswerTooLarge  = eris.New("the endpoint's answer is too large")
+	errAnswerMalformed = eris.New("the endpoint's answer is not whole JSON")
 )
 
 // answer is a whole answer of an endpoint.
--- a/internal/entry/peer/client.go
+++ b/internal/entry/peer/client.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/http"
 
 	"kingcupcourse/internal/codec"
@@ -23,6 +25,32 @@
 // Close closes the unused connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
+// Silence tells how sure it is, from the error of a call, that a process is
+// gone.
+type Silence int
+
+const (
+	// Answered means that the process gave an answer, be it an error.
+	Answered Silence = iota
+	// Unanswered means that no answer came; the process may be slow.
+	Unanswered
+	// Unreachable means that no connection could be made.
+	Unreachable
+)
+
+// SilenceOf returns what the error of a call tells.
+func SilenceOf(err error) Silence {
+	var call *codec.CallError
+	var failure *net.OpError
+	switch {
+	case err == nil, errors.As(err, &call) && call.Status != 0:
+		return Answered
+	case errors.As(err, &failure) && failure.Op == "dial":
+		return Unreachable
+	}
+	return Unanswered
+}
+
 // Grant asks the scheduler at the address for permission to dispatch. It
 // waits until the request is placed or refused, or ctx ends.
 func (c *Client) Grant(ctx context.Context, address string, request message.GrantRequest) (reply message.GrantReply, err error) {
--- a/internal/entry/reports/owner.go
+++ b/internal/entry/reports/owner.go
@@ -31,6 +31,8 @@
 	shards  map[ownership.Shard]*shardState
 	order   []*shardState
 	watches map[string]map[string]context.CancelCauseFunc // by address, attempt
+	// unanswered counts the reports in a row without an answer, by address.
+	unanswered map[string]int
 }
 
 // Config tells the duties what they need to know.
@@ -43,8 +45,9 @@
 func newOwner(config Config, inbox Inbox, senders []*ring.Ring[send]) *Owner {
 	return &Owner{
 		config: config, inbox: inbox, senders: senders,
-		shards:  map[ownership.Shard]*shardState{},
-		watches: map[string]map[string]context.CancelCauseFunc{},
+		shards:     map[ownership.Shard]*shardState{},
+		watches:    map[string]map[string]context.CancelCauseFunc{},
+		unanswered: map[string]int{},
 	}
 }
 
--- a/internal/entry/reports/sender.go
+++ b/internal/entry/reports/sender.go
@@ -56,11 +56,11 @@
 	if m.sequence != s.sequence || s.sentAt.IsZero() {
 		return
 	}
+	o.heard(m.address, peer.SilenceOf(m.err))
 	switch {
 	case m.err != nil:
 		sendsTotal.WithLabelValues("failed").Inc()
 		s.failed(now)
-		o.silent(m.address)
 	case m.ack.Owner != "":
 		sendsTotal.WithLabelValues("redirected").Inc()
 		s.redirected(m.ack.Owner, now)
--- a/internal/entry/reports/watch.go
+++ b/internal/entry/reports/watch.go
@@ -5,8 +5,14 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"kingcupcourse/internal/entry/peer"
 )
 
+// maxUnanswered is how many reports in a row a scheduler may leave without
+// an answer. One may be due to load.
+const maxUnanswered = 2
+
 // ErrOwnerSilent is the cause with which a grant call is cancelled when its
 // scheduler does not answer heartbeats.
 var ErrOwnerSilent = eris.New("the scheduler does not answer")
@@ -27,8 +33,20 @@
 	}
 }
 
-// silent cancels the grant calls that wait for a scheduler.
-func (o *Owner) silent(address string) {
+// heard takes note of how a scheduler took a report. When it can't be
+// reached, or maxUnanswered reports in a row got no answer, the grant calls
+// that wait for it are cancelled.
+func (o *Owner) heard(address string, silence peer.Silence) {
+	switch silence {
+	case peer.Answered:
+		delete(o.unanswered, address)
+		return
+	case peer.Unanswered:
+		if o.unanswered[address]++; o.unanswered[address] < maxUnanswered {
+			return
+		}
+	}
+	delete(o.unanswered, address)
 	for _, cancel := range o.watches[address] {
 		cancel(ErrOwnerSilent)
 	}
