--- a/internal/decision/journal/ask.go
+++ b/internal/decision/journal/ask.go
@@ -47,6 +47,24 @@
 	}
 }
 
+// Refuse answers an attempt that the queue refuses before it was reserved. A
+// key that is known gets what is known of it. The refusal stands as not run
+// only if the owner knows that no attempt of the key was reserved; while it
+// does not know that, an earlier attempt may have run.
+func (m *Machine) Refuse(ask Ask, refusal *core.Refusal, now time.Time) {
+	k := m.keys[ask.Key]
+	switch {
+	case m.state != stateOwner:
+		unknown := *refusal
+		unknown.Disposition, unknown.Retry = core.OutcomeUnknown, true
+		m.refuse(ask.Attempt, &unknown)
+	case k == nil || k.attempt == ask.Attempt && k.finish == nil:
+		m.refuse(ask.Attempt, refusal)
+	default:
+		m.lookUp(ask, now)
+	}
+}
+
 func (m *Machine) reserve(ask Ask, now time.Time) {
 	switch {
 	case m.down:
--- a/internal/decision/journal/journal_test.go
+++ b/internal/decision/journal/journal_test.go
@@ -311,6 +311,33 @@
 	}
 }
 
+func TestARefusalIsNotRunOnlyIfNoAttemptCanHaveRun(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	m, _, run := lone(t)
+	refusal := core.Refuse(core.ReasonShed, "full")
+	refuse := func(n int, attempt string) string {
+		m.Refuse(Ask{Key: simKey(now, n), Attempt: attempt, Fingerprint: "f"}, refusal, now)
+		return describe(m.Answers()[0])
+	}
+	if got := refuse(1, "a"); got != string(core.OutcomeUnknown) {
+		t.Errorf("before the takeover: %s", got)
+	}
+	m.Own(true, now)
+	run(now)
+	m.Ask(Ask{Key: simKey(now, 1), Attempt: "a", Fingerprint: "f"}, now)
+	run(now)
+	m.Answers()
+	for _, test := range []struct {
+		key     int
+		attempt string
+		want    string
+	}{{1, "a", string(core.ReasonShed)}, {1, "b", string(core.OutcomeUnknown)}, {2, "a", string(core.ReasonShed)}} {
+		if got := refuse(test.key, test.attempt); got != test.want {
+			t.Errorf("key %d, attempt %s: %s, want %s", test.key, test.attempt, got, test.want)
+		}
+	}
+}
+
 func describe(a Answer) string {
 	switch {
 	case a.Reserved:
--- a/internal/decision/journal/machine.go
+++ b/internal/decision/journal/machine.go
@@ -150,7 +150,8 @@
 	Batch     *Batch
 }
 
-// Answer is the reply to an Ask; exactly one of the other fields is set.
+// Answer is the reply to an Ask or a Refuse; exactly one of the other fields
+// is set.
 type Answer struct {
 	Attempt  string
 	Reserved bool
--- a/internal/scheduler/inbox/journal.go
+++ b/internal/scheduler/inbox/journal.go
@@ -1,6 +1,7 @@
 package inbox
 
 import (
+	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/journal"
 	"kingcupcourse/internal/ring"
 )
@@ -20,6 +21,12 @@
 // Ask wants a key reserved.
 type Ask struct{ Ask journal.Ask }
 
+// Refuse wants the answer to an attempt that the queue refuses.
+type Refuse struct {
+	Ask     journal.Ask
+	Refusal *core.Refusal
+}
+
 // Release gives a reservation back.
 type Release struct{ Key, Attempt string }
 
@@ -43,6 +50,7 @@
 type Flush struct{ ring.Reply[struct{}] }
 
 func (Ask) toJournal()       {}
+func (Refuse) toJournal()    {}
 func (Release) toJournal()   {}
 func (Finish) toJournal()    {}
 func (Own) toJournal()       {}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -217,6 +217,25 @@
 	}
 }
 
+func TestARefusedResendIsNotCalledNotRun(t *testing.T) {
+	f := start(t, newFakePlatform(), 2)
+	first := withKey(newRequest(1))
+	if reply := f.grant(first); reply.Grant == nil {
+		t.Fatalf("got %+v", reply.Refusal)
+	}
+	resend := first
+	resend.Attempt += "x"
+	resend.DeadlineUnixMS = time.Now().UnixMilli() // too late to be queued
+	if reply := f.grant(resend); reply.Refusal == nil || reply.Refusal.Disposition != core.OutcomeUnknown {
+		t.Fatalf("a resend: got %+v", reply)
+	}
+	other := withKey(resend)
+	other.Attempt += "y"
+	if reply := f.grant(other); reply.Refusal == nil || reply.Refusal.Disposition != core.NotRun {
+		t.Fatalf("a new key: got %+v", reply)
+	}
+}
+
 func TestOutageRefusesOnlyRunOnceRequests(t *testing.T) {
 	f := start(t, newFakePlatform(), 4)
 	if reply := f.grant(withKey(newRequest(1))); reply.Grant == nil {
--- a/internal/scheduler/shards/shard/journal/owner/owner.go
+++ b/internal/scheduler/shards/shard/journal/owner/owner.go
@@ -90,6 +90,8 @@
 	switch m := m.(type) {
 	case inbox.Ask:
 		d.Machine.Ask(m.Ask, now)
+	case inbox.Refuse:
+		d.Machine.Refuse(m.Ask, m.Refusal, now)
 	case inbox.Release:
 		d.Machine.Release(m.Key, m.Attempt, now)
 	case inbox.Finish:
--- a/internal/scheduler/shards/shard/queue/arrive.go
+++ b/internal/scheduler/shards/shard/queue/arrive.go
@@ -25,23 +25,23 @@
 // arrive admits a request to the queue or refuses it.
 func (d *Duty) arrive(m inbox.Grant, now time.Time) {
 	request := coreRequest(&m.Request)
-	if d.turnAway(m, now) || d.repeated(m, now) {
+	if d.turnAway(m) || d.repeated(m) {
 		return
 	}
 	item := &waitlist.Item{ID: m.Request.Attempt, Request: request, Weight: d.weight(request.Account)}
 	if refusal := d.admit(item, &m.Request, now); refusal != nil {
-		d.refuse(m.Reply, &m.Request, refusal, now)
+		d.refuse(m.Reply, &m.Request, refusal)
 		return
 	}
 	shed, ok := d.waiting.Offer(item)
 	for _, victim := range shed {
-		d.drop(victim, core.RefuseFor(core.ReasonShed, "a more important request needed the place", d.hint()), now)
+		d.drop(victim, core.RefuseFor(core.ReasonShed, "a more important request needed the place", d.hint()))
 	}
 	if !ok {
 		if d.waiting.Below(request.Tier) {
 			inversions.WithLabelValues(d.Shard.Pool).Inc()
 		}
-		d.refuse(m.Reply, &m.Request, core.RefuseFor(core.ReasonQueueFull, "the queue is full", d.hint()), now)
+		d.refuse(m.Reply, &m.Request, core.RefuseFor(core.ReasonQueueFull, "the queue is full", d.hint()))
 		return
 	}
 	w := &waiter{reply: m.Reply, request: m.Request, arrived: now}
@@ -51,12 +51,12 @@
 }
 
 // turnAway answers requests that this scheduler must not queue.
-func (d *Duty) turnAway(m inbox.Grant, now time.Time) bool {
+func (d *Duty) turnAway(m inbox.Grant) bool {
 	switch {
 	case d.view == nil || d.view.Manifest == nil:
-		d.refuse(m.Reply, &m.Request, core.RefuseFor(core.ReasonNotReady, "no manifest yet", noEndpointRetry), now)
+		d.refuse(m.Reply, &m.Request, core.RefuseFor(core.ReasonNotReady, "no manifest yet", noEndpointRetry))
 	case !d.owned:
-		d.refuse(m.Reply, &m.Request, d.notOwner(), now)
+		d.refuse(m.Reply, &m.Request, d.notOwner())
 	default:
 		return false
 	}
@@ -65,7 +65,7 @@
 
 // repeated handles an attempt that was asked for before: one that waits goes
 // on waiting for the new asker, one that was granted is granted again.
-func (d *Duty) repeated(m inbox.Grant, now time.Time) bool {
+func (d *Duty) repeated(m inbox.Grant) bool {
 	if w := d.waiters[m.Request.Attempt]; w != nil {
 		w.reply.Abandon(ring.ErrAbandoned)
 		w.reply = m.Reply
@@ -124,12 +124,15 @@
 		return
 	}
 	w.asked = now
-	ask := inbox.Ask{Ask: journal.Ask{Key: w.request.Key, Attempt: w.request.Attempt, Fingerprint: w.request.Fingerprint}}
-	if d.Journal.TryPut(ask) != nil {
-		d.drop(d.waiting.Remove(w.request.Attempt), core.RefuseFor(core.ReasonJournalDown, "the journal is busy", minRetry), now)
+	if d.Journal.TryPut(inbox.Ask{Ask: ask(&w.request)}) != nil {
+		d.drop(d.waiting.Remove(w.request.Attempt), core.RefuseFor(core.ReasonJournalDown, "the journal is busy", minRetry))
 	}
 }
 
+func ask(r *message.GrantRequest) journal.Ask {
+	return journal.Ask{Key: r.Key, Attempt: r.Attempt, Fingerprint: r.Fingerprint}
+}
+
 func coreRequest(r *message.GrantRequest) core.Request {
 	return core.Request{
 		ID: r.RequestID, Account: r.Account, Tier: max(1, r.Tier), Pool: r.Pool, Route: r.Route, Key: r.Key,
--- a/internal/scheduler/shards/shard/queue/duty.go
+++ b/internal/scheduler/shards/shard/queue/duty.go
@@ -71,11 +71,14 @@
 
 	waiting *waitlist.Queue
 	waiters map[string]*waiter
-	book    *outstanding.Book
-	speeds  *estimate.Speeds
-	lengths *estimate.Lengths
-	recent  *share.Recent
-	unsent  []inbox.Journal
+	// refusing are run-once requests that are refused as soon as the journal
+	// has told what is known of their key.
+	refusing map[string]*waiter
+	book     *outstanding.Book
+	speeds   *estimate.Speeds
+	lengths  *estimate.Lengths
+	recent   *share.Recent
+	unsent   []inbox.Journal
 
 	candidates []placement.Candidate
 	tickAt     time.Time
@@ -108,6 +111,7 @@
 		caps:     map[core.Version]float64{},
 		waiting:  waitlist.New(waitlist.Limits{}),
 		waiters:  map[string]*waiter{},
+		refusing: map[string]*waiter{},
 		book:     outstanding.NewBook(),
 		speeds:   estimate.NewSpeeds(),
 		lengths:  estimate.NewLengths(),
--- a/internal/scheduler/shards/shard/queue/journal.go
+++ b/internal/scheduler/shards/shard/queue/journal.go
@@ -27,6 +27,11 @@
 
 // journalAnswer lets a run-once request go on, or refuses it.
 func (d *Duty) journalAnswer(a journal.Answer, now time.Time) {
+	if w := d.refusing[a.Attempt]; w != nil && !a.Reserved {
+		delete(d.refusing, a.Attempt)
+		d.pass(w, a)
+		return
+	}
 	w := d.waiters[a.Attempt]
 	if w == nil || w.asked.IsZero() {
 		return
@@ -38,8 +43,13 @@
 	}
 	d.waiting.Remove(a.Attempt)
 	d.forget(a.Attempt)
+	d.pass(w, a)
+}
+
+// pass passes on what the journal knows of a request's key.
+func (d *Duty) pass(w *waiter, a journal.Answer) {
 	if a.Refusal != nil {
-		d.refuse(w.reply, &w.request, a.Refusal, now)
+		d.answer(w.reply, &w.request, a.Refusal)
 		return
 	}
 	w.reply.Send(message.GrantReply{Prior: a.Prior, ConfigVersion: d.configVersion()})
--- a/internal/scheduler/shards/shard/queue/place.go
+++ b/internal/scheduler/shards/shard/queue/place.go
@@ -74,7 +74,7 @@
 	d.suit(&w.request, &item.Request, now)
 	if best, ok := placement.Best(d.candidates, &need); ok && best > need.Left() {
 		d.waiting.Dropped(item)
-		d.drop(item, core.Refuse(core.ReasonDeadlineTooSoon, "it can no longer finish in time"), now)
+		d.drop(item, core.Refuse(core.ReasonDeadlineTooSoon, "it can no longer finish in time"))
 		return true
 	}
 	decision := d.Policy.Place(d.candidates, &need)
--- a/internal/scheduler/shards/shard/queue/refuse.go
+++ b/internal/scheduler/shards/shard/queue/refuse.go
@@ -14,8 +14,25 @@
 // reservation before it is refused.
 const reservationPatience = time.Second
 
-// refuse answers a request that never entered the queue.
-func (d *Duty) refuse(reply ring.Reply[message.GrantReply], r *message.GrantRequest, refusal *core.Refusal, now time.Time) {
+// refuse answers a request that is not in the queue. A run-once request with
+// the same key may have run before, so the journal is asked first what is
+// known of the key; only the next owner of the pool needs no answer to that.
+func (d *Duty) refuse(reply ring.Reply[message.GrantReply], r *message.GrantRequest, refusal *core.Refusal) {
+	if r.Key == "" || refusal.Reason == core.ReasonNotOwner {
+		d.answer(reply, r, refusal)
+		return
+	}
+	if d.Journal.TryPut(inbox.Refuse{Ask: ask(r), Refusal: refusal}) != nil {
+		unknown := *refusal
+		unknown.Disposition, unknown.Retry = core.OutcomeUnknown, true
+		d.answer(reply, r, &unknown)
+		return
+	}
+	d.refusing[r.Attempt] = &waiter{reply: reply, request: *r}
+}
+
+// answer sends a refusal.
+func (d *Duty) answer(reply ring.Reply[message.GrantReply], r *message.GrantRequest, refusal *core.Refusal) {
 	answer := message.GrantReply{ConfigVersion: d.configVersion(), Refusal: &message.Refusal{
 		Refusal: *refusal, RetryAfterMS: refusal.RetryAfter.Milliseconds()}}
 	if refusal.Reason == core.ReasonNotOwner {
@@ -27,7 +44,7 @@
 
 // drop refuses an item that was taken out of the queue, and gives its
 // reservation back: its grant was never given.
-func (d *Duty) drop(item *waitlist.Item, refusal *core.Refusal, now time.Time) {
+func (d *Duty) drop(item *waitlist.Item, refusal *core.Refusal) {
 	if item == nil {
 		return
 	}
@@ -36,7 +53,11 @@
 		return
 	}
 	d.release(w)
-	d.refuse(w.reply, &w.request, refusal, now)
+	if w.reserved {
+		d.answer(w.reply, &w.request, refusal) // no other attempt can have run
+		return
+	}
+	d.refuse(w.reply, &w.request, refusal)
 }
 
 func (d *Duty) forget(id string) *waiter {
@@ -69,12 +90,12 @@
 // reservation.
 func (d *Duty) expire(now time.Time) {
 	for _, item := range d.waiting.Expire(now) {
-		d.drop(item, core.Refuse(core.ReasonDeadlineTooSoon, "it can no longer finish in time"), now)
+		d.drop(item, core.Refuse(core.ReasonDeadlineTooSoon, "it can no longer finish in time"))
 	}
 	for id, w := range d.waiters {
 		if !w.ready() && now.Sub(w.asked) >= reservationPatience {
 			d.drop(d.waiting.Remove(id),
-				core.RefuseFor(core.ReasonJournalDown, "the reservation could not be recorded", reservationPatience), now)
+				core.RefuseFor(core.ReasonJournalDown, "the reservation could not be recorded", reservationPatience))
 		}
 	}
 }
@@ -82,11 +103,11 @@
 // refuseAll sends everything that waits to the next owner. The reservations
 // stay: the next owner finds them, and the entries ask it with the same
 // attempts.
-func (d *Duty) refuseAll(now time.Time) {
+func (d *Duty) refuseAll() {
 	for id, w := range d.waiters {
 		d.waiting.Remove(id)
 		delete(d.waiters, id)
-		d.refuse(w.reply, &w.request, d.notOwner(), now)
+		d.refuse(w.reply, &w.request, d.notOwner())
 	}
 }
 
--- a/internal/scheduler/shards/shard/queue/view.go
+++ b/internal/scheduler/shards/shard/queue/view.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -115,7 +116,7 @@
 // changeOwner begins or ends the ownership of the shard as the view says.
 func (d *Duty) changeOwner(now time.Time) {
 	rank := ownership.Rank(d.Shard, d.view.Members)
-	owned := !d.draining && (len(rank) == 0 || rank[0].Host == d.Host)
+	owned := !d.draining && (len(rank) == 0 && !d.leaves() || len(rank) > 0 && rank[0].Host == d.Host)
 	d.next = nextOwner(rank, d.Host, owned)
 	if owned == d.owned {
 		return
@@ -129,7 +130,14 @@
 		d.tickAt = now
 		return
 	}
-	d.refuseAll(now)
+	d.refuseAll()
+}
+
+// leaves tells whether the view has this process marked as leaving.
+func (d *Duty) leaves() bool {
+	return slices.ContainsFunc(d.view.Members, func(m message.Member) bool {
+		return m.Role == message.RoleScheduler && m.Host == d.Host && m.Leaving
+	})
 }
 
 // nextOwner is the address of the first scheduler in the rank other than
