--- a/internal/scheduler/shards/shard/journal/owner/owner.go
+++ b/internal/scheduler/shards/shard/journal/owner/owner.go
@@ -93,7 +93,7 @@
 	case inbox.Refuse:
 		d.Machine.Refuse(m.Ask, m.Refusal, now)
 	case inbox.Release:
-		d.Machine.Release(m.Key, m.Attempt, now)
+		d.Machine.Release(m.Key, m.Attempt, m.ByEntry, now)
 	case inbox.Finish:
 		d.Machine.Finish(m.Record, now)
 	case inbox.Own:
