--- a/internal/scheduler/shards/shard/queue/duty.go
+++ b/internal/scheduler/shards/shard/queue/duty.go
@@ -74,12 +74,15 @@
 
 	waiting *waitlist.Queue
 	waiters map[string]*waiter
-	book    *outstanding.Book
-	speeds  *estimate.Speeds
-	lengths *estimate.Lengths
-	recent  *share.Recent
-	trials  *trial.Set
-	unsent  []inbox.Journal
+	// refusing are run-once requests that are refused as soon as the journal
+	// has told what is known of their key.
+	refusing map[string]*waiter
+	book     *outstanding.Book
+	speeds   *estimate.Speeds
+	lengths  *estimate.Lengths
+	recent   *share.Recent
+	trials   *trial.Set
+	unsent   []inbox.Journal
 	// untold are verdicts that could not be told to the other hosts yet.
 	untold []message.BadVersion
 
@@ -114,6 +117,7 @@
 		caps:     map[core.Version]share.Cap{},
 		waiting:  waitlist.New(waitlist.Limits{}),
 		waiters:  map[string]*waiter{},
+		refusing: map[string]*waiter{},
 		book:     outstanding.NewBook(),
 		speeds:   estimate.NewSpeeds(),
 		lengths:  estimate.NewLengths(),
