Scheduler: only a shard's owner and the next in rank poll its endpoints

Cause: every scheduler of the region polled every endpoint, so the cost for one host grew with the fleet's endpoints and that for an endpoint with the hosts. After: 0.94% on average, 2.4% at the owner. Ruled out: the owner alone, because a takeover would then begin without load reports.

--- a/internal/scheduler/shards/shard/supervisor.go
+++ b/internal/scheduler/shards/shard/supervisor.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -87,8 +88,10 @@
 // those of endpoints that are gone have stopped.
 func (s *Shard) Update(view *control.View) {
 	wanted := map[string]core.Endpoint{}
-	for _, e := range queue.Endpoints(view.Manifest, s.id) {
-		wanted[e.Name] = e
+	if s.nearOwner(view) {
+		for _, e := range queue.Endpoints(view.Manifest, s.id) {
+			wanted[e.Name] = e
+		}
 	}
 	for name, e := range s.polled {
 		if wanted[name].Address != e.Address {
@@ -106,6 +109,19 @@
 	}
 }
 
+// nearOwner tells whether this host is the owner of the shard or the next in
+// rank. Only these two poll the endpoints, the second so that it can take
+// over with fresh reports; otherwise every endpoint would be polled by every
+// scheduler of the fleet.
+func (s *Shard) nearOwner(view *control.View) bool {
+	ranked := ownership.Rank(s.id, view.Members)
+	near := ranked[:min(pollingRanks, len(ranked))]
+	return slices.ContainsFunc(near, func(m message.Member) bool { return m.Host == s.config.Host })
+}
+
+// pollingRanks is how many schedulers, by rank, poll a shard's endpoints.
+const pollingRanks = 2
+
 func childName(endpoint string) string { return "endpoint-" + endpoint }
 
 func poolKind(m *manifest.Manifest, name string) core.Kind {
