--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -25,8 +25,9 @@
 )
 
 const (
-	region     = core.Region("pk-north")
-	accountKey = "sample-key"
+	region      = core.Region("pk-north")
+	accountKey  = "sample-key"
+	accountName = "registrar"
 	// Names of the pools and of the models that the routes match.
 	modelPool   = "citation"
 	ledgerPool  = "nominations"
@@ -139,7 +140,7 @@
 	return manifest.Manifest{
 		Deployment:     "integration",
 		Regions:        []manifest.Region{{Name: region, AvailabilityZones: zones}},
-		ClientAccounts: []manifest.ClientAccount{{Name: "registrar", KeySHA256: []string{hex.EncodeToString(hash[:])}}},
+		ClientAccounts: []manifest.ClientAccount{{Name: accountName, KeySHA256: []string{hex.EncodeToString(hash[:])}}},
 		Pools:          pools,
 		Routes: []manifest.Route{
 			completions("draft", draftModel, 1, true),
--- /dev/null
+++ b/integration/history_test.go
@@ -0,0 +1,259 @@
+package integration
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/google/uuid"
+
+	"kingcupcourse/internal/core"
+)
+
+// operation is one sending of a request as its caller saw it.
+type operation struct {
+	key          string // empty for a request that may be repeated
+	began, ended time.Time
+	answer       answer
+}
+
+// verdict sorts what the caller was told.
+func (o *operation) verdict() told {
+	a := &o.answer
+	switch {
+	case a.disposition == core.NotRun:
+		return toldNotRun
+	case a.disposition == core.AlreadyRun, a.replayed:
+		return toldRan
+	case a.whole && a.status < http.StatusBadRequest:
+		return toldRan
+	default:
+		return toldUnknown
+	}
+}
+
+// told is what a caller was told of its request.
+type told int
+
+const (
+	toldRan     told = iota // it has run, once
+	toldNotRun              // it has not run and will not
+	toldUnknown             // nothing for sure
+	readRuns                // not a caller: the count of the endpoints at the end
+)
+
+// history is what all callers of a test saw.
+type history struct {
+	mu         sync.Mutex
+	operations []operation
+}
+
+func (h *history) add(o operation) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.operations = append(h.operations, o)
+}
+
+// input and output are an operation as porcupine sees it.
+type input struct {
+	key  string
+	runs int // for readRuns
+}
+
+// model is one key: it has run or not. A caller that was told that it ran
+// either made it run or met the recorded end; one that was told that it did
+// not run met a key that has not run.
+func model() porcupine.Model {
+	nondeterministic := porcupine.NondeterministicModel{
+		Partition: func(all []porcupine.Operation) [][]porcupine.Operation {
+			byKey := map[string][]porcupine.Operation{}
+			for _, o := range all {
+				key := o.Input.(input).key
+				byKey[key] = append(byKey[key], o)
+			}
+			var parts [][]porcupine.Operation
+			for _, part := range byKey {
+				parts = append(parts, part)
+			}
+			return parts
+		},
+		Init: func() []any { return []any{0} },
+		Step: func(state, in, out any) []any { return step(state.(int), in.(input), out.(told)) },
+	}
+	return nondeterministic.ToModel()
+}
+
+func step(runs int, in input, out told) []any {
+	switch out {
+	case toldRan:
+		return []any{1}
+	case toldNotRun:
+		if runs == 0 {
+			return []any{0}
+		}
+	case toldUnknown:
+		return []any{runs, 1}
+	case readRuns:
+		if runs == in.runs {
+			return []any{runs}
+		}
+	}
+	return nil
+}
+
+// checkHistory holds what callers were told against what the endpoints
+// counted: no key ran twice, every "not run" is true, and all answers about a
+// key agree with one order of events.
+func (c *cluster) checkHistory(h *history, account string) {
+	c.t.Helper()
+	runs := map[string]int{}
+	for _, name := range c.endpoints() {
+		for id, n := range c.stats(name).Runs {
+			runs[id] += n
+		}
+	}
+	end := time.Now()
+	var checked []porcupine.Operation
+	keys := map[string]bool{}
+	counts := map[told]int{}
+	for i := range h.operations {
+		o := &h.operations[i]
+		counts[o.verdict()]++
+		if o.key == "" {
+			c.checkRepeatable(o, runs)
+			continue
+		}
+		keys[o.key] = true
+		returned := o.ended.UnixNano()
+		if o.verdict() == toldUnknown {
+			returned = math.MaxInt64 - 1
+		}
+		checked = append(checked, porcupine.Operation{ClientId: i, Input: input{key: o.key},
+			Call: o.began.UnixNano(), Output: o.verdict(), Return: returned})
+	}
+	for key := range keys {
+		n := runs[keyedRequestID(account, key)]
+		if n > 1 {
+			c.t.Errorf("key %s ran %d times", key, n)
+		}
+		checked = append(checked, porcupine.Operation{ClientId: len(h.operations), Input: input{key: key, runs: n},
+			Call: end.UnixNano(), Output: readRuns, Return: end.UnixNano() + 1})
+	}
+	result, _ := porcupine.CheckOperationsVerbose(model(), checked, time.Minute)
+	if result != porcupine.Ok {
+		c.t.Errorf("what callers were told agrees with no order of events: %v", result)
+		c.explainHistory(h, account, runs)
+	}
+	c.t.Logf("%d operations on %d keys: %d ran, %d not run, %d unknown; %v", len(h.operations), len(keys),
+		counts[toldRan], counts[toldNotRun], counts[toldUnknown], h.reasons())
+}
+
+// reasons counts what was not served, by what the caller was told.
+func (h *history) reasons() map[string]int {
+	counts := map[string]int{}
+	for i := range h.operations {
+		o := &h.operations[i]
+		if o.verdict() == toldRan {
+			continue
+		}
+		reason := string(o.answer.disposition) + " " + string(o.answer.reason)
+		if o.answer.disposition == "" {
+			reason = "no answer"
+		}
+		counts[reason]++
+	}
+	return counts
+}
+
+// explainHistory logs the keys whose answers contradict the count.
+func (c *cluster) explainHistory(h *history, account string, runs map[string]int) {
+	c.t.Helper()
+	for i := range h.operations {
+		o := &h.operations[i]
+		n := runs[keyedRequestID(account, o.key)]
+		if o.key != "" && ((o.verdict() == toldNotRun && n > 0) || (o.verdict() == toldRan && n != 1)) {
+			c.t.Logf("key %s: runs %d, told %v (%d %s %s %v) at %v", o.key, n, o.verdict(), o.answer.status,
+				o.answer.disposition, o.answer.reason, o.answer.err, o.ended)
+		}
+	}
+}
+
+func (c *cluster) checkRepeatable(o *operation, runs map[string]int) {
+	c.t.Helper()
+	if o.verdict() == toldNotRun && runs[o.answer.requestID] > 0 {
+		c.t.Errorf("request %s was refused as not run (%s) and ran", o.answer.requestID, o.answer.reason)
+	}
+}
+
+// keyedRequestID is the id under which endpoints see a request with a key.
+func keyedRequestID(account, key string) string {
+	space := uuid.NewSHA1(uuid.NameSpaceURL, []byte("kingcupcourse:request"))
+	return uuid.NewSHA1(space, []byte(account+"\x00"+key)).String()
+}
+
+// traffic sends requests from several callers until stop is called: filings
+// and drafts with keys, some of them twice through another host, and summaries
+// that may be repeated.
+func (c *cluster) traffic(t *testing.T, seed uint64, callers int) (h *history, stop func()) {
+	h = &history{}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	for i := range callers {
+		running.Go(func() {
+			random := rand.New(rand.NewPCG(seed, uint64(i)))
+			for ctx.Err() == nil {
+				c.oneRequest(t.Context(), h, random)
+			}
+		})
+	}
+	return h, func() { cancel(); running.Wait() }
+}
+
+// callerPatience bounds how long a caller waits for an answer.
+const callerPatience = 15 * time.Second
+
+func (c *cluster) oneRequest(ctx context.Context, h *history, random *rand.Rand) {
+	key := newKey()
+	var k call
+	switch random.IntN(3) {
+	case 0:
+		k = filing(key)
+	case 1:
+		k = completion(draftModel, "dossier "+key, 5+random.IntN(20), key)
+	default:
+		key = ""
+		k = completion(answerModel, "letters "+newKey(), 5+random.IntN(20), "")
+	}
+	k.deadline = 10 * time.Second
+	var sent sync.WaitGroup
+	sent.Go(func() { c.record(ctx, h, c.anyHost(random), k, key) })
+	if key != "" && random.IntN(3) == 0 {
+		delay, other := time.Duration(random.IntN(300))*time.Millisecond, c.anyHost(random)
+		sent.Go(func() {
+			time.Sleep(delay)
+			c.record(ctx, h, other, k, key)
+		})
+	}
+	sent.Wait()
+	time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
+}
+
+func (c *cluster) anyHost(random *rand.Rand) *host { return c.hosts[random.IntN(len(c.hosts))] }
+
+func (c *cluster) record(ctx context.Context, h *history, to *host, k call, key string) {
+	ctx, cancel := context.WithTimeout(ctx, callerPatience)
+	defer cancel()
+	o := operation{key: key, began: time.Now()}
+	o.answer = c.send(ctx, to, k)
+	o.ended = time.Now()
+	if o.answer.err != nil && o.answer.status == 0 {
+		// The host did not answer at all: an entry host that is down.
+		time.Sleep(20 * time.Millisecond)
+	}
+	h.add(o)
+}
