Control and kingcupctl: usual names, one ring for each querier

Words such as strangers and met gave way to the field's terms (initial synchronization, probe target); the duties that ask processes shared one ring, which the rule of one taker forbids, and now have one each.

--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -31,9 +31,9 @@
 // answered tells whether any answered.
 type peersAsked struct{ answered bool }
 
-// peersMet tells that this process knows what its peers share, or has waited
-// for it long enough.
-type peersMet struct{}
+// initialSyncDone tells that this process knows what its peers share, or has
+// waited for it long enough.
+type initialSyncDone struct{}
 
 // platformAsked tells how the newest call of the manifest watch ended.
 type platformAsked struct{ up bool }
@@ -53,7 +53,7 @@
 
 func (offered) isChange()         {}
 func (peersAsked) isChange()      {}
-func (peersMet) isChange()        {}
+func (initialSyncDone) isChange() {}
 func (platformAsked) isChange()   {}
 func (shared) isChange()          {}
 func (manifestRequest) isChange() {}
@@ -79,7 +79,7 @@
 	platformTried    bool
 	platformAnswered bool // the platform has answered once
 	peerAnswered     bool // a peer has answered at start
-	met              bool // the facts that the peers share are known
+	synced           bool // the facts that the peers share are known
 }
 
 // Serve implements supervisor.Duty.
@@ -98,8 +98,8 @@
 	case peersAsked:
 		c.fetchersDone++
 		c.peerAnswered = c.peerAnswered || m.answered
-	case peersMet:
-		c.met = true
+	case initialSyncDone:
+		c.synced = true
 	case platformAsked:
 		c.adoptPlatform(m.up)
 	case shared:
@@ -180,7 +180,7 @@
 		return false
 	}
 	if c.peerAnswered {
-		return c.met
+		return c.synced
 	}
 	return c.platformAnswered
 }
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -10,9 +10,9 @@
 	"kingcupcourse/internal/ring"
 )
 
-// strangerShare is the share of probes that go to an address at which no live
+// unknownShare is the share of probes that go to an address at which no live
 // member is known, so that a split system finds together again.
-const strangerShare = 0.1
+const unknownShare = 0.1
 
 // gossip returns a message with the claim of the manifest in force.
 func (m *members) gossip(list []message.Fact) message.Gossip {
@@ -29,7 +29,7 @@
 func (m *members) probe() { m.probeBy(m.probes) }
 
 func (m *members) probeBy(to *ring.Ring[outgoing]) {
-	address, ok := m.probed()
+	address, ok := m.probeTarget()
 	if !ok {
 		return
 	}
@@ -38,12 +38,12 @@
 	m.send(to, outgoing{address: address, gossip: g})
 }
 
-// meet probes more peers at once until what they share is known.
-func (m *members) meet(now time.Time) {
-	if m.met {
+// initialSync probes more peers at once until what they share is known.
+func (m *members) initialSync(now time.Time) {
+	if m.synced {
 		return
 	}
-	m.met = now.Sub(m.started) >= meetTimeout
+	m.synced = now.Sub(m.started) >= initialSyncTimeout
 	for _, push := range m.pushes {
 		m.probeBy(push)
 	}
@@ -54,11 +54,11 @@
 	return len(e.sent.gossip.Scope) > 0 || (e.gossip.Hash != 0 && e.gossip.Hash == m.store.Hash())
 }
 
-func (m *members) probed() (string, bool) {
+func (m *members) probeTarget() (string, bool) {
 	peers := m.pick(1)
-	strangers := m.strangers()
-	if len(strangers) > 0 && (len(peers) == 0 || rand.Float64() < strangerShare) {
-		return strangers[rand.IntN(len(strangers))], true
+	otherAddresses := m.otherAddresses()
+	if len(otherAddresses) > 0 && (len(peers) == 0 || rand.Float64() < unknownShare) {
+		return otherAddresses[rand.IntN(len(otherAddresses))], true
 	}
 	if len(peers) == 0 {
 		return "", false
@@ -145,18 +145,18 @@
 	return peers
 }
 
-// strangers returns the addresses, of dead members or from the settings and
+// otherAddresses returns the addresses, of dead members or from the settings and
 // the platform's list, at which no live member is known.
-func (m *members) strangers() []string {
+func (m *members) otherAddresses() []string {
 	taken := map[string]bool{m.self.Address: true}
 	for _, address := range m.peers() {
 		taken[address] = true
 	}
-	var strangers []string
+	var otherAddresses []string
 	add := func(address string) {
 		if !taken[address] {
 			taken[address] = true
-			strangers = append(strangers, address)
+			otherAddresses = append(otherAddresses, address)
 		}
 	}
 	for _, address := range m.seeds {
@@ -165,5 +165,5 @@
 	for _, member := range m.known {
 		add(member.Address)
 	}
-	return strangers
+	return otherAddresses
 }
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -68,7 +68,7 @@
 	for _, host := range list.Hosts {
 		m.addSeed(host.ControlAddress)
 	}
-	m.judgeListed(now)
+	m.applyList(now)
 }
 
 func (m *members) addSeed(address string) {
@@ -82,8 +82,8 @@
 	}
 }
 
-// judgeListed reports the endpoints whose state the list changes.
-func (m *members) judgeListed(now time.Time) {
+// applyList reports the endpoints whose state the list changes.
+func (m *members) applyList(now time.Time) {
 	for _, endpoint := range m.list.Names() {
 		is, change := m.list.Decide(endpoint, m.leavingState(endpoint), now)
 		if !change {
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -27,9 +27,9 @@
 	// maxFactsPerMessage limits the facts, and the entries wanted, in one
 	// gossip message.
 	maxFactsPerMessage = 4096
-	// meetTimeout is how long a process that starts may wait until it has
+	// initialSyncTimeout is how long a process that starts may wait until it has
 	// learned what its peers share.
-	meetTimeout = 5 * time.Second
+	initialSyncTimeout = 5 * time.Second
 )
 
 // event is a message to the members duty.
@@ -101,8 +101,8 @@
 	watching    bool
 	changed     bool // the snapshot must be published
 	started     time.Time
-	met         bool // what the peers share is known
-	metTold     bool // configuration knows that
+	synced      bool // what the peers share is known
+	syncedTold  bool // configuration knows that
 
 	nextHousekeeping, nextProbe time.Time
 }
@@ -131,13 +131,13 @@
 		m.nextHousekeeping = now.Add(housekeepingPeriod)
 		m.announceIfDue(now)
 		m.expire(now)
-		m.judgeListed(now)
+		m.applyList(now)
 	}
 	if !now.Before(m.nextProbe) {
 		m.nextProbe = now.Add(probePeriod)
 		m.updateAlive(now)
 		m.probe()
-		m.meet(now)
+		m.initialSync(now)
 	}
 	m.publish()
 	return nil
@@ -154,7 +154,7 @@
 	case answered:
 		m.receive(e.gossip, now)
 		m.continueComparison(e.sent.address, e.gossip)
-		m.met = m.met || m.isCompared(e)
+		m.synced = m.synced || m.isCompared(e)
 	case unreached:
 		m.suspect(e.address, now)
 	case hostsListed:
@@ -225,8 +225,8 @@
 	if m.changed {
 		m.publishSnapshot()
 	}
-	if m.met && !m.metTold && !m.changed {
-		m.metTold = m.configuration.TryPut(peersMet{}) == nil
+	if m.synced && !m.syncedTold && !m.changed {
+		m.syncedTold = m.configuration.TryPut(initialSyncDone{}) == nil
 	}
 }
 
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -53,8 +53,8 @@
 			return ctx.Err()
 		}
 		w.began = true
-		if told := w.told(ctx, changes, err); told != nil {
-			return told
+		if failed := w.handleAnswer(ctx, changes, err); failed != nil {
+			return failed
 		}
 		if err := w.pause(ctx, w.delay(len(changes.Objects) > 0, err)); err != nil {
 			return err
@@ -77,8 +77,8 @@
 	return watchWait
 }
 
-// told hands on what a call has told. Its error is only that of ctx.
-func (w *watcher) told(ctx context.Context, changes platform.Changes, failure error) error {
+// handleAnswer hands on what a call has returned. Its error is only that of ctx.
+func (w *watcher) handleAnswer(ctx context.Context, changes platform.Changes, failure error) error {
 	if failure == nil {
 		for _, object := range changes.Objects {
 			if err := w.deliver(ctx, object); err != nil {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -60,7 +60,7 @@
 type environment struct {
 	ctx      context.Context
 	platform *platform.Client
-	askers   *askers
+	queriers *queriers
 	parser   *kong.Kong
 	stdout   io.Writer
 	stderr   io.Writer
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -85,7 +85,7 @@
 	var processes []processStatus
 	asked := map[string]bool{}
 	for len(addresses) > 0 {
-		answers, err := env.askers.all(env.ctx, addresses)
+		answers, err := env.queriers.all(env.ctx, addresses)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/ctl/supervisor.go
+++ b/internal/ctl/supervisor.go
@@ -13,23 +13,22 @@
 	"kingcupcourse/internal/supervisor"
 )
 
-// askerCount is how many processes are asked at the same time.
-const askerCount = 8
+// querierCount is how many processes are asked at the same time.
+const querierCount = 8
 
 // errCrashed means that the command's duty panicked.
 var errCrashed = errors.New("the command crashed")
 
-// runTree runs the chosen command as a duty beside the duties that ask
-// processes, which start first and stop last. A command that crashed is not
-// run again; an asker that crashed is.
+// runTree runs the chosen command as a duty beside the queriers, which start first and stop last. A command that crashed is not
+// run again; a querier that crashed is.
 func runTree(env *environment, chosen *kong.Context) error {
 	ctx, stop := context.WithCancel(context.WithoutCancel(env.ctx))
 	defer stop()
-	env.askers = newAskers(codec.NewTransport(askTimeout))
+	env.queriers = newQueriers(codec.NewTransport(queryTimeout))
 	c := &command{env: env, chosen: chosen, stop: stop, ended: ring.NewReply[error]()}
 	var children []supervisor.Child
-	for i := range askerCount {
-		children = append(children, supervisor.Child{Name: fmt.Sprintf("ask-%d", i), Duty: env.askers.duty()})
+	for i := range querierCount {
+		children = append(children, supervisor.Child{Name: fmt.Sprintf("query-%d", i), Duty: env.queriers.add()})
 	}
 	children = append(children, supervisor.Child{Name: "command", Duty: c})
 	tree := supervisor.New(supervisor.Spec{Name: program, Children: children}, zap.NewNop())
