--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -321,3 +321,21 @@
 			r.scheduler.outcomes[0].Status == http.StatusCreated && len(r.scheduler.outcomes[0].Answer) > 0
 	})
 }
+
+func TestKilledDutiesLoseNothing(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	r := newRig(t, f.back("models", "engine-0"))
+	f.fault("engine-0", `{"slow_factor":2}`)
+	answer := r.background("POST", "/v1/completions", draft, freshKey())
+	eventually(t, "the run has started", func() bool { return f.engineStats("engine-0").Started == 1 })
+	for _, path := range []string{"admission", "fallback", "reports/owner", "reports/sender-0"} {
+		if err := r.entry.Kill(path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	expectWholeStream(t, answer(), 40)
+	expectWholeStream(t, r.must("POST", "/v1/completions", draft, freshKey()), 40)
+	eventually(t, "both outcomes", func() bool {
+		return slices.Equal(r.scheduler.results(), []core.Result{core.ResultOK, core.ResultOK})
+	})
+}
--- a/internal/entry/supervisor.go
+++ b/internal/entry/supervisor.go
@@ -65,7 +65,7 @@
 		return nil, eris.Wrap(err, "listen for callers")
 	}
 	tree := supervisor.New(supervisor.Spec{Name: "entry", Children: []supervisor.Child{
-		{Name: "reports", Duty: told, StopTimeout: reportsStop},
+		{Name: "reports", Duty: told.Supervisor, StopTimeout: reportsStop},
 		{Name: "fallback", Duty: alone},
 		{Name: "admission", Duty: let},
 		{Name: "callers", Duty: listener, StopTimeout: drain + stopMargin},
