--- /dev/null
+++ b/internal/scheduler/shards/shard/queue/duty_test.go
@@ -0,0 +1,169 @@
+package queue
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/control"
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/ownership"
+	"kingcupcourse/internal/decision/placement"
+	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/ring"
+	"kingcupcourse/internal/scheduler/inbox"
+)
+
+// newDuty returns a duty that owns a model pool with endpoints e0, e1, ...
+// of the given slots and has stopped gathering reports.
+func newDuty(endpoints, slots int) *Duty {
+	policy, _ := placement.NewPolicy(placement.PolicyKingcup)
+	d := New(Config{Shard: ownership.Shard{Pool: "p", Region: "r"}, Host: "h1", Policy: policy,
+		Inbox: ring.New[inbox.Queue]("test", 16), Journal: ring.New[inbox.Journal]("test", 16), Log: zap.NewNop()})
+	m := &manifest.Manifest{
+		Regions: []manifest.Region{{Name: "r", AvailabilityZones: []core.AvailabilityZone{"z"}}},
+		Pools:   []manifest.Pool{{Name: "p", Kind: core.KindModel, QueueRequests: 64}},
+	}
+	for n := range endpoints {
+		m.Pools[0].Endpoints = append(m.Pools[0].Endpoints, manifest.Endpoint{Name: fmt.Sprint("e", n),
+			AvailabilityZone: "z", Version: "v1", Slots: slots})
+	}
+	d.changeView(&control.View{Manifest: m, ManifestVersion: 1, Members: []message.Member{
+		{Host: "h1", Role: message.RoleScheduler, Region: "r", Address: "here"}}}, time.Now())
+	d.gatherUntil = time.Time{}
+	return d
+}
+
+func (d *Duty) ask(t testing.TB, id string, tier core.Tier, deadline time.Duration) ring.Reply[message.GrantReply] {
+	t.Helper()
+	grant := inbox.Grant{Reply: ring.NewReply[message.GrantReply](), Request: message.GrantRequest{
+		RequestID: id, Attempt: id, Host: "entry", Account: "a", Tier: tier, Pool: "p", PromptTokens: 400,
+		MaxOutputTokens: 100, DeadlineUnixMS: time.Now().Add(deadline).UnixMilli()}}
+	if err := d.handle(grant); err != nil {
+		t.Fatal(err)
+	}
+	return grant.Reply
+}
+
+func (d *Duty) end(t testing.TB, id, endpoint string) {
+	t.Helper()
+	report := inbox.Report{Reply: ring.NewReply[message.OutcomeAck](), Report: message.OutcomeReport{Host: "entry",
+		Pool: "p", Outcomes: []core.Outcome{{Attempt: id, Endpoint: endpoint, Version: "v1", Result: core.ResultOK,
+			OutputTokens: 100, FirstTokenMS: 100, BetweenTokensMS: 20, TotalMS: 2100}}}}
+	if err := d.handle(report); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// answered returns the reply if there is one by now. It looks several times,
+// as an answer and the end of the wait may come together.
+func answered(t testing.TB, reply ring.Reply[message.GrantReply]) (message.GrantReply, bool) {
+	t.Helper()
+	for range 10 {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		got, err := reply.Wait(ctx)
+		cancel()
+		if err == nil {
+			return got, true
+		}
+	}
+	return message.GrantReply{}, false
+}
+
+func TestSlotsAreKeptAndTiersGoFirst(t *testing.T) {
+	d := newDuty(1, 1)
+	running := d.ask(t, "running", 3, time.Minute)
+	low, top := d.ask(t, "low", 2, time.Minute), d.ask(t, "top", 1, time.Minute)
+	if got, ok := answered(t, running); !ok || got.Grant == nil {
+		t.Fatalf("the first: %+v", got)
+	}
+	for _, waiting := range []ring.Reply[message.GrantReply]{low, top} {
+		if got, ok := answered(t, waiting); ok {
+			t.Fatalf("answered without a free slot: %+v", got)
+		}
+	}
+	d.end(t, "running", "e0")
+	if got, ok := answered(t, top); !ok || got.Grant == nil {
+		t.Fatalf("the top tier: %+v", got)
+	}
+	if got, ok := answered(t, low); ok {
+		t.Fatalf("the lower tier: %+v", got)
+	}
+}
+
+func TestLowerTiersNeverDelayTheAdmissionOfHigherOnes(t *testing.T) {
+	d := newDuty(1, 1)
+	d.ask(t, "running", 3, time.Minute)
+	refused := 0
+	for n := range 40 {
+		if got, ok := answered(t, d.ask(t, fmt.Sprint("low", n), 3, 30*time.Second)); ok {
+			if got.Refusal == nil || got.Refusal.Reason != core.ReasonDeadlineTooSoon || got.Refusal.RetryAfterMS == 0 {
+				t.Fatalf("tier 3: %+v", got)
+			}
+			refused++
+		}
+	}
+	if refused == 0 || refused == 40 {
+		t.Fatalf("%d of 40 refused, want those that cannot be done in 30 s", refused)
+	}
+	if got, ok := answered(t, d.ask(t, "top", 1, 30*time.Second)); ok {
+		t.Fatalf("tier 1 with none ahead was answered: %+v", got)
+	}
+}
+
+func TestANewOwnerGathersReportsFirst(t *testing.T) {
+	d := newDuty(1, 2)
+	view := *d.view
+	view.Members = append(view.Members, message.Member{Host: "entry", Role: message.RoleEntry, Region: "r"})
+	d.owned = false
+	d.changeView(&view, time.Now())
+	first, second := d.ask(t, "first", 1, time.Minute), d.ask(t, "second", 1, time.Minute)
+	if got, ok := answered(t, first); ok {
+		t.Fatalf("placed before the entry has reported: %+v", got)
+	}
+	report := inbox.Report{Reply: ring.NewReply[message.OutcomeAck](), Report: message.OutcomeReport{Host: "entry", Pool: "p",
+		Full: true, Running: []message.RunningRequest{{Attempt: "old", Endpoint: "e0", MaxOutputTokens: 100}}}}
+	if err := d.handle(report); err != nil {
+		t.Fatal(err)
+	}
+	if got, ok := answered(t, first); !ok || got.Grant == nil {
+		t.Fatalf("after the report: %+v", got)
+	}
+	if got, ok := answered(t, second); ok {
+		t.Fatalf("the slot of the reported attempt was given away: %+v", got)
+	}
+}
+
+func TestWhatCanNoLongerFinishIsDropped(t *testing.T) {
+	d := newDuty(1, 1)
+	d.ask(t, "running", 1, time.Minute)
+	waiting := d.ask(t, "waiting", 1, 30*time.Second)
+	d.expire(time.Now().Add(31 * time.Second))
+	got, ok := answered(t, waiting)
+	if !ok || got.Refusal == nil || got.Refusal.Disposition != core.NotRun {
+		t.Fatalf("got %+v", got)
+	}
+}
+
+// BenchmarkGrantAndOutcome is the cost of one request to the queue duty of a
+// pool with 20 endpoints, half of whose slots are taken.
+func BenchmarkGrantAndOutcome(b *testing.B) {
+	d := newDuty(20, 8)
+	for n := range 80 {
+		d.ask(b, fmt.Sprint("before", n), 1, time.Hour)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for n := range b.N {
+		id := fmt.Sprint(n)
+		got, err := d.ask(b, id, 1, time.Hour).Wait(b.Context())
+		if err != nil || got.Grant == nil {
+			b.Fatalf("got %+v, %v", got, err)
+		}
+		d.end(b, id, got.Grant.Endpoint)
+	}
+}
