--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -136,6 +136,7 @@
 
 func (f *fixture) publish() {
 	view := f.view
+	view.Members = slices.Clone(f.view.Members) // a published view never changes
 	f.views.Publish(&view)
 }
 
