--- /dev/null
+++ b/integration/capacity_test.go
@@ -0,0 +1,303 @@
+//go:build capacity
+
+package integration
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"kingcupcourse/internal/capacity"
+	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/standin/engine"
+)
+
+const (
+	// restTime lets processes that have started come to rest.
+	restTime = 8 * time.Second
+	// idleWindow and loadWindow are how long each point is measured.
+	idleWindow = 25 * time.Second
+	loadWindow = 10 * time.Second
+)
+
+func pause(d time.Duration) func() { return func() { time.Sleep(d) } }
+
+// Idle hosts with three processes each: what control costs.
+func TestCapacityHosts(t *testing.T) {
+	var s capacity.Series
+	for _, hosts := range []int{7, 14, 28, 56} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			c := startCluster(t, options{hosts: hosts})
+			time.Sleep(restTime)
+			w := c.measure(pause(idleWindow))
+			w.addHost(&s, float64(hosts))
+			w.addPlatform(&s, float64(hosts))
+			s.Add("s until a change is in force everywhere", float64(hosts), c.change(1).Seconds())
+		})
+	}
+	save(t, "hosts", &s)
+}
+
+// change commits a changed manifest and waits until it is in force in every
+// process.
+func (c *cluster) change(number int) time.Duration {
+	c.t.Helper()
+	c.manifest.Deployment = fmt.Sprint("change-", number)
+	before := c.metricsOf(c.hosts[0].entryAdmin)["kingcup_manifest_version"]
+	c.commitManifest()
+	began := time.Now()
+	for _, h := range c.hosts {
+		for _, admin := range []string{h.entryAdmin, h.schedulerAdmin, h.rolloutAdmin} {
+			c.await("change at "+admin, 60*time.Second, func() bool {
+				return c.metricsOf(admin)["kingcup_manifest_version"] > before
+			})
+		}
+	}
+	return time.Since(began)
+}
+
+// Client accounts: the manifest's size, and memory of each role. The
+// platform's objects end at 1 MiB, so that 22,000 accounts are not reached.
+func TestCapacityAccounts(t *testing.T) {
+	var s capacity.Series
+	for _, accounts := range []int{5, 500, 2000, 4000, 6000} {
+		t.Run(fmt.Sprint(accounts), func(t *testing.T) {
+			c := startCluster(t, options{hosts: 3, tuneManifest: func(m *manifest.Manifest) { addAccounts(m, accounts) }})
+			time.Sleep(restTime)
+			w := c.measure(func() {
+				for i := range 5 {
+					c.change(i)
+				}
+			})
+			w.addHost(&s, float64(accounts))
+			const processes, changes = 9, 5
+			var bytes, processor float64
+			for _, role := range roles {
+				for i := range c.hosts {
+					bytes += w.last[role][i].metrics["kingcup_control_bytes_total"] - w.before[role][i].metrics["kingcup_control_bytes_total"]
+					processor += float64(w.last[role][i].processor-w.before[role][i].processor) / float64(time.Millisecond)
+				}
+			}
+			s.Add("kB between peers for a change and process", float64(accounts), bytes/1000/processes/changes)
+			s.Add("ms processor for a change and process", float64(accounts), processor/processes/changes)
+		})
+	}
+	save(t, "accounts", &s)
+}
+
+func addAccounts(m *manifest.Manifest, count int) {
+	for i := len(m.ClientAccounts); i < count; i++ {
+		m.ClientAccounts = append(m.ClientAccounts, manifest.ClientAccount{
+			Name: fmt.Sprintf("account-%05d", i), KeySHA256: []string{fmt.Sprintf("%064x", i+1)}, MaxTier: 2, Weight: 1})
+	}
+}
+
+// Changes of the configuration: what they cost a host. The target is 2 a
+// minute.
+func TestCapacityChanges(t *testing.T) {
+	c := startCluster(t, options{hosts: 7})
+	time.Sleep(restTime)
+	var s capacity.Series
+	number := 0
+	for _, perMinute := range []float64{0, 15, 30, 60} {
+		w := c.measure(func() {
+			end := time.Now().Add(20 * time.Second)
+			for perMinute > 0 && time.Now().Before(end) {
+				number++
+				c.manifest.Deployment = fmt.Sprint("change-", number)
+				c.commitManifest()
+				time.Sleep(time.Duration(60 / perMinute * float64(time.Second)))
+			}
+			time.Sleep(time.Until(end))
+		})
+		w.addHost(&s, perMinute)
+		w.addPlatform(&s, perMinute)
+	}
+	save(t, "changes", &s)
+}
+
+// Run-once requests to a plain service through three hosts: entry, owner,
+// the others, and the journal's writes.
+func TestCapacityRequests(t *testing.T) {
+	c := startCluster(t, options{hosts: 3, ledgers: 8, tuneManifest: func(m *manifest.Manifest) {
+		m.Pools[1].JournalSlots = 4096
+	}})
+	c.keepConnections()
+	time.Sleep(restTime)
+	var s capacity.Series
+	for _, rate := range []float64{25, 50, 100, 200, 400} {
+		var failed, sent int
+		w := c.measure(func() { sent, failed = c.load(rate, func() call { return filing(newKey()) }) })
+		if failed > 0 {
+			t.Logf("at %v/s %d of %d requests failed", rate, failed, sent)
+		}
+		c.addRequests(&s, &w, float64(sent)/w.took.Seconds())
+	}
+	save(t, "requests", &s)
+}
+
+func (c *cluster) addRequests(s *capacity.Series, w *window, rate float64) {
+	owner, entries, others := 0, 0.0, 0.0
+	for i := range c.hosts {
+		entries += w.core("entry", i)
+		others += w.core("scheduler", i)
+		if w.rate("scheduler", i, "kingcup_grants_total") > w.rate("scheduler", owner, "kingcup_grants_total") {
+			owner = i
+		}
+	}
+	s.Add("all entries core %", rate, entries)
+	s.Add("owner core %", rate, w.core("scheduler", owner))
+	s.Add("other schedulers core %", rate, (others-w.core("scheduler", owner))/float64(len(c.hosts)-1))
+	s.Add("owner resident MiB", rate, float64(w.last["scheduler"][owner].resident)/mebibyte)
+	s.Add("owner journal keys", rate, w.last["scheduler"][owner].metrics["kingcup_journal_keys"])
+	s.Add("entry resident MiB", rate, float64(w.last["entry"][0].resident)/mebibyte)
+	s.Add("journal writes/s", rate, w.rate("scheduler", owner, "kingcup_journal_writes_total"))
+	w.addPlatform(s, rate)
+}
+
+// load sends so many requests a second for the window through all hosts.
+func (c *cluster) load(rate float64, next func() call) (sent, failed int) {
+	var (
+		running sync.WaitGroup
+		lock    sync.Mutex
+	)
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / rate))
+	defer ticker.Stop()
+	for end := time.Now().Add(loadWindow); time.Now().Before(end); sent++ {
+		<-ticker.C
+		h, k := c.hosts[sent%len(c.hosts)], next()
+		running.Go(func() {
+			if a := c.send(c.t.Context(), h, k); !a.whole {
+				lock.Lock()
+				failed++
+				lock.Unlock()
+			}
+		})
+	}
+	running.Wait()
+	return sent, failed
+}
+
+// Tokens streamed through one entry host.
+func TestCapacityTokens(t *testing.T) {
+	const perStream, length = 50, 500
+	c := startCluster(t, options{hosts: 3, engines: 4, tuneEngine: func(_ int, e *engine.Config) {
+		e.Slots, e.DecodeTokensPerSecond, e.PrefillTokensPerSecond = 64, perStream, 100_000
+	}})
+	c.keepConnections()
+	time.Sleep(restTime)
+	var s capacity.Series
+	for _, streams := range []int{10, 20, 40, 80, 160} {
+		var tokens int
+		w := c.measure(func() { tokens = c.streams(streams, length) })
+		rate := float64(tokens) / w.took.Seconds()
+		s.Add("entry core %", rate, w.core("entry", 0))
+		s.Add("entry resident MiB", rate, float64(w.last["entry"][0].resident)/mebibyte)
+		owner := 0.0
+		for i := range c.hosts {
+			owner += w.core("scheduler", i)
+		}
+		s.Add("all schedulers core %", rate, owner)
+	}
+	save(t, "tokens", &s)
+}
+
+// streams runs so many streams at once through the first host and returns
+// how many tokens arrived.
+func (c *cluster) streams(count, length int) int {
+	var running sync.WaitGroup
+	whole := make([]bool, count)
+	for i := range count {
+		running.Go(func() {
+			a := c.send(c.t.Context(), c.hosts[0], completion(answerModel, fmt.Sprintf("dossier %d %s", i, newKey()), length, ""))
+			whole[i] = a.whole
+		})
+	}
+	running.Wait()
+	tokens := 0
+	for _, ok := range whole {
+		if ok {
+			tokens += length
+		}
+	}
+	if tokens < count*length {
+		c.t.Logf("%d of %d streams whole", tokens/length, count)
+	}
+	return tokens
+}
+
+// Endpoints of a shard, idle: what polling costs the owner and the next in
+// rank.
+func TestCapacityEndpoints(t *testing.T) {
+	var s capacity.Series
+	for _, endpoints := range []int{5, 10, 20, 40, 80} {
+		t.Run(fmt.Sprint(endpoints), func(t *testing.T) {
+			c := startCluster(t, options{hosts: 4, engines: endpoints})
+			time.Sleep(restTime)
+			w := c.measure(pause(15 * time.Second))
+			c.addPolling(&s, &w, float64(endpoints))
+		})
+	}
+	save(t, "endpoints", &s)
+}
+
+// addPolling adds the cost of the schedulers that poll: those with an
+// endpoint duty of the model pool.
+func (c *cluster) addPolling(s *capacity.Series, w *window, x float64) {
+	var polling, other, pollers, others, resident float64
+	for i, h := range c.hosts {
+		if c.polls(h) {
+			polling, pollers = polling+w.core("scheduler", i), pollers+1
+			resident += float64(w.last["scheduler"][i].resident) / mebibyte
+			continue
+		}
+		other, others = other+w.core("scheduler", i), others+1
+	}
+	s.Add("pollers", x, pollers)
+	s.Add("polling scheduler core %", x, polling/max(pollers, 1))
+	s.Add("polling scheduler resident MiB", x, resident/max(pollers, 1))
+	s.Add("other scheduler core %", x, other/max(others, 1))
+}
+
+func (c *cluster) polls(h *host) bool {
+	response, err := c.client.Get("http://" + h.schedulerAdmin + "/debug/children")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var text strings.Builder
+	buffer := make([]byte, 32*kibibyte)
+	for {
+		n, err := response.Body.Read(buffer)
+		text.Write(buffer[:n])
+		if err != nil {
+			return strings.Contains(text.String(), "shard-"+modelPool+"/endpoint-")
+		}
+	}
+}
+
+// The first seconds after an outage of the platform: who calls how often.
+func TestCapacityHerd(t *testing.T) {
+	var s capacity.Series
+	for _, hosts := range []int{7, 14, 28} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			c := startCluster(t, options{hosts: hosts})
+			time.Sleep(restTime)
+			c.fault("platform", `{"outage": true}`)
+			time.Sleep(20 * time.Second)
+			c.fault("platform", `{"outage": false}`)
+			last, most := c.platformCalls(), 0.0
+			for second := range 10 {
+				time.Sleep(time.Second)
+				now := c.platformCalls()
+				calls := now.Watches + now.Reads + now.Writes - last.Watches - last.Reads - last.Writes
+				s.Add(fmt.Sprintf("calls in the seconds, %d hosts", hosts), float64(second+1), calls)
+				last, most = now, max(most, calls)
+			}
+			s.Add("most calls in a second", float64(hosts), most)
+		})
+	}
+	save(t, "herd", &s)
+}
--- /dev/null
+++ b/internal/capacity/page_test.go
@@ -0,0 +1,49 @@
+//go:build capacity
+
+package capacity
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const (
+	page   = "../../docs/CAPACITY.md"
+	folder = "../../docs/capacity"
+)
+
+// targets is x at the size of the target, by experiment.
+var targets = map[string]float64{
+	"hosts": 380, "control": 1140, "accounts": 22000, "changes": 2, "requests": 2300, "tokens": 970_000 / 380,
+	"endpoints": 18, "journal": 100_000, "parse": 22000,
+}
+
+// TestPage writes the fits of all measurements into the page.
+func TestPage(t *testing.T) {
+	text, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	files, err := filepath.Glob(filepath.Join(folder, "*.csv"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	result := string(text)
+	for _, file := range files {
+		series, err := Read(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		name := strings.TrimSuffix(filepath.Base(file), ".csv")
+		replaced, ok := Replace(result, name, Table(series, targets[name]))
+		if !ok {
+			t.Logf("the page has no place for %s", name)
+		}
+		result = replaced
+	}
+	if err := os.WriteFile(page, []byte(result), 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/capacity/series.go
@@ -0,0 +1,82 @@
+package capacity
+
+import (
+	"encoding/csv"
+	"os"
+	"slices"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+)
+
+// Series is what one experiment measured: for each metric its points.
+type Series struct {
+	// Metrics are the names of the metrics in the order of first use.
+	Metrics []string
+	points  map[string][]Point
+}
+
+// Add adds one measurement of a metric.
+func (s *Series) Add(metric string, x, y float64) {
+	if s.points == nil {
+		s.points = map[string][]Point{}
+	}
+	if !slices.Contains(s.Metrics, metric) {
+		s.Metrics = append(s.Metrics, metric)
+	}
+	s.points[metric] = append(s.points[metric], Point{x, y})
+}
+
+// Points returns the measurements of a metric.
+func (s *Series) Points(metric string) []Point { return s.points[metric] }
+
+// header names the columns of a file.
+var header = []string{"metric", "x", "y"}
+
+// Write writes the series to a CSV file.
+func (s *Series) Write(path string) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return eris.Wrap(err, "write measurements")
+	}
+	defer func() { _ = file.Close() }()
+	writer := csv.NewWriter(file)
+	rows := [][]string{header}
+	for _, metric := range s.Metrics {
+		for _, p := range s.points[metric] {
+			rows = append(rows, []string{metric, number(p.X), number(p.Y)})
+		}
+	}
+	if err := writer.WriteAll(rows); err != nil {
+		return eris.Wrap(err, "write measurements")
+	}
+	return file.Close()
+}
+
+// significantDigits is how exactly measurements are written.
+const significantDigits = 5
+
+func number(x float64) string { return strconv.FormatFloat(x, 'g', significantDigits, 64) }
+
+// Read reads a series from a CSV file that Write wrote.
+func Read(path string) (*Series, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "read measurements")
+	}
+	defer func() { _ = file.Close() }()
+	rows, err := csv.NewReader(file).ReadAll()
+	if err != nil || len(rows) == 0 {
+		return nil, eris.Wrapf(err, "read measurements of %s", path)
+	}
+	series := new(Series)
+	for _, row := range rows[1:] {
+		x, errX := strconv.ParseFloat(row[1], 64)
+		y, errY := strconv.ParseFloat(row[2], 64)
+		if errX != nil || errY != nil {
+			return nil, eris.Errorf("%s: not a number in %v", path, row)
+		}
+		series.Add(row[0], x, y)
+	}
+	return series, nil
+}
--- /dev/null
+++ b/internal/scheduler/shards/shard/journal/caller/capacity_test.go
@@ -0,0 +1,151 @@
+//go:build capacity
+
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"kingcupcourse/internal/capacity"
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/journal"
+)
+
+// slotCount is more than any point fills.
+const slotCount = 8192
+
+// slots is a platform that holds the slots of one journal as JSON.
+type slots struct {
+	values  map[int][]byte
+	version map[int]uint64
+	writes  int
+	written int
+	read    int
+}
+
+// run makes the calls that a machine asks for.
+func (s *slots) run(t *testing.T, m *journal.Machine, now time.Time) {
+	for ops := m.Ops(now); len(ops) > 0; ops = m.Ops(now) {
+		for _, op := range ops {
+			if op.Kind == journal.OpRead {
+				s.answerRead(t, m, op, now)
+				continue
+			}
+			text, err := json.Marshal(encode(op.Batch))
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.values[op.Slot], s.version[op.Slot] = text, s.version[op.Slot]+1
+			s.writes++
+			s.written += len(text)
+			m.WriteDone(journal.WriteApplied, s.version[op.Slot], now)
+		}
+	}
+}
+
+func (s *slots) answerRead(t *testing.T, m *journal.Machine, op journal.Op, now time.Time) {
+	result := journal.ReadResult{Slot: op.Slot, Version: s.version[op.Slot]}
+	if text := s.values[op.Slot]; text != nil {
+		batch, err := decode(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		result.Batch = batch
+		s.read += len(text)
+	}
+	m.ReadDone(result, now)
+}
+
+func newMachine(owner string, count int) *journal.Machine {
+	return journal.New(journal.Config{Owner: owner, Slots: count, Retention: time.Hour, Skew: 5 * time.Second,
+		Flush: 10 * time.Millisecond, Random: rand.New(rand.NewPCG(1, 1))})
+}
+
+// Keys in the journal of one pool: slots, memory of the owner, and what a
+// takeover reads and computes. Each key is a filing with a short answer.
+func TestCapacityJournal(t *testing.T) {
+	const perWrite, answerBytes = 20, 200
+	var s capacity.Series
+	for _, keys := range []int{1000, 5000, 20_000, 80_000} {
+		stored := &slots{values: map[int][]byte{}, version: map[int]uint64{}}
+		m := newMachine("first", slotCount)
+		now := time.Now()
+		m.Own(true, now)
+		for !m.Owner() {
+			now = now.Add(20 * time.Millisecond)
+			stored.run(t, m, now)
+		}
+		stored.writes, stored.written = 0, 0
+		for n := 0; n < keys; n += perWrite {
+			now = now.Add(20 * time.Millisecond)
+			fill(m, n, perWrite, answerBytes, now)
+			stored.run(t, m, now)
+		}
+		m.Answers()
+		x := float64(keys)
+		s.Add("slots used", x, float64(len(stored.values)))
+		s.Add("MiB in the platform", x, float64(total(stored.values))/(1<<20))
+		s.Add("kB written for a key (20 keys a write)", x, float64(stored.written)/float64(keys)/1000)
+		takeover(t, &s, stored, x, now)
+	}
+	if err := s.Write(filepath.Join("..", "..", "..", "..", "..", "..", "docs", "capacity", "journal.csv")); err != nil {
+		t.Error(err)
+	}
+	t.Logf("\n%s", capacity.Table(&s, 100_000))
+}
+
+// fill reserves and finishes keys.
+func fill(m *journal.Machine, from, count, answerBytes int, now time.Time) {
+	for n := from; n < from+count; n++ {
+		ms := now.UnixMilli()
+		key := fmt.Sprintf("%08x-%04x-7000-8000-%012x", ms>>16, ms&0xffff, n)
+		attempt := fmt.Sprintf("00000000-0000-4000-8000-%012x", n)
+		fingerprint := fmt.Sprintf("%064x", n)
+		m.Ask(journal.Ask{Key: key, Attempt: attempt, Fingerprint: fingerprint}, now)
+		m.Finish(journal.Record{Kind: journal.KindFinish, Key: key, Attempt: attempt, Fingerprint: fingerprint, Time: now,
+			Result: core.ResultOK, Status: 201, Answer: make([]byte, answerBytes), ContentType: "application/json", Whole: true}, now)
+	}
+}
+
+// takeover lets a second owner take over.
+func takeover(t *testing.T, s *capacity.Series, stored *slots, x float64, now time.Time) {
+	before, began := heap(), processorTime()
+	m := newMachine("second", slotCount)
+	m.Own(true, now)
+	for !m.Owner() {
+		now = now.Add(20 * time.Millisecond)
+		stored.run(t, m, now)
+	}
+	s.Add("ms processor of a takeover", x, float64((processorTime()-began).Microseconds())/1000)
+	s.Add("MiB read by a takeover", x, float64(stored.read)/(1<<20))
+	s.Add("owner heap MiB for the keys", x, (heap()-before)/(1<<20))
+	s.Add("keys after the takeover", x, float64(m.Keys()))
+	runtime.KeepAlive(m)
+}
+
+func total(values map[int][]byte) (bytes int) {
+	for _, text := range values {
+		bytes += len(text)
+	}
+	return bytes
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
