--- a/integration/capacity_test.go
+++ b/integration/capacity_test.go
@@ -11,6 +11,7 @@
 
 	"kingcupcourse/internal/capacity"
 	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/settings"
 	"kingcupcourse/internal/standin/engine"
 )
 
@@ -138,6 +139,32 @@
 	save(t, "requests", &s)
 }
 
+// The shortest time between two writes of a journal, at one rate of requests:
+// writes a second against what a request waits.
+func TestCapacityFlush(t *testing.T) {
+	const rate = 100
+	var s capacity.Series
+	for _, flush := range []int64{10, 25, 50, 100} {
+		t.Run(fmt.Sprint(flush), func(t *testing.T) {
+			c := startCluster(t, options{hosts: 3, ledgers: 8, tuneScheduler: func(s *settings.Scheduler) {
+				s.JournalFlushMS = flush
+			}})
+			c.keepConnections()
+			time.Sleep(restTime)
+			w := c.measure(func() { c.load(rate, func() call { return filing(newKey()) }) })
+			c.addRequests(&s, &w, float64(flush))
+			before, last := w.before["scheduler"], w.last["scheduler"]
+			var seconds, count float64
+			for i := range c.hosts {
+				seconds += last[i].metrics["kingcup_reservation_seconds_sum"] - before[i].metrics["kingcup_reservation_seconds_sum"]
+				count += last[i].metrics["kingcup_reservation_seconds_count"] - before[i].metrics["kingcup_reservation_seconds_count"]
+			}
+			s.Add("ms until a key is reserved, mean", float64(flush), 1000*seconds/max(count, 1))
+		})
+	}
+	save(t, "flush", &s)
+}
+
 func (c *cluster) addRequests(s *capacity.Series, w *window, rate float64) {
 	owner, entries, others := 0, 0.0, 0.0
 	for i := range c.hosts {
--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"path/filepath"
 	"runtime"
 	"strconv"
@@ -63,12 +64,12 @@
 	addresses []string
 	platform  string
 	registry  *prometheus.Registry
-	stops     []func()
+	controls  int
 }
 
-func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, platform: quietPlatform(t), registry: prometheus.NewRegistry()}
-	listeners, addresses := listen(t, realControls)
+func newFleet(t *testing.T, controls int) *fleet {
+	f := &fleet{t: t, platform: quietPlatform(t), registry: prometheus.NewRegistry(), controls: controls}
+	listeners, addresses := listen(t, controls)
 	f.addresses = addresses
 	for i, l := range listeners {
 		f.serve(l.Addr().String(), fmt.Sprint("real-", i), f.registry, &httptest.Server{Listener: l})
@@ -79,11 +80,9 @@
 // serve runs a Control on a server that is not yet started.
 func (f *fleet) serve(address, host string, registry *prometheus.Registry, server *httptest.Server) *Control {
 	c := New(Options{
-		Settings: settings.Common{Host: host, Region: "r", AvailabilityZone: "a", Control: address, Peers: f.addresses},
+		Settings: settings.Common{Host: host, Region: "r", AvailabilityZone: "a", Control: address, Peers: f.addresses[:realControls]},
 		Role:     message.RoleScheduler, Log: zap.NewNop(), Platform: platform.New(f.platform),
 		Metrics: prometheus.WrapRegistererWith(prometheus.Labels{"host": host}, registry)})
-	views := c.Subscribe()
-	_ = views
 	mux := http.NewServeMux()
 	c.Register(mux)
 	server.Config = &http.Server{Handler: mux}
@@ -165,11 +164,11 @@
 		f.tell(n%realControls, []message.Fact{f.member(n%members, time.Now())})
 	}
 	took := time.Since(began)
-	s.Add("core % of one process", x, 100*float64(processorTime()-cpu)/float64(took)/realControls)
+	s.Add("core % of one process", x, 100*float64(processorTime()-cpu)/float64(took)/float64(f.controls))
 	s.Add("bytes/s sent by one process", x,
-		(sum(f.t, f.registry, "kingcup_control_bytes_total")-sent)/took.Seconds()/realControls)
+		(sum(f.t, f.registry, "kingcup_control_bytes_total")-sent)/took.Seconds()/float64(f.controls))
 	s.Add("gossip calls/s of one process", x,
-		(sum(f.t, f.registry, "kingcup_gossip_calls_total")-gossip)/took.Seconds()/realControls)
+		(sum(f.t, f.registry, "kingcup_gossip_calls_total")-gossip)/took.Seconds()/float64(f.controls))
 }
 
 // Members known: heap, processor time and bytes of one process, and the
@@ -178,7 +177,7 @@
 	var s capacity.Series
 	for _, members := range []int{20, 250, 500, 1140, 2280} {
 		t.Run(fmt.Sprint(members), func(t *testing.T) {
-			f := newFleet(t)
+			f := newFleet(t, realControls)
 			time.Sleep(time.Second)
 			before := heap()
 			now := time.Now()
@@ -218,7 +217,7 @@
 func TestCapacityNews(t *testing.T) {
 	const members = 1140
 	var s capacity.Series
-	f := newFleet(t)
+	f := newFleet(t, realControls)
 	time.Sleep(time.Second)
 	now := time.Now()
 	var list []message.Fact
@@ -235,6 +234,28 @@
 	write(t, "news", &s)
 }
 
+// Controls that are all real, in one process: the cost of connections to
+// ever more peers, which are kept for 30 s.
+func TestCapacityControls(t *testing.T) {
+	const rest = 32 * time.Second
+	var s capacity.Series
+	for _, controls := range []int{10, 20, 40, 80, 150} {
+		t.Run(fmt.Sprint(controls), func(t *testing.T) {
+			before, goroutines := heap(), runtime.NumGoroutine()
+			f := newFleet(t, controls)
+			time.Sleep(rest)
+			x := float64(controls)
+			f.window(&s, x, 0, 0)
+			s.Add("heap MiB of one Control", x, (heap()-before)/x/(1<<20))
+			s.Add("goroutines of one Control", x, float64(runtime.NumGoroutine()-goroutines)/x)
+			files, _ := os.ReadDir("/proc/self/fd")
+			s.Add("open files of one Control", x, float64(len(files))/x)
+			s.Add("members known", x, sum(t, f.registry, "kingcup_members")/x)
+		})
+	}
+	write(t, "controls", &s)
+}
+
 func write(t *testing.T, name string, s *capacity.Series) {
 	t.Helper()
 	if err := s.Write(filepath.Join("..", "..", "docs", "capacity", name+".csv")); err != nil {
