--- a/integration/capacity_measure_test.go
+++ b/integration/capacity_measure_test.go
@@ -29,6 +29,27 @@
 	resident, private int64
 	files             int
 	metrics           map[string]float64
+	// moved is what the process has read and written, all connections
+	// included, before and after the metrics were read.
+	movedBefore, movedAfter moved
+}
+
+// moved is bytes read and written.
+type moved struct{ read, written float64 }
+
+func movedBy(folder string) (m moved) {
+	text, _ := os.ReadFile(filepath.Join(folder, "io"))
+	for line := range strings.Lines(string(text)) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		number, _ := strconv.ParseFloat(value, 64)
+		switch name {
+		case "rchar":
+			m.read = number
+		case "wchar":
+			m.written = number
+		}
+	}
+	return m
 }
 
 // sampleOf reads a process's use of the machine and its metrics.
@@ -57,7 +78,9 @@
 	}
 	files, _ := os.ReadDir(filepath.Join(folder, "fd"))
 	s.files = len(files)
+	s.movedBefore = movedBy(folder)
 	s.metrics = c.metricsOf(admin)
+	s.movedAfter = movedBy(folder)
 	return s
 }
 
@@ -136,6 +159,15 @@
 	return (w.last[role][i].metrics[metric] - w.before[role][i].metrics[metric]) / w.took.Seconds()
 }
 
+// written and read return the bytes a second that a process wrote and read.
+func (w *window) written(role string, i int) float64 {
+	return (w.last[role][i].movedBefore.written - w.before[role][i].movedAfter.written) / w.took.Seconds()
+}
+
+func (w *window) read(role string, i int) float64 {
+	return (w.last[role][i].movedBefore.read - w.before[role][i].movedAfter.read) / w.took.Seconds()
+}
+
 // mean returns the mean over the processes of a role.
 func (w *window) mean(role string, value func(i int) float64) float64 {
 	sum := 0.0
@@ -149,7 +181,7 @@
 
 // addHost adds what a mean host spends, by role and in all.
 func (w *window) addHost(s *capacity.Series, x float64) {
-	var core, resident, private, bytes, calls float64
+	var core, resident, private, bytes, calls, written, read float64
 	for _, role := range roles {
 		roleCore := w.mean(role, func(i int) float64 { return w.core(role, i) })
 		roleResident := w.mean(role, func(i int) float64 { return float64(w.last[role][i].resident) / mebibyte })
@@ -158,12 +190,17 @@
 		core, resident = core+roleCore, resident+roleResident
 		private += w.mean(role, func(i int) float64 { return float64(w.last[role][i].private) / mebibyte })
 		bytes += w.mean(role, func(i int) float64 { return w.rate(role, i, "kingcup_control_bytes_total") })
+		written += w.mean(role, func(i int) float64 { return w.written(role, i) })
+		read += w.mean(role, func(i int) float64 { return w.read(role, i) })
 		calls += w.mean(role, func(i int) float64 { return w.rate(role, i, "kingcup_gossip_calls_total") })
 	}
 	s.Add("host core %", x, core)
 	s.Add("host resident MiB", x, resident)
 	s.Add("host private MiB", x, private)
 	s.Add("host gossip bytes/s sent", x, bytes)
+	s.Add("host bytes/s written, all calls", x, written)
+	s.Add("host bytes/s read, all calls", x, read)
+	s.Add("host reports/s", x, w.mean("entry", func(i int) float64 { return w.rate("entry", i, "kingcup_entry_reports_total") }))
 	s.Add("host gossip calls/s", x, calls)
 	s.Add("entry open files", x, w.mean("entry", func(i int) float64 { return float64(w.last["entry"][i].files) }))
 }
--- a/integration/capacity_test.go
+++ b/integration/capacity_test.go
@@ -328,3 +328,31 @@
 	}
 	save(t, "herd", &s)
 }
+
+// Pools, with idle hosts: each entry host reports to the owner of every pool
+// shard.
+func TestCapacityPools(t *testing.T) {
+	var s capacity.Series
+	for _, pools := range []int{3, 5, 10, 20, 40} {
+		t.Run(fmt.Sprint(pools), func(t *testing.T) {
+			c := startCluster(t, options{hosts: 4, ledgers: pools - 1, tuneManifest: addPools})
+			time.Sleep(restTime)
+			w := c.measure(pause(loadWindow))
+			w.addHost(&s, float64(pools))
+			w.addPlatform(&s, float64(pools))
+		})
+	}
+	save(t, "pools", &s)
+}
+
+// addPools gives each endpoint of the ledgers' pool a pool of its own.
+func addPools(m *manifest.Manifest) {
+	shared := m.Pools[1]
+	m.Pools[1].Endpoints = shared.Endpoints[:1]
+	for i, e := range shared.Endpoints[1:] {
+		pool := shared
+		pool.Name = fmt.Sprintf("pool-%02d", i)
+		pool.Endpoints = []manifest.Endpoint{e}
+		m.Pools = append(m.Pools, pool)
+	}
+}
