--- /dev/null
+++ b/integration/capacity_regions_test.go
@@ -0,0 +1,92 @@
+//go:build capacity
+
+package integration
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"kingcupcourse/internal/capacity"
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/manifest"
+)
+
+const (
+	otherRegion = core.Region("alfold")
+	otherZone   = core.AvailabilityZone("alfold-a")
+)
+
+// One pool with endpoints in two regions, and run-once requests: how often
+// the journal changes hands, and what fails.
+func TestCapacityRegions(t *testing.T) {
+	var s capacity.Series
+	for regions := 1; regions <= 2; regions++ {
+		t.Run(fmt.Sprint(regions), func(t *testing.T) {
+			c := startCluster(t, options{hosts: 4, ledgers: 4, tuneManifest: addRegion})
+			if regions == 2 {
+				c.moveToOtherRegion(c.hosts[2:])
+			}
+			c.keepConnections()
+			time.Sleep(restTime)
+			before, changes := c.platformCalls(), c.ownershipChanges()
+			sent, failed := c.load(20, func() call { return filing(newKey()) })
+			after, x := c.platformCalls(), float64(regions)
+			s.Add("journal ownership changes in 10 s", x, float64(c.ownershipChanges()-changes))
+			s.Add("conflicts of journal writes in 10 s", x, after.Conflicts-before.Conflicts)
+			s.Add("journal reads in 10 s", x, after.Reads-before.Reads)
+			s.Add("requests sent", x, float64(sent))
+			s.Add("requests not served", x, float64(failed))
+		})
+	}
+	save(t, "regions", &s)
+}
+
+// addRegion adds the other region and moves half of the ledgers there.
+func addRegion(m *manifest.Manifest) {
+	m.Regions = append(m.Regions, manifest.Region{Name: otherRegion, AvailabilityZones: []core.AvailabilityZone{otherZone}})
+	endpoints := m.Pools[1].Endpoints
+	for i := range endpoints[len(endpoints)/2:] {
+		endpoints[len(endpoints)/2+i].AvailabilityZone = otherZone
+	}
+}
+
+// moveToOtherRegion starts hosts again in the other region.
+func (c *cluster) moveToOtherRegion(hosts []*host) {
+	c.t.Helper()
+	for _, h := range hosts {
+		for _, role := range roles {
+			path := filepath.Join(c.folder, h.name+"-"+role+".json")
+			text, err := os.ReadFile(path)
+			if err != nil {
+				c.t.Fatal(err)
+			}
+			var settings map[string]any
+			if err := json.Unmarshal(text, &settings); err != nil {
+				c.t.Fatal(err)
+			}
+			settings["region"], settings["availability_zone"] = otherRegion, otherZone
+			c.writeJSON(path, settings)
+		}
+		for _, p := range []*process{h.entry, h.scheduler, h.rollout} {
+			p.drain(30 * time.Second)
+			p.start()
+		}
+		c.awaitReady(h.entryAdmin)
+		c.awaitReady(h.schedulerAdmin)
+	}
+}
+
+// ownershipChanges counts what the schedulers logged of journals that
+// changed hands.
+func (c *cluster) ownershipChanges() (count int) {
+	for _, h := range c.hosts {
+		text, _ := os.ReadFile(h.scheduler.log)
+		count += bytes.Count(text, []byte("journal ownership changed"))
+	}
+	return count
+}
