--- a/integration/capacity_regions_test.go
+++ b/integration/capacity_regions_test.go
@@ -4,6 +4,8 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -18,6 +20,7 @@
 
 const (
 	otherRegion = core.Region("alfold")
+	otherKey    = "other-sample-key"
 	otherZone   = core.AvailabilityZone("alfold-a")
 )
 
@@ -34,7 +37,7 @@
 			c.keepConnections()
 			time.Sleep(restTime)
 			before, changes := c.platformCalls(), c.ownershipChanges()
-			sent, failed := c.load(20, func() call { return filing(newKey()) })
+			sent, failed := c.load(20, c.alternate(regions))
 			after, x := c.platformCalls(), float64(regions)
 			s.Add("journal ownership changes in 10 s", x, float64(c.ownershipChanges()-changes))
 			s.Add("conflicts of journal writes in 10 s", x, after.Conflicts-before.Conflicts)
@@ -46,9 +49,26 @@
 	save(t, "regions", &s)
 }
 
-// addRegion adds the other region and moves half of the ledgers there.
+// alternate returns filings of the two accounts in turn; with one region all
+// are of the account at home there.
+func (c *cluster) alternate(regions int) func() call {
+	number := 0
+	return func() call {
+		k := filing(newKey())
+		if number++; number%2 == 0 && regions == 2 {
+			k.bearer = otherKey
+		}
+		return k
+	}
+}
+
+// addRegion adds the other region, with an account that is at home there, and
+// moves half of the ledgers there.
 func addRegion(m *manifest.Manifest) {
 	m.Regions = append(m.Regions, manifest.Region{Name: otherRegion, AvailabilityZones: []core.AvailabilityZone{otherZone}})
+	hash := sha256.Sum256([]byte(otherKey))
+	m.ClientAccounts = append(m.ClientAccounts, manifest.ClientAccount{Name: "member-bank",
+		KeySHA256: []string{hex.EncodeToString(hash[:])}, HomeRegion: otherRegion})
 	endpoints := m.Pools[1].Endpoints
 	for i := range endpoints[len(endpoints)/2:] {
 		endpoints[len(endpoints)/2+i].AvailabilityZone = otherZone
--- a/integration/capacity_test.go
+++ b/integration/capacity_test.go
@@ -18,6 +18,8 @@
 const (
 	// restTime lets processes that have started come to rest.
 	restTime = 8 * time.Second
+	// fleetRestTime lets many hosts come to rest.
+	fleetRestTime = 20 * time.Second
 	// idleWindow and loadWindow are how long each point is measured.
 	idleWindow = 25 * time.Second
 	loadWindow = 10 * time.Second
@@ -28,10 +30,10 @@
 // Idle hosts with three processes each: what control costs.
 func TestCapacityHosts(t *testing.T) {
 	var s capacity.Series
-	for _, hosts := range []int{7, 14, 28, 56} {
+	for _, hosts := range []int{7, 14, 28, 42, 56} {
 		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
 			c := startCluster(t, options{hosts: hosts})
-			time.Sleep(restTime)
+			time.Sleep(fleetRestTime)
 			w := c.measure(pause(idleWindow))
 			w.addHost(&s, float64(hosts))
 			w.addPlatform(&s, float64(hosts))
