--- a/internal/scheduler/shards/shard/journal/supervisor.go
+++ b/internal/scheduler/shards/shard/journal/supervisor.go
@@ -25,7 +25,7 @@
 	defaultSkew      = 5 * time.Second
 	// settle is longer than it takes processes that start together to know
 	// each other.
-	settle = 300 * time.Millisecond
+	settle = 500 * time.Millisecond
 	// callCapacity is how many calls wait for one caller. A call that finds
 	// no room is kept by the owner.
 	callCapacity = 64
