--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -53,8 +53,8 @@
 			return ctx.Err()
 		}
 		w.began = true
-		if told := w.told(ctx, changes, err); told != nil {
-			return told
+		if failed := w.handleAnswer(ctx, changes, err); failed != nil {
+			return failed
 		}
 		if err := w.pause(ctx, w.delay(len(changes.Objects) > 0, err)); err != nil {
 			return err
@@ -77,8 +77,8 @@
 	return watchWait
 }
 
-// told hands on what a call has told. Its error is only that of ctx.
-func (w *watcher) told(ctx context.Context, changes platform.Changes, failure error) error {
+// handleAnswer hands on what a call has returned. Its error is only that of ctx.
+func (w *watcher) handleAnswer(ctx context.Context, changes platform.Changes, failure error) error {
 	if failure == nil {
 		for _, object := range changes.Objects {
 			if err := w.deliver(ctx, object); err != nil {
@@ -118,7 +118,7 @@
 	if w.failures == 1 {
 		w.log.Warn("platform watch failed", zap.String("prefix", w.prefix), zap.Error(failure))
 	}
-	delay := backoff.Delay(w.failures, rand.Float64())
+	delay := backoff.Delay(w.failures, w.longestBackoff(), rand.Float64())
 	var limited *platform.RateLimitedError
 	if errors.As(failure, &limited) {
 		delay += limited.After
@@ -126,6 +126,15 @@
 	return delay
 }
 
+// longestBackoff bounds the wait after failures. A process that only polls
+// does not call more often in an outage than at other times.
+func (w *watcher) longestBackoff() time.Duration {
+	if w.long {
+		return backoff.Max
+	}
+	return pollPeriod
+}
+
 // period is the pause between two successful calls. A change may be followed
 // by others at once; a watch that ends early without one must not come back
 // at once.
