Moves: integration tests with real processes, and what they found

Cause: no move had ever been carried out by real processes.

They found, each mended here: - a mover never took its first step (a zero time means never), so that no move was ever begun; - a version that failed every request on two routes got no verdict in 30 s (8 failures of 8, four on each route): an endpoint that rests after failures got a request every 10 s. Errors are now also summed over all routes, and an endpoint on trial does not rest: it has its cap. Verdict now after 5 of 5; - after a verdict kingcupctl refused every manifest that still listed the move that had been taken back; it now refuses only new moves to a bad version.

The harness begins each run in another slot of its port range: a process that was down lost its port to another run on the machine. Traffic starts once the owners of the pools have settled; before, a run-once request was refused (journal_unavailable) in the first seconds of a cluster.

--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -46,7 +46,9 @@
 	tuneEngine       func(i int, c *engine.Config)
 	tuneLedger       func(i int, c *ledger.Config)
 	tuneManifest     func(m *manifest.Manifest)
-	tuneScheduler    func(s *settings.Scheduler)
+	// tuneFleet adds stand-ins and what the manifest says of them.
+	tuneFleet     func(c *cluster)
+	tuneScheduler func(s *settings.Scheduler)
 }
 
 // host is one entry host with a process of each role.
@@ -125,6 +127,9 @@
 			AvailabilityZone: zones[i%len(zones)], Version: core.Version(l.Version), Slots: l.Concurrency})
 	}
 	c.manifest = standardManifest(model, service)
+	if o.tuneFleet != nil {
+		o.tuneFleet(c)
+	}
 	if o.tuneManifest != nil {
 		o.tuneManifest(&c.manifest)
 	}
--- /dev/null
+++ b/integration/moves_harness_test.go
@@ -0,0 +1,322 @@
+package integration
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/standin/engine"
+	"kingcupcourse/internal/standin/ledger"
+)
+
+const (
+	oldVersion = core.Version("v1")
+	newVersion = core.Version("v2")
+	// oldEndpoints is how many endpoints of a moving pool have the old
+	// version; one more has the new.
+	oldEndpoints = 2
+	// maxShare is the cap of a version that is not proved.
+	maxShare = 0.2
+	// callersPerPool send the traffic of a moving pool.
+	callersPerPool = 4
+	// shareWindow is how many placements in a row the largest share is taken
+	// over, or at the beginning all, but no fewer than shareMinimum.
+	shareWindow, shareMinimum = 200, 20
+)
+
+// movingPool is a pool with a planned move from oldVersion to newVersion.
+type movingPool struct {
+	name string
+	kind core.Kind
+	// fault is set at the endpoint of the new version before the move.
+	fault string
+	// deadline is from the start of the cluster; soak may be zero.
+	deadline, soak time.Duration
+	// ignoresFence makes the endpoints take orders of any fencing number.
+	ignoresFence bool
+}
+
+func (p movingPool) move() string { return "move-" + p.name }
+
+// tried is the name of the endpoint with the new version.
+func (p movingPool) tried() string { return fmt.Sprintf("%s-%d", p.name, oldEndpoints) }
+
+// movingCluster is a cluster with pools that move, and traffic for each.
+type movingCluster struct {
+	*cluster
+	pools   []movingPool
+	traffic map[string]*traffic
+}
+
+// startMoves starts a cluster of three hosts, the traffic of each pool, and
+// then commits the moves.
+func startMoves(t *testing.T, pools ...movingPool) *movingCluster {
+	t.Helper()
+	c := startCluster(t, options{tuneFleet: func(c *cluster) {
+		for _, p := range pools {
+			addPool(c, p)
+		}
+	}})
+	m := &movingCluster{cluster: c, pools: pools, traffic: map[string]*traffic{}}
+	m.awaitOwners()
+	for i, p := range pools {
+		if p.fault != "" {
+			c.fault(p.tried(), p.fault)
+		}
+		m.traffic[p.name] = c.startTraffic(callersPerPool, uint64(i+1), poolCalls(p.name, p.kind))
+	}
+	for _, p := range pools {
+		c.manifest.Moves = append(c.manifest.Moves, manifest.Move{Name: p.move(), Pool: p.name,
+			FromVersion: oldVersion, ToVersion: newVersion, MaxShare: maxShare,
+			DeadlineUnixMS: time.Now().Add(p.deadline).UnixMilli(), SoakMS: max(1, p.soak.Milliseconds())})
+	}
+	c.commitManifest()
+	return m
+}
+
+// awaitOwners waits until the owner of each pool is settled: until run-once
+// requests through every host are taken.
+func (m *movingCluster) awaitOwners() {
+	m.t.Helper()
+	for _, p := range m.pools {
+		for i, h := range m.hosts {
+			m.await(fmt.Sprintf("owner of %s for host %d", p.name, i), 20*time.Second, func() bool {
+				return m.send(m.t.Context(), h, poolCalls(p.name, p.kind)(0)).disposition == ""
+			})
+		}
+	}
+}
+
+func addPool(c *cluster, p movingPool) {
+	pool := manifest.Pool{Name: p.name, Kind: p.kind, ChecksFence: !p.ignoresFence}
+	for i := range oldEndpoints + 1 {
+		e := manifest.Endpoint{Name: fmt.Sprintf("%s-%d", p.name, i), Address: freeAddress(c.t),
+			AvailabilityZone: zones[i%len(zones)], Version: oldVersion, Slots: 8}
+		if i == oldEndpoints {
+			e.Version = newVersion
+		}
+		if p.kind == core.KindService {
+			c.fleet.Ledgers = append(c.fleet.Ledgers, ledger.Config{Name: e.Name, Address: e.Address,
+				Version: string(e.Version), ServiceTimeMS: 20, Concurrency: e.Slots, Seed: uint64(i),
+				CheckFence: pool.ChecksFence, LoadTimeMS: 500})
+		} else {
+			e.PrefillRate, e.DecodeRate = 8000, 100
+			c.fleet.Engines = append(c.fleet.Engines, engine.Config{Name: e.Name, Address: e.Address,
+				Version: string(e.Version), Slots: e.Slots, PrefillTokensPerSecond: e.PrefillRate,
+				DecodeTokensPerSecond: e.DecodeRate, LoadLagMS: 300, Seed: uint64(i),
+				CheckFence: pool.ChecksFence, LoadTimeMS: 500})
+		}
+		pool.Endpoints = append(pool.Endpoints, e)
+	}
+	c.manifest.Pools = append(c.manifest.Pools, pool)
+	c.manifest.Routes = append(c.manifest.Routes, poolRoutes(p)...)
+}
+
+func poolRoutes(p movingPool) []manifest.Route {
+	once := manifest.Route{Name: p.name + "-once", Pool: p.name, Methods: []string{http.MethodPost}, Tier: 1, RunOnce: true}
+	repeatable := manifest.Route{Name: p.name + "-repeatable", Pool: p.name, Tier: 2}
+	if p.kind == core.KindService {
+		once.Path, repeatable.Path = "/"+p.name+"/file", "/"+p.name+"/look-up"
+	} else {
+		once.Path, repeatable.Path = "/v1/chat/completions", "/v1/completions"
+		once.Model, repeatable.Model = p.name, p.name
+	}
+	return []manifest.Route{once, repeatable}
+}
+
+// status reads the status object of a move; the zero value if there is none.
+func (m *movingCluster) status(p movingPool) (status message.MoveStatus) {
+	m.t.Helper()
+	var object struct {
+		Value message.MoveStatus `json:"value"`
+	}
+	if m.get(m.platform+"/v1/objects/status/moves/"+p.move(), &object) == nil {
+		status = object.Value
+	}
+	return status
+}
+
+// awaitStage waits until the move is in one of the stages.
+func (m *movingCluster) awaitStage(p movingPool, limit time.Duration, stages ...message.Stage) {
+	m.t.Helper()
+	m.await(fmt.Sprintf("%s %v", p.move(), stages), limit, func() bool {
+		return slices.Contains(stages, m.status(p).Stage)
+	})
+}
+
+// awaitEnd waits until a move is done or reverted, no longer than to its
+// deadline, and returns its status.
+func (m *movingCluster) awaitEnd(p movingPool) message.MoveStatus {
+	m.t.Helper()
+	m.awaitStage(p, p.deadline+time.Second, message.StageDone, message.StageReverted)
+	return m.status(p)
+}
+
+// isJudgedBad tells whether the platform holds the verdict.
+func (m *movingCluster) isJudgedBad(p movingPool) bool {
+	return m.get(m.platform+"/v1/objects/verdicts/"+p.name+"/"+string(newVersion), nil) == nil
+}
+
+// holder is the host that holds the move's lease.
+func (m *movingCluster) holder(p movingPool) *host {
+	m.t.Helper()
+	holder := m.status(p).Holder
+	for _, h := range m.hosts {
+		if len(holder) > len(h.name) && holder[:len(h.name)+1] == h.name+"/" {
+			return h
+		}
+	}
+	m.t.Fatalf("%s: no holder %q", p.move(), holder)
+	return nil
+}
+
+// logLine is a line of a process's log, with the fields that tests read.
+type logLine struct {
+	Time     string       `json:"ts"`
+	Message  string       `json:"msg"`
+	Pool     string       `json:"pool"`
+	Version  core.Version `json:"version"`
+	Endpoint string       `json:"endpoint"`
+	Attempt  string       `json:"attempt"`
+	Detail   string       `json:"detail"`
+	Move     string       `json:"move"`
+	at       time.Time
+}
+
+// lines returns the lines of a log about a pool, in their order.
+func (p *process) lines(pool string) (lines []logLine) {
+	p.t.Helper()
+	file, err := os.Open(p.log)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	scanner := bufio.NewScanner(file)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		var line logLine
+		if json.Unmarshal(scanner.Bytes(), &line) != nil || line.Pool != pool {
+			continue
+		}
+		line.at, err = time.Parse("2006-01-02T15:04:05.000Z0700", line.Time)
+		if err == nil {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+// find returns the lines with the message in the logs of all hosts' processes
+// of a role, in the order of time.
+func (m *movingCluster) find(role func(*host) *process, p movingPool, what string) (found []logLine) {
+	for _, h := range m.hosts {
+		for _, line := range role(h).lines(p.name) {
+			if line.Message == what {
+				found = append(found, line)
+			}
+		}
+	}
+	slices.SortStableFunc(found, func(a, b logLine) int { return a.at.Compare(b.at) })
+	return found
+}
+
+func schedulerOf(h *host) *process { return h.scheduler }
+func entryOf(h *host) *process     { return h.entry }
+
+// dispatches returns the dispatches of the entries for a pool. A grant that
+// was not used is none.
+func (m *movingCluster) dispatches(p movingPool) []logLine {
+	unused := map[string]bool{}
+	for _, end := range m.find(entryOf, p, "attempt ended") {
+		if end.Detail == "the version was judged bad after the grant" {
+			unused[end.Attempt] = true
+		}
+	}
+	return slices.DeleteFunc(m.find(entryOf, p, "placed"), func(l logLine) bool { return unused[l.Attempt] })
+}
+
+// verdictTime is when the first scheduler judged the new version; zero if
+// none has.
+func (m *movingCluster) verdictTime(p movingPool) time.Time {
+	if found := m.find(schedulerOf, p, "version judged bad"); len(found) > 0 {
+		return found[0].at
+	}
+	return time.Time{}
+}
+
+// largestShare is the new version's largest share of the placements, which
+// the owner of the pool logs in the order in which it made them.
+func (m *movingCluster) largestShare(p movingPool) (share float64) {
+	placed := m.find(schedulerOf, p, "placed")
+	count := 0
+	for i, line := range placed {
+		if line.Version == newVersion {
+			count++
+		}
+		if i >= shareWindow && placed[i-shareWindow].Version == newVersion {
+			count--
+		}
+		if i+1 >= shareMinimum {
+			share = max(share, float64(count)/float64(min(i+1, shareWindow)))
+		}
+	}
+	return share
+}
+
+// lastDispatch is the time of the last dispatch to the new version by any
+// entry.
+func (m *movingCluster) lastDispatch(p movingPool) (last time.Time) {
+	for _, line := range m.dispatches(p) {
+		if line.Version == newVersion {
+			last = line.at
+		}
+	}
+	return last
+}
+
+// orders are what an endpoint was ordered.
+type orders struct {
+	Orders []struct {
+		Order  string `json:"order"`
+		Fence  uint64 `json:"fence"`
+		Obeyed bool   `json:"obeyed"`
+	} `json:"orders"`
+}
+
+func (m *movingCluster) orders(p movingPool) (o orders) {
+	m.t.Helper()
+	if err := m.get(m.admin+"/"+p.tried()+"/admin/stats", &o); err != nil {
+		m.t.Fatal(err)
+	}
+	return o
+}
+
+// wantRunOnce fails the test for a run-once request that ran twice.
+func (m *movingCluster) wantRunOnce(t *testing.T, p movingPool) {
+	t.Helper()
+	once := map[string]bool{}
+	for _, s := range m.traffic[p.name].calls {
+		if s.key != "" {
+			once[s.requestID] = true
+		}
+	}
+	runs := map[string]int{}
+	for i := range oldEndpoints + 1 {
+		for id, n := range m.stats(fmt.Sprintf("%s-%d", p.name, i)).Runs {
+			runs[id] += n
+		}
+	}
+	for id := range once {
+		if runs[id] > 1 {
+			t.Errorf("%s: request %s ran %d times", p.name, id, runs[id])
+		}
+	}
+}
--- /dev/null
+++ b/integration/moves_test.go
@@ -0,0 +1,138 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/message"
+)
+
+const (
+	// moveDeadline is when the moves of the tests must have ended.
+	moveDeadline = 40 * time.Second
+	// dispatchLimit is how long after a verdict a host may still dispatch to
+	// the bad version.
+	dispatchLimit = 2 * time.Second
+	shortSoak     = 2 * time.Second
+	// rampLimit is the largest share of the ramp.
+	rampLimit = 0.9
+)
+
+// wantDone fails the test unless a good version's move was done in time and
+// cut nothing off.
+func (m *movingCluster) wantDone(t *testing.T, p movingPool) {
+	t.Helper()
+	status := m.awaitEnd(p)
+	if status.Stage != message.StageDone || status.SinceUnixMS > status.DeadlineUnixMS {
+		t.Errorf("%s: %s: %s", p.move(), status.Stage, status.Reason)
+	}
+	if m.isJudgedBad(p) {
+		t.Errorf("%s: a good version was judged bad", p.move())
+	}
+	m.traffic[p.name].end()
+	m.traffic[p.name].wantSound(t, false)
+	m.wantRunOnce(t, p)
+}
+
+// wantTakenBack fails the test unless a bad version was judged bad, its move
+// reverted, and no host dispatched to it a while after the verdict.
+func (m *movingCluster) wantTakenBack(t *testing.T, p movingPool, cap float64) {
+	t.Helper()
+	status := m.awaitEnd(p)
+	if status.Stage != message.StageReverted || !strings.Contains(status.Reason, "judged bad") {
+		t.Errorf("%s: %s: %s", p.move(), status.Stage, status.Reason)
+	}
+	if !m.isJudgedBad(p) {
+		t.Errorf("%s: no verdict in the platform", p.move())
+	}
+	verdict := m.verdictTime(p)
+	time.Sleep(time.Until(verdict.Add(dispatchLimit + time.Second)))
+	m.traffic[p.name].end()
+	m.traffic[p.name].wantSound(t, true)
+	m.wantRunOnce(t, p)
+	share, last := m.largestShare(p), m.lastDispatch(p)
+	t.Logf("%s: largest share %.2f, last dispatch %v after the verdict; %s", p.move(), share, last.Sub(verdict), status.Reason)
+	if share > cap {
+		t.Errorf("%s: the bad version had a share of %.3f", p.move(), share)
+	}
+	if verdict.IsZero() || last.After(verdict.Add(dispatchLimit)) {
+		t.Errorf("%s: verdict at %v, last dispatch at %v", p.move(), verdict, last)
+	}
+}
+
+// One cluster carries out moves of good and bad versions side by side.
+func TestMoves(t *testing.T) {
+	good := []movingPool{
+		{name: "good", kind: core.KindModel},
+		{name: "good-ledger", kind: core.KindService, ignoresFence: true},
+	}
+	bad := []movingPool{
+		{name: "at-once", kind: core.KindModel, fault: `{"error_rate": 1}`, ignoresFence: true},
+		{name: "one-route", kind: core.KindModel, fault: `{"error_rate": 1, "error_route": "/v1/chat"}`},
+		{name: "slow", kind: core.KindModel, fault: `{"slow_factor": 5}`},
+		{name: "ledger-path", kind: core.KindService, fault: `{"error_rate": 1, "error_route": "/ledger-path/file"}`},
+	}
+	underLoad := movingPool{name: "under-load", kind: core.KindModel, fault: `{"fail_above_running": 1}`}
+	later := movingPool{name: "later", kind: core.KindModel, soak: 8 * time.Second}
+	pools := append(append([]movingPool{underLoad, later}, good...), bad...)
+	for i := range pools {
+		pools[i].deadline = moveDeadline
+		if pools[i].soak == 0 {
+			pools[i].soak = shortSoak
+		}
+	}
+	m := startMoves(t, pools...)
+	m.awaitStage(later, moveDeadline, message.StageSoak)
+	m.fault(later.tried(), fmt.Sprintf(`{"fail_after_unix_ms": %d}`, time.Now().UnixMilli()))
+	for _, p := range pools[4:] {
+		m.wantTakenBack(t, p, maxShare)
+	}
+	// These two get a larger share, since they behave well at the first.
+	m.wantTakenBack(t, pools[0], rampLimit)
+	m.wantTakenBack(t, pools[1], rampLimit)
+	for _, p := range pools[2:4] {
+		m.wantDone(t, p)
+	}
+	m.wantListed(t, pools)
+	m.wantRefused(t, "at-once")
+}
+
+// wantListed fails the test unless kingcupctl lists the end of each move.
+func (m *movingCluster) wantListed(t *testing.T, pools []movingPool) {
+	t.Helper()
+	out, err := m.ctl("--platform", m.platform, "moves", "--json")
+	var listed []message.MoveStage
+	if err != nil || json.Unmarshal([]byte(out), &listed) != nil || len(listed) != len(pools) {
+		t.Fatalf("moves: %v\n%s", err, out)
+	}
+	for _, stage := range listed {
+		if stage.Stage != message.StageDone && stage.Stage != message.StageReverted || stage.Reason == "" {
+			t.Errorf("%+v", stage)
+		}
+	}
+}
+
+// wantRefused fails the test unless a new move to a version judged bad is
+// refused with a finding.
+func (m *movingCluster) wantRefused(t *testing.T, pool string) {
+	t.Helper()
+	again := m.manifest
+	again.Moves = nil
+	for _, planned := range m.manifest.Moves {
+		if planned.Pool == pool {
+			planned.Name += "-again"
+			planned.DeadlineUnixMS += time.Hour.Milliseconds()
+			again.Moves = append(again.Moves, planned)
+		}
+	}
+	path := m.folder + "/again.json"
+	m.writeJSON(path, again)
+	out, err := m.ctl("--platform", m.platform, "commit", path)
+	if err == nil || !strings.Contains(out, `version "v2" of pool "`+pool+`" was judged bad`) {
+		t.Errorf("commit: %v\n%s", err, out)
+	}
+}
--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -29,6 +29,7 @@
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
 	binaries = folder
+	nextPort.Store(int32(os.Getpid() % portSlots * portsInSlot))
 	build := exec.Command("go", "build", "-race", "-o", folder, "./cmd/...")
 	build.Dir = ".."
 	build.Stdout, build.Stderr = os.Stderr, os.Stderr
@@ -42,7 +43,12 @@
 // nextPort counts up from a range that the kernel does not hand out itself.
 var nextPort atomic.Int32
 
-const firstPort = 24000
+const (
+	firstPort = 24000
+	// Each run of the tests begins in another slot of the range, so that two
+	// runs on one machine do not take the port of a process that is down.
+	portSlots, portsInSlot = 40, 200
+)
 
 // freeAddress returns a loopback address that nobody listens on.
 func freeAddress(t *testing.T) string {
--- /dev/null
+++ b/integration/traffic_test.go
@@ -0,0 +1,116 @@
+package integration
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"kingcupcourse/internal/core"
+)
+
+// sent is a call of the background traffic and its answer.
+type sent struct {
+	call
+	answer
+}
+
+// traffic is a steady load on a cluster from a few callers at once.
+type traffic struct {
+	c       *cluster
+	callers sync.WaitGroup
+	stop    context.CancelFunc
+
+	mu    sync.Mutex
+	calls []sent
+}
+
+// callerPause bounds the random pause of a background caller between two
+// calls.
+const callerPause = 60 * time.Millisecond
+
+// startTraffic lets a number of callers send calls, each one after the other
+// and to the entry hosts in turn, until end. next makes the nth call.
+func (c *cluster) startTraffic(callers int, seed uint64, next func(n int) call) *traffic {
+	ctx, stop := context.WithCancel(c.t.Context())
+	f := &traffic{c: c, stop: stop}
+	for i := range callers {
+		f.callers.Go(func() {
+			random := rand.New(rand.NewPCG(seed, uint64(i)))
+			for n := i; ctx.Err() == nil; n += callers {
+				f.send(c.hosts[random.IntN(len(c.hosts))], next(n))
+				time.Sleep(time.Duration(random.Int64N(int64(callerPause))))
+			}
+		})
+	}
+	c.t.Cleanup(f.end)
+	return f
+}
+
+// send does not end with the traffic's context, so that no call is cut off.
+func (f *traffic) send(h *host, k call) {
+	a := f.c.send(context.Background(), h, k)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls = append(f.calls, sent{k, a})
+}
+
+// end stops the callers and waits for the calls in progress.
+func (f *traffic) end() {
+	f.stop()
+	f.callers.Wait()
+}
+
+// wantSound fails the test for an answer that was cut off, and for a refusal
+// unless they are allowed. It returns how many refusals there were.
+func (f *traffic) wantSound(t *testing.T, refusalsAllowed bool) (refused int) {
+	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.calls {
+		switch {
+		case s.disposition != "":
+			refused++
+			if !refusalsAllowed {
+				t.Errorf("%s: refused: %s", s.path, s.answer.body)
+			}
+		case !s.whole:
+			t.Errorf("%s: the answer is not whole: status %d, %v", s.path, s.status, s.err)
+		}
+	}
+	if len(f.calls) == 0 {
+		t.Error("no calls")
+	}
+	return refused
+}
+
+// poolCalls returns the traffic of one pool: a quarter of it run-once, the
+// rest repeatable, each on a path of its own.
+func poolCalls(pool string, kind core.Kind) func(n int) call {
+	return func(n int) call {
+		once := n%4 == 0
+		switch {
+		case kind == core.KindService && once:
+			return call{method: http.MethodPost, path: "/" + pool + "/file", body: []byte("{}"), key: newKey()}
+		case kind == core.KindService:
+			return call{method: http.MethodGet, path: "/" + pool + "/look-up"}
+		case once:
+			return chat(pool, fmt.Sprintf("dossier %d", n), newKey())
+		}
+		return completion(pool, fmt.Sprintf("letter %d", n), answerTokens, "")
+	}
+}
+
+// answerTokens is the length of the answers of the background traffic.
+const answerTokens = 8
+
+// chat is a streamed call of the chat API.
+func chat(model, prompt, key string) call {
+	body, _ := json.Marshal(map[string]any{"model": model, "max_tokens": answerTokens, "stream": true,
+		"messages": []map[string]string{{"role": "user", "content": prompt}}})
+	return call{method: http.MethodPost, path: "/v1/chat/completions", body: body, key: key, stream: true}
+}
--- a/internal/ctl/commit.go
+++ b/internal/ctl/commit.go
@@ -81,24 +81,18 @@
 		pool, version, _ := strings.Cut(strings.TrimPrefix(object.Key, prefixVerdicts), "/")
 		bad[core.EndpointVersion{Pool: pool, Version: core.Version(version)}] = true
 	}
-	list := manifest.Check(parsed, bad)
-	list = append(list, lateMoves(parsed, base, time.Now())...)
-	return asFindings(file, append(list, renamedMoves(parsed, base)...))
+	committed := committedMoves(base)
+	list := manifest.Check(parsed, committed, bad)
+	list = append(list, lateMoves(parsed, committed, time.Now())...)
+	return asFindings(file, append(list, renamedMoves(parsed, committed)...))
 }
 
 // renamedMoves reports the moves whose name belongs to another move of the
 // committed manifest: a name stands for one pair of versions for good.
-func renamedMoves(parsed *manifest.Manifest, base platform.Object) findings.List {
-	committed := map[string]manifest.Move{}
-	if old, list := manifest.Parse(base.Value); len(list) == 0 {
-		for _, move := range old.Moves {
-			committed[move.Name] = move
-		}
-	}
+func renamedMoves(parsed *manifest.Manifest, committed map[string]manifest.Move) findings.List {
 	var list findings.List
 	for i, move := range parsed.Moves {
-		old, known := committed[move.Name]
-		if known && (old.Pool != move.Pool || old.FromVersion != move.FromVersion || old.ToVersion != move.ToVersion) {
+		if old, known := committed[move.Name]; known && !old.Same(move) {
 			list.Add(strictjson.Field(strictjson.Item("moves", i), "name"),
 				"is that of the move of pool %q from %q to %q; use a new one", old.Pool, old.FromVersion, old.ToVersion)
 		}
@@ -106,18 +100,23 @@
 	return list
 }
 
-// lateMoves reports the moves that the committed manifest does not have and
-// whose deadline has passed.
-func lateMoves(parsed *manifest.Manifest, base platform.Object, now time.Time) findings.List {
-	known := map[string]bool{}
+// committedMoves returns the moves of the committed manifest by name.
+func committedMoves(base platform.Object) map[string]manifest.Move {
+	committed := map[string]manifest.Move{}
 	if old, list := manifest.Parse(base.Value); len(list) == 0 {
 		for _, move := range old.Moves {
-			known[move.Name] = true
+			committed[move.Name] = move
 		}
 	}
+	return committed
+}
+
+// lateMoves reports the moves that the committed manifest does not have and
+// whose deadline has passed.
+func lateMoves(parsed *manifest.Manifest, committed map[string]manifest.Move, now time.Time) findings.List {
 	var late findings.List
 	for i, move := range parsed.Moves {
-		if !known[move.Name] && move.DeadlineUnixMS <= now.UnixMilli() {
+		if _, known := committed[move.Name]; !known && move.DeadlineUnixMS <= now.UnixMilli() {
 			late.Add(strictjson.Field(strictjson.Item("moves", i), "deadline_unix_ms"), "has passed")
 		}
 	}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -270,3 +270,19 @@
 	b.expect(t, ExitFindings, `moves[0].name: is that of the move of pool "p" from "v1" to "v2"`,
 		"commit", write(t, turned.Replace(string(text))))
 }
+
+// A move that was taken back stays listed until the operators remove it; that
+// must not keep them from committing anything else.
+func TestCommitTakesAMoveThatWasTakenBack(t *testing.T) {
+	b := newBench(t)
+	path := file(t, "a")
+	b.expect(t, ExitOK, "committed", "commit", path)
+	if _, err := b.client.Put(t.Context(), "verdicts/p/v2", 0, message.BadVersion{Pool: "p", Version: "v2"}); err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.expect(t, ExitOK, "committed", "commit", write(t, strings.Replace(string(text), `"d"`, `"renamed"`, 1)))
+}
--- a/internal/decision/trial/interest.go
+++ b/internal/decision/trial/interest.go
@@ -26,7 +26,7 @@
 func (s *Set) Interest(v core.Version, route string, now time.Time) Interest {
 	t := s.trials[v]
 	switch {
-	case t == nil, t.stage == message.StageDone, s.Bad(v):
+	case !s.Open(v):
 		return Neutral
 	case t.stage == message.StageCanary && t.monitor.Proved(route) && t.monitor.Lacking(now):
 		return Spared
--- a/internal/decision/trial/trial.go
+++ b/internal/decision/trial/trial.go
@@ -91,6 +91,12 @@
 	return bad
 }
 
+// Open tells whether a version is on trial and not judged yet.
+func (s *Set) Open(v core.Version) bool {
+	t := s.trials[v]
+	return t != nil && t.doneAt.IsZero() && !s.Bad(v)
+}
+
 // Evidence returns the evidence about a version, by route.
 func (s *Set) Evidence(v core.Version, now time.Time) []verdict.RouteEvidence {
 	if t := s.trials[v]; t != nil {
--- a/internal/decision/verdict/verdict.go
+++ b/internal/decision/verdict/verdict.go
@@ -36,8 +36,9 @@
 	FirstToken, BetweenTokens time.Duration
 }
 
-// Settings of the test. The chance that a good version is judged bad on one
-// route and kind within N requests is at most about N times FalseAlarm.
+// Settings of the test. The chance that a good version is judged bad by one
+// sum within N requests is at most about N times FalseAlarm; there is one for
+// each route and kind, and one for the errors of all routes.
 type Settings struct {
 	// FalseAlarm bounds the rate of false alarms per observation.
 	FalseAlarm float64
@@ -75,6 +76,9 @@
 type Monitor struct {
 	settings Settings
 	routes   map[string]*route
+	// all counts the errors of all routes together, so that a fault on each
+	// of many routes needs no more requests than one on a single route.
+	all route
 	// kept tells that the baseline no longer expires.
 	kept bool
 }
@@ -107,14 +111,16 @@
 // ObserveProved adds an observation of the proved version.
 func (m *Monitor) ObserveProved(now time.Time, routeName string, o Observation) {
 	m.route(routeName).proved.add(now, o)
+	m.all.proved.add(now, o)
 }
 
 // ObserveUnproved adds an observation of the unproved version.
 func (m *Monitor) ObserveUnproved(now time.Time, routeName string, o Observation) {
 	r := m.route(routeName)
 	m.expire(r, now)
-	r.requests++
-	r.step(KindError, o.Failed, r.proved.errorRate(m.settings.BaseRate), m.settings)
+	m.expire(&m.all, now)
+	m.stepError(r, o)
+	m.stepError(&m.all, o)
 	if o.Failed {
 		return
 	}
@@ -132,6 +138,11 @@
 	}
 }
 
+func (m *Monitor) stepError(r *route, o Observation) {
+	r.requests++
+	r.step(KindError, o.Failed, r.proved.errorRate(m.settings.BaseRate), m.settings)
+}
+
 // stepSlow compares a time with the proved version's. Without enough of
 // these the time proves nothing either way.
 func (m *Monitor) stepSlow(now time.Time, r *route, kind Kind, took time.Duration) {
@@ -170,14 +181,24 @@
 // Bad tells whether the version is bad, on which route and why.
 func (m *Monitor) Bad() (routeName, reason string, bad bool) {
 	for _, name := range m.names() {
-		r := m.routes[name]
-		for kind := range kinds {
-			if r.sums[kind] >= -math.Log(m.settings.FalseAlarm) {
-				return name, fmt.Sprintf("%s: %d of %d requests", kind, r.bad[kind], r.requests), true
-			}
+		if reason, bad := m.judge(m.routes[name]); bad {
+			return name, reason, true
+		}
+	}
+	reason, bad = m.judge(&m.all)
+	return AllRoutes, reason, bad
+}
+
+// AllRoutes stands for the name of a route in a verdict on all of them.
+const AllRoutes = "(all)"
+
+func (m *Monitor) judge(r *route) (reason string, bad bool) {
+	for kind := range kinds {
+		if r.sums[kind] >= -math.Log(m.settings.FalseAlarm) {
+			return fmt.Sprintf("%s: %d of %d requests", kind, r.bad[kind], r.requests), true
 		}
 	}
-	return "", "", false
+	return "", false
 }
 
 // Lacking tells whether a route with traffic has not been proved yet.
--- a/internal/decision/verdict/verdict_test.go
+++ b/internal/decision/verdict/verdict_test.go
@@ -123,3 +123,15 @@
 		t.Fatalf("proved after %d good requests", needed)
 	}
 }
+
+// Without the sum over all routes this needed five failures on one of them.
+func TestFaultSpreadOverRoutes(t *testing.T) {
+	m := New(DefaultSettings())
+	now := time.Unix(0, 0)
+	for i := range 5 {
+		m.ObserveUnproved(now, string(rune('a'+i)), Observation{Failed: true})
+	}
+	if route, reason, bad := m.Bad(); !bad || route != AllRoutes {
+		t.Fatalf("got %q %q %v", route, reason, bad)
+	}
+}
--- a/internal/manifest/check_moves.go
+++ b/internal/manifest/check_moves.go
@@ -64,11 +64,20 @@
 	return false
 }
 
+// Same tells whether two moves are between the same versions of a pool.
+func (m Move) Same(other Move) bool {
+	return m.Pool == other.Pool && m.FromVersion == other.FromVersion && m.ToVersion == other.ToVersion
+}
+
 // Check reports what is wrong with a manifest in the light of the versions
-// judged bad so far: a move to one of them.
-func Check(m *Manifest, bad map[core.EndpointVersion]bool) findings.List {
+// judged bad so far: a move to one of them that is not among the committed
+// moves, by name. A committed one may stay listed after it was taken back.
+func Check(m *Manifest, committed map[string]Move, bad map[core.EndpointVersion]bool) findings.List {
 	var list findings.List
 	for i, move := range m.Moves {
+		if old, known := committed[move.Name]; known && old.Same(move) {
+			continue
+		}
 		if bad[core.EndpointVersion{Pool: move.Pool, Version: move.ToVersion}] {
 			list.Add(strictjson.Field(strictjson.Item("moves", i), "to_version"),
 				"version %q of pool %q was judged bad", move.ToVersion, move.Pool)
--- a/internal/manifest/manifest_test.go
+++ b/internal/manifest/manifest_test.go
@@ -96,10 +96,10 @@
 
 func TestCheckRefusesAMoveToABadVersion(t *testing.T) {
 	m := parseGood(t)
-	if list := Check(m, nil); len(list) > 0 {
+	if list := Check(m, nil, nil); len(list) > 0 {
 		t.Fatal(list)
 	}
-	list := Check(m, map[core.EndpointVersion]bool{{Pool: "citations", Version: "v2"}: true})
+	list := Check(m, nil, map[core.EndpointVersion]bool{{Pool: "citations", Version: "v2"}: true})
 	if len(list) != 1 || list[0].Place != "moves[0].to_version" {
 		t.Fatalf("got %v", list)
 	}
--- a/internal/rollout/moves/mover/mover.go
+++ b/internal/rollout/moves/mover/mover.go
@@ -79,6 +79,7 @@
 // Serve implements supervisor.Duty. It returns supervisor.ErrDone once the
 // move has ended and its last orders are given.
 func (m *Mover) Serve(ctx context.Context) error {
+	m.next = time.Now()
 	err := ring.LoopUntil(ctx, m.steps, func(struct{}) error { return nil },
 		func() time.Time { return m.next }, func() error { return m.step(ctx) })
 	m.giveBack(context.WithoutCancel(ctx))
--- a/internal/scheduler/shards/shard/queue/candidates.go
+++ b/internal/scheduler/shards/shard/queue/candidates.go
@@ -36,7 +36,9 @@
 	}
 	excused := health.Excuse(resting, len(d.fleet))
 	for _, e := range d.fleet {
-		rests := e.health.Resting(now) && !excused
+		// An unproved version has its cap; a rest would only put its verdict
+		// off.
+		rests := e.health.Resting(now) && !excused && !d.trials.Open(e.version)
 		d.candidates = append(d.candidates, placement.Candidate{
 			Endpoint:   e.Endpoint,
 			Version:    e.version,
