--- /dev/null
+++ b/integration/answers_test.go
@@ -0,0 +1,59 @@
+package integration
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Streams that are cut in the middle and connections that go silent for good
+// while new ones work: every caller still gets every byte of its own answer,
+// once.
+func TestWholeAnswersThroughCutsAndSilence(t *testing.T) {
+	c := startCluster(t, options{engines: 3, ledgers: 2})
+	const streams, length = 24, 150
+	var running sync.WaitGroup
+	for i := range streams {
+		model, key := answerModel, ""
+		if i%2 == 0 {
+			model, key = draftModel, newKey()
+		}
+		running.Go(func() {
+			prompt := fmt.Sprintf("stream %d", i)
+			k := completion(model, prompt, length, key)
+			k.deadline = 30 * time.Second
+			wantText(t, c.send(t.Context(), c.hosts[i%len(c.hosts)], k), prompt, length)
+		})
+	}
+	time.Sleep(400 * time.Millisecond)
+	for _, e := range c.fleet.Engines {
+		c.fault(e.Name, `{"cut_streams": 4}`)
+	}
+	time.Sleep(300 * time.Millisecond)
+	for _, name := range c.endpoints() {
+		c.fault(name, `{"silent_connections": true}`)
+	}
+	running.Wait()
+	for i, h := range c.hosts {
+		if a := c.send(t.Context(), h, read(fmt.Sprintf("/v1/balances/member-%d", i))); a.status != http.StatusOK || !a.whole {
+			t.Errorf("read after the silence: %+v", a)
+		}
+	}
+}
+
+// Answers that arrive late and in another order than their requests belong
+// to their requests.
+func TestAnswersOutOfOrder(t *testing.T) {
+	c := startCluster(t, options{engines: 3})
+	c.fault(c.fleet.Engines[0].Name, `{"slow_factor": 4}`)
+	var running sync.WaitGroup
+	for i := range 40 {
+		running.Go(func() {
+			prompt, length := fmt.Sprintf("request %d", i), 5+(i*37)%60
+			wantText(t, c.send(t.Context(), c.hosts[i%len(c.hosts)], completion(answerModel, prompt, length, "")), prompt, length)
+		})
+	}
+	running.Wait()
+}
