Poison requests are stopped by the pool's owner, before the caller hears

Cause: the marks of an endpoint's death travelled by gossip alone, so a resend through another host at once met none and cost two more endpoints. Ruled out: waiting for the gossip, which has no end that one host can see.

The owner of the pool now keeps the marks from the entries' outcome reports, and an entry holds the answer back until the owner has the mark, one second at most.

--- /dev/null
+++ b/integration/poison_test.go
@@ -0,0 +1,53 @@
+package integration
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"kingcupcourse/internal/core"
+)
+
+const (
+	poisonMark = "crash-me"
+	// poisonLimit is how many endpoints one poison request may cost.
+	poisonLimit = 2
+)
+
+// A request that crashes every endpoint that runs it is sent again and again
+// through all hosts. It is stopped after two endpoints, and others go on.
+func TestPoisonRequest(t *testing.T) {
+	c := startCluster(t, options{engines: 5})
+	for _, e := range c.fleet.Engines {
+		c.fault(e.Name, fmt.Sprintf(`{"crash_on": %q}`, poisonMark))
+	}
+	h, stop := c.traffic(t, 5, 6)
+	poison := completion(answerModel, "[tokens=20] "+poisonMark, 20, "")
+	poison.deadline = 8 * time.Second
+	var last answer
+	for i := range 8 {
+		last = c.send(t.Context(), c.hosts[i%len(c.hosts)], poison)
+		t.Logf("sending %d: status %d %s %s", i, last.status, last.disposition, last.reason)
+	}
+	time.Sleep(settleTime)
+	stop()
+	crashes := 0
+	for _, e := range c.fleet.Engines {
+		crashes += c.stats(e.Name).Crashes
+	}
+	t.Logf("one poison request cost %d endpoints", crashes)
+	if crashes > poisonLimit {
+		t.Errorf("one poison request crashed %d endpoints", crashes)
+	}
+	if last.disposition != core.NotRun || last.reason != core.ReasonPoison {
+		t.Errorf("the last sending was told %s %s, want not_run poison", last.disposition, last.reason)
+	}
+	c.checkHistory(h, accountName)
+	for i := range h.operations {
+		if h.operations[i].answer.reason == core.ReasonPoison {
+			t.Errorf("a harmless request was refused as poison")
+		}
+	}
+	prompt := "after the poison"
+	wantText(t, c.send(t.Context(), c.hosts[0], completion(answerModel, prompt, 10, "")), prompt, 10)
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -204,6 +204,10 @@
 	FirstTokenMS    float64 `json:"first_token_ms,omitempty"`
 	BetweenTokensMS float64 `json:"between_tokens_ms,omitempty"`
 	TotalMS         float64 `json:"total_ms,omitempty"`
+	// Died tells that the endpoint died under the request, whose Fingerprint
+	// is then set. Fingerprint is also set for a good result.
+	Died        bool   `json:"died,omitempty"`
+	Fingerprint string `json:"fingerprint,omitempty"`
 	// Leaving tells that the endpoint refused because it is leaving.
 	Leaving bool `json:"leaving,omitempty"`
 	// Answer is a small answer body kept for a resend of the key.
--- /dev/null
+++ b/internal/decision/poison/poison.go
@@ -0,0 +1,79 @@
+// Package poison remembers under which requests endpoints have died, so that
+// a request that crashes every endpoint that runs it is stopped.
+package poison
+
+import "time"
+
+const (
+	// Limit is how many endpoints may die under a request before it is
+	// refused. One death proves little: the request may only have been there
+	// when the endpoint died of something else.
+	Limit = 2
+	// Lifetime is how long a death is remembered.
+	Lifetime = 10 * time.Minute
+	// maxRequests bounds the requests that are remembered; beyond it the
+	// deaths that are forgotten first go.
+	maxRequests = 4096
+)
+
+// Marks holds the deaths by request fingerprint.
+type Marks struct {
+	byRequest map[string]map[string]time.Time // fingerprint, endpoint: until
+}
+
+// NewMarks returns marks without any death.
+func NewMarks() *Marks { return &Marks{byRequest: map[string]map[string]time.Time{}} }
+
+// Add notes that an endpoint died under a request.
+func (m *Marks) Add(fingerprint, endpoint string, now time.Time) {
+	if m.byRequest[fingerprint] == nil {
+		m.makeRoom(now)
+		m.byRequest[fingerprint] = map[string]time.Time{}
+	}
+	m.byRequest[fingerprint][endpoint] = now.Add(Lifetime)
+}
+
+// Clear forgets the deaths under a request that has since run well.
+func (m *Marks) Clear(fingerprint string) { delete(m.byRequest, fingerprint) }
+
+// Poisonous tells whether too many endpoints have died under the request.
+func (m *Marks) Poisonous(fingerprint string, now time.Time) bool {
+	deaths := 0
+	for _, until := range m.byRequest[fingerprint] {
+		if now.Before(until) {
+			deaths++
+		}
+	}
+	return deaths >= Limit
+}
+
+// makeRoom forgets what has expired, and the oldest request if that is not
+// enough.
+func (m *Marks) makeRoom(now time.Time) {
+	if len(m.byRequest) < maxRequests {
+		return
+	}
+	oldest, oldestUntil := "", time.Time{}
+	for fingerprint, deaths := range m.byRequest {
+		until := latest(deaths)
+		switch {
+		case !now.Before(until):
+			delete(m.byRequest, fingerprint)
+		case oldest == "" || until.Before(oldestUntil):
+			oldest, oldestUntil = fingerprint, until
+		}
+	}
+	if len(m.byRequest) >= maxRequests {
+		delete(m.byRequest, oldest)
+	}
+}
+
+func latest(deaths map[string]time.Time) time.Time {
+	var last time.Time
+	for _, until := range deaths {
+		if until.After(last) {
+			last = until
+		}
+	}
+	return last
+}
--- a/internal/entry/callers/dispatch.go
+++ b/internal/entry/callers/dispatch.go
@@ -29,6 +29,8 @@
 	detail  string
 	status  int
 	leaving bool
+	// died tells that the endpoint died under the request.
+	died    bool
 	version core.Version
 	// answer is a whole answer that the caller has not seen yet.
 	answer *answer
--- a/internal/entry/callers/outcome.go
+++ b/internal/entry/callers/outcome.go
@@ -14,6 +14,9 @@
 	maxKeptAnswerBytes = 4 << 10
 	// unkeyedRetention is how long an outcome without a key is resent.
 	unkeyedRetention = 30 * time.Second
+	// markPatience bounds how long an answer waits for the owner to know
+	// that an endpoint died under the request.
+	markPatience = time.Second
 )
 
 // settle reports the end of an attempt and begins the next one. The next
@@ -30,6 +33,7 @@
 	}
 	c.tell(ended)
 	if !again {
+		c.awaitMark(ended)
 		return false
 	}
 	c.attempt = newID()
@@ -40,6 +44,18 @@
 	return err == nil
 }
 
+// awaitMark holds the answer back until the owner knows that an endpoint died
+// under the request, so that the caller's resend meets the mark wherever it is
+// sent. The caller does not wait longer than markPatience for it.
+func (c *call) awaitMark(ended reports.Ended) {
+	if !ended.Outcome.Died {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.r.Context()), markPatience)
+	defer cancel()
+	_, _ = ended.Acknowledged.Wait(ctx) // the mark is also gossiped
+}
+
 func (c *call) keepUntil() time.Time {
 	if c.ticket.RunOnce {
 		return time.Now().Add(c.ticket.Retention)
@@ -54,6 +70,9 @@
 		Result: end.result, Status: end.status, Leaving: end.leaving, OutputTokens: end.tokens,
 		FirstTokenMS: milliseconds(end.firstToken), TotalMS: milliseconds(end.total),
 	}
+	if end.died || end.result == core.ResultOK {
+		outcome.Died, outcome.Fingerprint = end.died, c.fingerprint
+	}
 	if end.version != "" {
 		outcome.Version = end.version
 	}
--- a/internal/entry/callers/run.go
+++ b/internal/entry/callers/run.go
@@ -28,7 +28,8 @@
 		dispatching, cancel := c.dispatchContext(ctx)
 		end := c.dispatchGood(dispatching, placed.grant)
 		cancel()
-		if !c.settle(ctx, placed, end, c.again(ctx, end, deaths)) {
+		end.died = c.deaths > deaths
+		if !c.settle(ctx, placed, end, c.again(ctx, end)) {
 			c.answer(end)
 			return
 		}
@@ -45,9 +46,8 @@
 	return context.WithCancel(ctx)
 }
 
-// again decides whether the request is placed on another endpoint. Deaths is
-// how many endpoints had died under it before this attempt.
-func (c *call) again(ctx context.Context, end ending, deaths int) bool {
+// again decides whether the request is placed on another endpoint.
+func (c *call) again(ctx context.Context, end ending) bool {
 	verdict := retry.Judge(retry.Attempt{
 		RunOnce: c.ticket.RunOnce, Result: end.result, Poison: c.poison(), Passed: c.sink.passed,
 		Dispatches: c.dispatches, Now: time.Now(), Deadline: c.ticket.Deadline,
@@ -66,13 +66,13 @@
 		return false
 	}
 	retriesTotal.WithLabelValues("budgeted").Inc()
-	return c.pauseAfterDeath(ctx, deaths) == nil
+	return c.pauseAfterDeath(ctx, end) == nil
 }
 
 // pauseAfterDeath waits before the next attempt if the endpoint died under
 // the last one.
-func (c *call) pauseAfterDeath(ctx context.Context, before int) error {
-	if c.deaths == before {
+func (c *call) pauseAfterDeath(ctx context.Context, end ending) error {
+	if !end.died {
 		return nil
 	}
 	return ring.Pause(ctx, retry.PauseAfterDeath(c.fingerprint))
--- a/internal/scheduler/shards/shard/queue/arrive.go
+++ b/internal/scheduler/shards/shard/queue/arrive.go
@@ -25,7 +25,7 @@
 // arrive admits a request to the queue or refuses it.
 func (d *Duty) arrive(m inbox.Grant, now time.Time) {
 	request := coreRequest(&m.Request)
-	if d.turnAway(m) || d.repeated(m) {
+	if d.turnAway(m, now) || d.repeated(m) {
 		return
 	}
 	item := &waitlist.Item{ID: m.Request.Attempt, Request: request, Weight: d.weight(request.Account)}
@@ -51,18 +51,24 @@
 }
 
 // turnAway answers requests that this scheduler must not queue.
-func (d *Duty) turnAway(m inbox.Grant) bool {
+func (d *Duty) turnAway(m inbox.Grant, now time.Time) bool {
 	switch {
 	case d.view == nil || d.view.Manifest == nil:
 		d.refuse(m.Reply, &m.Request, core.RefuseFor(core.ReasonNotReady, "no manifest yet", noEndpointRetry))
 	case !d.owned:
 		d.refuse(m.Reply, &m.Request, d.notOwner())
+	case m.Request.Key == "" && d.poisonous(m.Request.Fingerprint, now):
+		d.refuse(m.Reply, &m.Request, poisonRefusal())
 	default:
 		return false
 	}
 	return true
 }
 
+func poisonRefusal() *core.Refusal {
+	return core.Refuse(core.ReasonPoison, "endpoints died under this request")
+}
+
 // repeated handles an attempt that was asked for before: one that waits goes
 // on waiting for the new asker, one that was granted is granted again.
 func (d *Duty) repeated(m inbox.Grant) bool {
--- a/internal/scheduler/shards/shard/queue/duty.go
+++ b/internal/scheduler/shards/shard/queue/duty.go
@@ -15,6 +15,7 @@
 	"kingcupcourse/internal/decision/outstanding"
 	"kingcupcourse/internal/decision/ownership"
 	"kingcupcourse/internal/decision/placement"
+	"kingcupcourse/internal/decision/poison"
 	waitlist "kingcupcourse/internal/decision/queue"
 	"kingcupcourse/internal/decision/share"
 	"kingcupcourse/internal/decision/trial"
@@ -81,8 +82,10 @@
 	speeds   *estimate.Speeds
 	lengths  *estimate.Lengths
 	recent   *share.Recent
-	trials   *trial.Set
-	unsent   []inbox.Journal
+	// marks are the deaths of endpoints under requests.
+	marks  *poison.Marks
+	trials *trial.Set
+	unsent []inbox.Journal
 	// untold are verdicts that could not be told to the other hosts yet.
 	untold []message.BadVersion
 
@@ -122,6 +125,7 @@
 		speeds:   estimate.NewSpeeds(),
 		lengths:  estimate.NewLengths(),
 		recent:   share.NewRecent(),
+		marks:    poison.NewMarks(),
 		trials:   trial.NewSet(config.Shard.Pool),
 	}
 }
--- a/internal/scheduler/shards/shard/queue/journal.go
+++ b/internal/scheduler/shards/shard/queue/journal.go
@@ -39,6 +39,9 @@
 	if a.Reserved {
 		w.reserved = true
 		reservationSeconds.Observe(now.Sub(w.asked).Seconds())
+		if d.poisonous(w.request.Fingerprint, now) {
+			d.drop(d.waiting.Remove(a.Attempt), poisonRefusal())
+		}
 		return
 	}
 	d.waiting.Remove(a.Attempt)
--- a/internal/scheduler/shards/shard/queue/report.go
+++ b/internal/scheduler/shards/shard/queue/report.go
@@ -8,6 +8,7 @@
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/estimate"
 	"kingcupcourse/internal/decision/outstanding"
+	"kingcupcourse/internal/decision/poison"
 	"kingcupcourse/internal/message"
 	"kingcupcourse/internal/scheduler/inbox"
 )
@@ -31,6 +32,7 @@
 	running := d.book.Running(o.Endpoint)
 	attempt := d.book.Remove(o.Attempt, now)
 	d.record(o)
+	d.mark(o, now)
 	outcomesTotal.WithLabelValues(d.Shard.Pool, string(o.Result)).Inc()
 	e := d.fleet[o.Endpoint]
 	if e == nil {
@@ -46,6 +48,23 @@
 	}
 }
 
+// mark notes that an endpoint died under a request, or that the request has
+// since run well.
+func (d *Duty) mark(o *core.Outcome, now time.Time) {
+	switch {
+	case o.Died:
+		d.marks.Add(o.Fingerprint, o.Endpoint, now)
+	case o.Result == core.ResultOK:
+		d.marks.Clear(o.Fingerprint)
+	}
+}
+
+// poisonous tells whether too many endpoints have died under the request, by
+// the own marks or by those that the entries have gossiped.
+func (d *Duty) poisonous(fingerprint string, now time.Time) bool {
+	return d.marks.Poisonous(fingerprint, now) || d.view.PoisonMarks[fingerprint] >= poison.Limit
+}
+
 // judge notes what an outcome says of the endpoint's health.
 func (d *Duty) judge(e *endpoint, o *core.Outcome, now time.Time) {
 	switch {
