--- a/internal/decision/journal/ask.go
+++ b/internal/decision/journal/ask.go
@@ -19,7 +19,7 @@
 		m.refuse(ask.Attempt, core.RefuseFor(core.ReasonJournalDown, "the platform does not answer", retryHint))
 	case m.holds():
 		m.held = append(m.held, func(now time.Time) { m.Ask(ask, now) })
-	case m.state != stateOwner:
+	case m.state != stateOwner || !m.wanted:
 		m.refuse(ask.Attempt, core.RefuseFor(core.ReasonJournalDown, "the pool's journal is not owned here", retryHint))
 	case !m.keyInForce(ask.Key, now):
 		m.refuse(ask.Attempt, core.Refuse(core.ReasonKeyExpired, "the key's time is outside the retention"))
--- a/internal/decision/journal/journal_test.go
+++ b/internal/decision/journal/journal_test.go
@@ -327,6 +327,26 @@
 	}
 }
 
+func TestALeavingOwnerWritesWhatItHasGathered(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	m, objects, run := lone(t)
+	m.Own(true, now)
+	run(now)
+	m.Ask(Ask{Key: simKey(now, 1), Attempt: "a", Fingerprint: "f"}, now)
+	run(now)
+	m.Finish(Record{Key: simKey(now, 1), Attempt: "a", Result: core.ResultOK, Status: 201}, now)
+	m.Own(false, now)
+	m.Ask(Ask{Key: simKey(now, 2), Attempt: "a", Fingerprint: "f"}, now)
+	run(now)
+	records := objects[0].batch.Records
+	if last := records[len(records)-1]; last.Kind != KindFinish || last.Key != simKey(now, 1) {
+		t.Fatalf("last record %+v", last)
+	}
+	if m.Owner() || !m.Idle() {
+		t.Fatal("it still owns the journal")
+	}
+}
+
 func TestARefusalIsNotRunOnlyIfNoAttemptCanHaveRun(t *testing.T) {
 	now := time.UnixMilli(1_700_000_000_000)
 	m, _, run := lone(t)
--- a/internal/decision/journal/machine.go
+++ b/internal/decision/journal/machine.go
@@ -162,8 +162,8 @@
 }
 
 // Own tells whether this process is to own the journal. Owning starts a
-// takeover; a process that is not to own it any more finishes the write in
-// flight and then refuses what waits.
+// takeover; a process that is not to own it any more writes what it has
+// gathered and then refuses what waits.
 func (m *Machine) Own(wanted bool, now time.Time) {
 	if m.wanted == wanted {
 		return
@@ -172,7 +172,14 @@
 	if wanted && m.state == stateIdle {
 		m.notNow = later(m.notNow, now.Add(m.config.Settle))
 	}
-	if !wanted && m.write == nil {
+	m.resignIfDone()
+}
+
+// resignIfDone ends the ownership of a process that is not to own the journal
+// any more, once what it has gathered is written.
+func (m *Machine) resignIfDone() {
+	pending := m.write != nil || m.state == stateOwner && len(m.gathered) > 0
+	if !m.wanted && !pending {
 		m.resign("this scheduler no longer owns the pool")
 	}
 }
--- a/internal/decision/journal/write.go
+++ b/internal/decision/journal/write.go
@@ -141,16 +141,12 @@
 	m.write = nil
 	m.head = w.batch
 	m.slots[w.slot] = slot{version: version, seq: w.batch.Seq, newest: w.batch.newest()}
-	if !m.wanted {
-		m.settle(w)
-		m.resign("this scheduler no longer owns the pool")
-		return
-	}
-	if m.state == stateClaiming {
+	if m.state == stateClaiming && m.wanted {
 		m.takenOver(now)
 		return
 	}
 	m.settle(w)
+	m.resignIfDone()
 }
 
 // settle answers those whose reservations have become durable.
--- a/internal/scheduler/shards/shard/queue/duty.go
+++ b/internal/scheduler/shards/shard/queue/duty.go
@@ -164,6 +164,7 @@
 func (d *Duty) tick() error {
 	now := time.Now()
 	d.expire(now)
+	d.expireRefusals(now)
 	d.forgetSilent(now)
 	d.sendUnsent()
 	d.tellUntold()
--- a/internal/scheduler/shards/shard/queue/refuse.go
+++ b/internal/scheduler/shards/shard/queue/refuse.go
@@ -22,13 +22,19 @@
 		d.answer(reply, r, refusal)
 		return
 	}
+	w := &waiter{reply: reply, request: *r, arrived: time.Now()}
 	if d.Journal.TryPut(inbox.Refuse{Ask: ask(r), Refusal: refusal}) != nil {
-		unknown := *refusal
-		unknown.Disposition, unknown.Retry = core.OutcomeUnknown, true
-		d.answer(reply, r, &unknown)
+		d.answerUnknown(w, refusal.Reason)
 		return
 	}
-	d.refusing[r.Attempt] = &waiter{reply: reply, request: *r}
+	d.refusing[r.Attempt] = w
+}
+
+// answerUnknown refuses a run-once request of which an earlier attempt may
+// have run.
+func (d *Duty) answerUnknown(w *waiter, reason core.Reason) {
+	d.answer(w.reply, &w.request, &core.Refusal{Disposition: core.OutcomeUnknown, Reason: reason,
+		Detail: "the journal could not be asked", Retry: true, RetryAfter: minRetry})
 }
 
 // answer sends a refusal.
@@ -100,6 +106,16 @@
 	}
 }
 
+// expireRefusals answers the refusals for which the journal has no answer.
+func (d *Duty) expireRefusals(now time.Time) {
+	for id, w := range d.refusing {
+		if now.Sub(w.arrived) >= reservationPatience {
+			delete(d.refusing, id)
+			d.answerUnknown(w, core.ReasonJournalDown)
+		}
+	}
+}
+
 // refuseAll sends everything that waits to the next owner. The reservations
 // stay: the next owner finds them, and the entries ask it with the same
 // attempts.
