--- a/internal/scheduler/shards/shard/queue/candidates.go
+++ b/internal/scheduler/shards/shard/queue/candidates.go
@@ -18,7 +18,7 @@
 	// time at all.
 	shortQuantile = 0.25
 	// longQuantile of them is what a request will hardly exceed.
-	longQuantile = 0.85
+	longQuantile = 0.9
 	// doubtFactor shortens a run time that was not learned lately, when it
 	// decides whether a request can finish at all. Without it an endpoint
 	// that was once slow would never be tried again.
--- a/internal/scheduler/shards/shard/queue/duty_test.go
+++ b/internal/scheduler/shards/shard/queue/duty_test.go
@@ -115,6 +115,23 @@
 	}
 }
 
+func TestADoubtfulRequestWaitsForAFasterEndpoint(t *testing.T) {
+	d := newDuty(2, 1)
+	d.fleet["e0"].DecodeRate, d.fleet["e1"].DecodeRate = 400, 1
+	if got, ok := answered(t, d.ask(t, "running", 1, time.Hour)); !ok || got.Grant.Endpoint != "e0" {
+		t.Fatalf("got %+v", got)
+	}
+	// 100 tokens take 100 s on e1, where 50 s are left, and 0.25 s on e0.
+	waiting := d.ask(t, "waiting", 1, 50*time.Second)
+	if got, ok := answered(t, waiting); ok {
+		t.Fatalf("placed on the slow endpoint: %+v", got)
+	}
+	d.end(t, "running", "e0")
+	if got, ok := answered(t, waiting); !ok || got.Grant.Endpoint != "e0" {
+		t.Fatalf("got %+v", got)
+	}
+}
+
 func TestANewOwnerGathersReportsFirst(t *testing.T) {
 	d := newDuty(1, 2)
 	view := *d.view
--- a/internal/scheduler/shards/shard/queue/place.go
+++ b/internal/scheduler/shards/shard/queue/place.go
@@ -14,6 +14,10 @@
 // no free endpoint suits them.
 const maxSetAside = 256
 
+// prospectMargin is how many times the time for a sure finish must be left
+// for a request to wait for a faster endpoint.
+const prospectMargin = 1.5
+
 // place runs one placement round: it takes requests in their order and
 // places each for which an endpoint is free.
 func (d *Duty) place(now time.Time) {
@@ -29,7 +33,8 @@
 // placeTier places requests of one tier. Those that will almost surely finish
 // in time go first: under overload the earliest deadlines are those that are
 // hardest to meet, and a slot spent on one that fails is lost to all. What
-// slots are left go to those that may finish, before the next tier.
+// slots are left go to those that may finish, before the next tier, unless
+// waiting for a faster endpoint is better for them.
 func (d *Duty) placeTier(tier core.Tier, now time.Time) {
 	var aside []*waitlist.Item
 	for len(aside) < maxSetAside && d.anyFree() {
@@ -77,6 +82,9 @@
 		d.drop(item, core.Refuse(core.ReasonDeadlineTooSoon, "it can no longer finish in time"))
 		return true
 	}
+	if !sure && d.hasProspect(&need) {
+		return false
+	}
 	decision := d.Policy.Place(d.candidates, &need)
 	placementSeconds.Observe(time.Since(begun).Seconds())
 	if decision.Chosen == nil {
@@ -86,6 +94,23 @@
 	return true
 }
 
+// hasProspect tells whether a request that will not surely finish on the free
+// endpoints is expected to do so on one that gets free soon, with time to
+// spare if that comes late.
+func (d *Duty) hasProspect(need *placement.Need) bool {
+	for i := range d.candidates {
+		c := &d.candidates[i]
+		if !placement.Eligible(c, need) || c.ShareReached || c.Running < c.Endpoint.Slots {
+			continue
+		}
+		spare := time.Duration(prospectMargin * float64(c.SureTime))
+		if d.untilFree(c, need.Now)+spare <= need.Left() {
+			return true
+		}
+	}
+	return false
+}
+
 // grant gives a request its endpoint and counts it there.
 func (d *Duty) grant(item *waitlist.Item, w *waiter, decision placement.Decision, now time.Time) {
 	chosen := *decision.Chosen
