Moves: test that a bad version stays bad over restarts and stale reads

Every scheduler is killed and started anew while the platform answers with the state before the verdict.

--- a/integration/moves_faults_test.go
+++ b/integration/moves_faults_test.go
@@ -129,3 +129,30 @@
 		t.Errorf("a name was used for another move: %s", out)
 	}
 }
+
+// Schedulers that start anew while the platform answers with the state before
+// the verdict must not let the bad version back.
+func TestBadVersionStaysBad(t *testing.T) {
+	bad := movingPool{name: "bad", kind: core.KindModel, deadline: moveDeadline, soak: shortSoak}
+	m := startMoves(t, bad)
+	m.awaitStage(bad, moveDeadline, message.StageCanary)
+	m.fault("platform", `{"stale_reads": true}`)
+	m.fault(bad.tried(), `{"error_rate": 1}`)
+	m.await("verdict", 15*time.Second, func() bool { return !m.verdictTime(bad).IsZero() })
+	verdict := m.verdictTime(bad)
+	for _, h := range m.hosts {
+		h.scheduler.kill()
+		h.scheduler.start()
+		m.awaitReady(h.schedulerAdmin)
+		time.Sleep(2 * time.Second)
+	}
+	m.fault("platform", `{"stale_reads": false}`)
+	m.awaitStage(bad, moveDeadline, message.StageReverted)
+	m.traffic[bad.name].end()
+	if last := m.lastDispatch(bad); last.After(verdict.Add(dispatchLimit)) {
+		t.Errorf("dispatched to the bad version %v after the verdict", last.Sub(verdict))
+	}
+	if !m.isJudgedBad(bad) {
+		t.Error("no verdict in the platform")
+	}
+}
