--- a/internal/ctl/moves.go
+++ b/internal/ctl/moves.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/verdict"
 	"kingcupcourse/internal/manifest"
 	"kingcupcourse/internal/message"
 )
@@ -33,6 +34,9 @@
 	// DeadlineUnixMS is zero for a move that the manifest no longer has.
 	DeadlineUnixMS int64  `json:"deadline_unix_ms,omitempty"`
 	Reason         string `json:"reason,omitempty"`
+	// Holder and Evidence are those of the newest stage.
+	Holder   string                  `json:"holder,omitempty"`
+	Evidence []verdict.RouteEvidence `json:"evidence,omitempty"`
 }
 
 // Run implements the command.
@@ -67,9 +71,9 @@
 	if err != nil {
 		return nil, err
 	}
-	stages := map[string]message.MoveStage{}
+	stages := map[string]message.MoveStatus{}
 	for _, o := range changes.Objects {
-		var stage message.MoveStage
+		var stage message.MoveStatus
 		if err := json.Unmarshal(o.Value, &stage); err != nil {
 			return nil, fmt.Errorf("%s: %w", o.Key, err)
 		}
@@ -78,7 +82,7 @@
 	return joinMoves(object.Value, stages), nil
 }
 
-func joinMoves(text json.RawMessage, stages map[string]message.MoveStage) []moveStatus {
+func joinMoves(text json.RawMessage, stages map[string]message.MoveStatus) []moveStatus {
 	moves := []moveStatus{}
 	if parsed, list := manifest.Parse(text); len(list) == 0 {
 		for _, planned := range parsed.Moves {
@@ -88,14 +92,14 @@
 	}
 	var unplanned []moveStatus
 	for name, stage := range stages {
-		unplanned = append(unplanned, moveStatus{Move: name, Pool: stage.Pool, Stage: stage.Stage,
-			Share: stage.Share, Reason: stage.Reason})
+		status := moveStatus{Move: name, Pool: stage.Pool, FromVersion: stage.FromVersion, ToVersion: stage.ToVersion}
+		unplanned = append(unplanned, status.at(stage))
 	}
 	slices.SortFunc(unplanned, func(a, b moveStatus) int { return strings.Compare(a.Move, b.Move) })
 	return append(moves, unplanned...)
 }
 
-func plannedStatus(planned manifest.Move, stages map[string]message.MoveStage) moveStatus {
+func plannedStatus(planned manifest.Move, stages map[string]message.MoveStatus) moveStatus {
 	status := moveStatus{
 		Move:           planned.Name,
 		Pool:           planned.Pool,
@@ -105,17 +109,24 @@
 		DeadlineUnixMS: planned.DeadlineUnixMS,
 	}
 	if stage, ok := stages[planned.Name]; ok {
-		status.Stage, status.Share, status.Reason = stage.Stage, stage.Share, stage.Reason
+		return status.at(stage)
 	}
 	return status
 }
 
+// at returns the move with the stage that it has reached.
+func (s moveStatus) at(reached message.MoveStatus) moveStatus {
+	s.Stage, s.Share, s.Reason = reached.Stage, reached.Share, reached.Reason
+	s.Holder, s.Evidence = reached.Holder, reached.Evidence
+	return s
+}
+
 func writeMoves(out *bytes.Buffer, moves []moveStatus) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "MOVE\tPOOL\tFROM\tTO\tSTAGE\tSHARE\tDEADLINE\tREASON")
+	fmt.Fprintln(table, "MOVE\tPOOL\tFROM\tTO\tSTAGE\tSHARE\tDEADLINE\tHOLDER\tREASON")
 	for _, m := range moves {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%.2f\t%s\t%s\n", m.Move, m.Pool, m.FromVersion, m.ToVersion,
-			m.Stage, m.Share, deadline(m.DeadlineUnixMS), m.Reason)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%.2f\t%s\t%s\t%s\n", m.Move, m.Pool, m.FromVersion, m.ToVersion,
+			m.Stage, m.Share, deadline(m.DeadlineUnixMS), m.Holder, m.Reason)
 	}
 	return table.Flush()
 }
