--- a/integration/capacity_test.go
+++ b/integration/capacity_test.go
@@ -37,15 +37,15 @@
 			w := c.measure(pause(idleWindow))
 			w.addHost(&s, float64(hosts))
 			w.addPlatform(&s, float64(hosts))
-			s.Add("s until a change is in force everywhere", float64(hosts), c.change(1).Seconds())
+			s.Add("s until a change is in force everywhere", float64(hosts), c.commitChange(1).Seconds())
 		})
 	}
 	save(t, "hosts", &s)
 }
 
-// change commits a changed manifest and waits until it is in force in every
+// commitChange commits a changed manifest and waits until it is in force in every
 // process.
-func (c *cluster) change(number int) time.Duration {
+func (c *cluster) commitChange(number int) time.Duration {
 	c.t.Helper()
 	c.manifest.Deployment = fmt.Sprint("change-", number)
 	before := c.metricsOf(c.hosts[0].entryAdmin)["kingcup_manifest_version"]
@@ -71,7 +71,7 @@
 			time.Sleep(restTime)
 			w := c.measure(func() {
 				for i := range 5 {
-					c.change(i)
+					c.commitChange(i)
 				}
 			})
 			w.addHost(&s, float64(accounts))
