--- a/internal/scheduler/shards/shard/queue/candidates.go
+++ b/internal/scheduler/shards/shard/queue/candidates.go
@@ -18,7 +18,7 @@
 	// time at all.
 	shortQuantile = 0.25
 	// longQuantile of them is what a request will hardly exceed.
-	longQuantile = 0.85
+	longQuantile = 0.9
 	// doubtFactor shortens a run time that was not learned lately, when it
 	// decides whether a request can finish at all. Without it an endpoint
 	// that was once slow would never be tried again.
@@ -36,7 +36,9 @@
 	}
 	excused := health.Excuse(resting, len(d.fleet))
 	for _, e := range d.fleet {
-		rests := e.health.Resting(now) && !excused
+		// An unproved version has its cap; a rest would only put its verdict
+		// off.
+		rests := e.health.Resting(now) && !excused && !d.trials.Open(e.version)
 		d.candidates = append(d.candidates, placement.Candidate{
 			Endpoint:   e.Endpoint,
 			Version:    e.version,
