Control: log the errors of calls without their stack traces

An outage logged a stack of some kilobytes for each watch, as seen in the logs of the integration tests.

Result: go test -race ./internal/control passes.

--- a/internal/control/fetch.go
+++ b/internal/control/fetch.go
@@ -73,7 +73,7 @@
 	var held message.ManifestVersion
 	err := codec.Fetch(callCtx, f.client, address, message.PathManifest, &held)
 	if err != nil {
-		f.log.Debug("manifest fetch failed", zap.String("peer", address), zap.Error(err))
+		f.log.Debug("manifest fetch failed", zap.String("peer", address), zap.String("error", err.Error()))
 		return false, ctx.Err()
 	}
 	if held.Version == 0 {
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -116,7 +116,7 @@
 	w.metrics.platformCalls.WithLabelValues(w.prefix, "failed").Inc()
 	w.failures++
 	if w.failures == 1 {
-		w.log.Warn("platform watch failed", zap.String("prefix", w.prefix), zap.Error(failure))
+		w.log.Warn("platform watch failed", zap.String("prefix", w.prefix), zap.String("error", failure.Error()))
 	}
 	delay := backoff.Delay(w.failures, w.longestBackoff(), rand.Float64())
 	var limited *platform.RateLimitedError
