--- a/integration/moves_experiment_test.go
+++ b/integration/moves_experiment_test.go
@@ -17,6 +17,7 @@
 var (
 	movesSeed     = flag.Uint64("moves.seed", 1, "seed of the set of moves")
 	movesClusters = flag.Int("moves.clusters", 8, "clusters, one after the other")
+	movesSlowdown = flag.Float64("moves.slowdown", 0.05, "part by which each running request lengthens an engine's step")
 )
 
 const movesPerCluster = 8
@@ -53,6 +54,7 @@
 	status     message.MoveStatus
 	judged     bool
 	share      float64
+	overCap    int           // placements that took the version over its cap
 	afterwards time.Duration // last dispatch after the verdict
 	took       time.Duration
 	cut        int
@@ -84,7 +86,8 @@
 	for i := range movesPerCluster {
 		p := &plan{trouble: troubles[cluster%len(troubles)], behaviour: drawBehaviour(random)}
 		p.movingPool = movingPool{name: fmt.Sprintf("pool-%d", i), kind: core.KindModel, deadline: moveDeadline,
-			soak: 5 * time.Second, ignoresFence: random.IntN(2) == 0}
+			stepSlowdown: *movesSlowdown,
+			soak:         5 * time.Second, ignoresFence: random.IntN(2) == 0}
 		if i < services {
 			p.kind = core.KindService
 		}
@@ -167,7 +170,7 @@
 	m.traffic[p.name].end()
 	p.status, p.judged = m.status(p.movingPool), m.isJudgedBad(p.movingPool)
 	p.took = time.UnixMilli(p.status.SinceUnixMS).Sub(began)
-	p.share = m.largestShare(p.movingPool)
+	p.share, p.overCap = m.largestShare(p.movingPool), m.overCap(p.movingPool)
 	if verdict := m.verdictTime(p.movingPool); !verdict.IsZero() {
 		p.afterwards = m.lastDispatch(p.movingPool).Sub(verdict)
 	}
@@ -177,14 +180,37 @@
 		}
 	}
 	m.wantRunOnce(t, p.movingPool)
-	t.Logf("%s | %s | %s | %s | judged bad %v | share %.3f | last dispatch %v after the verdict | %.1f s | cut %d | %s",
-		p.behaviour, p.kind, p.trouble, p.status.Stage, p.judged, p.share, p.afterwards, p.took.Seconds(), p.cut, p.status.Reason)
+	t.Logf("%s | %s | %s | %s | judged bad %v | share %.3f | over the cap %d | last dispatch %v after the verdict | %.1f s | cut %d | %s",
+		p.behaviour, p.kind, p.trouble, p.status.Stage, p.judged, p.share, p.overCap, p.afterwards, p.took.Seconds(), p.cut, p.status.Reason)
+}
+
+// overCap counts the placements that took the new version above the share of
+// the newest stage that any holder had written by then.
+func (m *movingCluster) overCap(p movingPool) (over int) {
+	stages := m.find(func(h *host) *process { return h.rollout }, p, "stage")
+	placed := m.find(schedulerOf, p, "placed")
+	count, limit := 0, 0.0
+	for i, line := range placed {
+		for len(stages) > 0 && !stages[0].at.After(line.at.Add(clockSlack)) {
+			limit, stages = max(limit, stages[0].Share), stages[1:]
+		}
+		if i >= shareWindow && placed[i-shareWindow].Version == newVersion {
+			count--
+		}
+		if line.Version != newVersion {
+			continue
+		}
+		if count++; float64(count) > limit*float64(min(i+1, shareWindow)+1) {
+			over++
+		}
+	}
+	return over
 }
 
 func summarize(t *testing.T, all []*plan) {
 	for _, b := range []behaviour{behavesWell, badAtOnce, badLater, badUnderLoad, badRoute, badSlow} {
 		set := slices.DeleteFunc(slices.Clone(all), func(p *plan) bool { return p.behaviour != b })
-		done, reverted, judged, cut := 0, 0, 0, 0
+		done, reverted, judged, cut, over := 0, 0, 0, 0, 0
 		share, afterwards := 0.0, time.Duration(0)
 		for _, p := range set {
 			if p.status.Stage == message.StageDone && p.status.SinceUnixMS <= p.status.DeadlineUnixMS {
@@ -199,8 +225,9 @@
 			}
 			share = max(share, p.share)
 			cut += p.cut
+			over += p.overCap
 		}
-		t.Logf("SUMMARY %s: %d moves, %d done in time, %d reverted, %d judged bad, largest share %.3f, last dispatch at most %v after the verdict, %d answers cut",
-			b, len(set), done, reverted, judged, share, afterwards, cut)
+		t.Logf("SUMMARY %s: %d moves, %d done in time, %d reverted, %d judged bad, largest share %.3f, %d placements over the cap, last dispatch at most %v after the verdict, %d answers cut",
+			b, len(set), done, reverted, judged, share, over, afterwards, cut)
 	}
 }
--- a/integration/moves_harness_test.go
+++ b/integration/moves_harness_test.go
@@ -42,6 +42,9 @@
 	deadline, soak time.Duration
 	// ignoresFence makes the endpoints take orders of any fencing number.
 	ignoresFence bool
+	// stepSlowdown is the part by which each running request lengthens a step
+	// of the engines.
+	stepSlowdown float64
 }
 
 func (p movingPool) move() string { return "move-" + p.name }
@@ -111,7 +114,7 @@
 			e.PrefillRate, e.DecodeRate = 8000, 100
 			c.fleet.Engines = append(c.fleet.Engines, engine.Config{Name: e.Name, Address: e.Address,
 				Version: string(e.Version), Slots: e.Slots, PrefillTokensPerSecond: e.PrefillRate,
-				DecodeTokensPerSecond: e.DecodeRate, LoadLagMS: 300, Seed: uint64(i),
+				DecodeTokensPerSecond: e.DecodeRate, StepSlowdown: p.stepSlowdown, LoadLagMS: 300, Seed: uint64(i),
 				CheckFence: pool.ChecksFence, LoadTimeMS: 500})
 		}
 		pool.Endpoints = append(pool.Endpoints, e)
@@ -187,7 +190,7 @@
 	Endpoint string       `json:"endpoint"`
 	Attempt  string       `json:"attempt"`
 	Detail   string       `json:"detail"`
-	Move     string       `json:"move"`
+	Share    float64      `json:"share"`
 	at       time.Time
 }
 
