Verdict: slow hosts are not blamed on the new version

The test took 1 in 100 slow observations for granted, while the old version had as many slow ones at the time.

Now the base rate is how many of the old version's newest 64 observations were slow by its own limit, and a version is slow if half of its requests more are. Times are compared only with those under as much load on the endpoint or more.

--- a/internal/decision/verdict/baseline.go
+++ b/internal/decision/verdict/baseline.go
@@ -32,8 +32,9 @@
 	// failed counts the failed observations in the window.
 	failed int
 	// added counts observations since the limits were computed.
-	added  int
-	limits [kinds]time.Duration
+	added int
+	// limits is the slow quantile by the least load that counts.
+	limits [LoadClasses][kinds]time.Duration
 }
 
 func (b *baseline) add(now time.Time, o Observation) {
@@ -81,26 +82,29 @@
 // with.
 const maxBaseRate = 0.7
 
-// limit returns the time above which an observation is slow, and whether
-// there are enough observations to tell.
-func (b *baseline) limit(kind Kind, factor float64) (time.Duration, bool) {
+// limit returns the time above which an observation under a load is slow, and
+// whether there are enough observations to tell.
+func (b *baseline) limit(kind Kind, load int, factor float64) (time.Duration, bool) {
 	if len(b.window) < baselineMinimum {
 		return 0, false
 	}
-	if b.added >= limitRefresh || b.limits[kind] == 0 {
+	if b.added >= limitRefresh || b.limits[0][kind] == 0 {
 		b.added = 0
-		b.limits[KindFirstToken] = b.quantile(func(o *Observation) time.Duration { return o.FirstToken })
-		b.limits[KindBetweenTokens] = b.quantile(func(o *Observation) time.Duration { return o.BetweenTokens })
+		for least := range LoadClasses {
+			b.limits[least][KindFirstToken] = b.quantile(least, func(o *Observation) time.Duration { return o.FirstToken })
+			b.limits[least][KindBetweenTokens] = b.quantile(least, func(o *Observation) time.Duration { return o.BetweenTokens })
+		}
 	}
-	return time.Duration(factor * float64(b.limits[kind])), b.limits[kind] > 0
+	found := b.limits[load][kind]
+	return time.Duration(factor * float64(found)), found > 0
 }
 
-// quantile returns the slow quantile of the times that are known, zero if
-// there are too few.
-func (b *baseline) quantile(of func(*Observation) time.Duration) time.Duration {
+// quantile returns the slow quantile of the times that are known from
+// observations under at least the load, zero if there are too few.
+func (b *baseline) quantile(least int, of func(*Observation) time.Duration) time.Duration {
 	times := make([]time.Duration, 0, len(b.window))
 	for i := range b.window {
-		if took := of(&b.window[i].Observation); took > 0 {
+		if took := of(&b.window[i].Observation); took > 0 && b.window[i].Load >= least {
 			times = append(times, took)
 		}
 	}
--- a/internal/decision/verdict/verdict.go
+++ b/internal/decision/verdict/verdict.go
@@ -34,8 +34,15 @@
 	Failed bool
 	// FirstToken and BetweenTokens are zero if the attempt gave none.
 	FirstToken, BetweenTokens time.Duration
+	// Load is the load of the endpoint, from 0 to LoadClasses-1. Times are
+	// compared only with those of the proved version under as much load or
+	// more: a full batch is slower on any version.
+	Load int
 }
 
+// LoadClasses is how many classes of load are told apart.
+const LoadClasses = 4
+
 // Settings of the test. The chance that a good version is judged bad by one
 // sum within N requests is at most about N times FalseAlarm; there is one for
 // each route and kind, and one for the errors of all routes.
@@ -48,9 +55,12 @@
 	// BaseRate bounds from below the share of bad observations that the
 	// proved version is believed to have.
 	BaseRate float64
-	// AddedRate is the increase in the share of bad observations that makes
+	// AddedRate is the increase in the share of failed observations that makes
 	// a version bad.
 	AddedRate float64
+	// BaseSlowRate and AddedSlowRate are the same for slow observations. A
+	// version that is slow is so for most requests.
+	BaseSlowRate, AddedSlowRate float64
 	// SlowFactor is how many times the proved version's 95th percentile an
 	// observation must take to count as slow.
 	SlowFactor float64
@@ -68,7 +78,7 @@
 // DefaultSettings return the settings in use.
 func DefaultSettings() Settings {
 	return Settings{FalseAlarm: 1e-6, MissedProof: 0.01, BaseRate: 0.01, AddedRate: 0.2,
-		SlowFactor: 1.5, SlowSlack: 5 * time.Millisecond, SlowSpacing: 250 * time.Millisecond, Window: 30 * time.Second}
+		BaseSlowRate: 0.03, AddedSlowRate: 0.5, SlowFactor: 1.5, SlowSlack: 5 * time.Millisecond, SlowSpacing: 250 * time.Millisecond, Window: 30 * time.Second}
 }
 
 // Monitor holds the evidence about one unproved version. It is not safe for
@@ -79,6 +89,8 @@
 	// all counts the errors of all routes together, so that a fault on each
 	// of many routes needs no more requests than one on a single route.
 	all route
+	// provedSlow tells how slow the proved version is now.
+	provedSlow [kinds]slowRate
 	// kept tells that the baseline no longer expires.
 	kept bool
 }
@@ -110,7 +122,10 @@
 
 // ObserveProved adds an observation of the proved version.
 func (m *Monitor) ObserveProved(now time.Time, routeName string, o Observation) {
-	m.route(routeName).proved.add(now, o)
+	r := m.route(routeName)
+	m.noteSlow(r, KindFirstToken, o.FirstToken, o.Load)
+	m.noteSlow(r, KindBetweenTokens, o.BetweenTokens, o.Load)
+	r.proved.add(now, o)
 	m.all.proved.add(now, o)
 }
 
@@ -124,8 +139,8 @@
 	if o.Failed {
 		return
 	}
-	m.stepSlow(now, r, KindFirstToken, o.FirstToken)
-	m.stepSlow(now, r, KindBetweenTokens, o.BetweenTokens)
+	m.stepSlow(now, r, KindFirstToken, o.FirstToken, o.Load)
+	m.stepSlow(now, r, KindBetweenTokens, o.BetweenTokens, o.Load)
 }
 
 // KeepBaseline makes the observations of the proved version count for good:
@@ -140,30 +155,45 @@
 
 func (m *Monitor) stepError(r *route, o Observation) {
 	r.requests++
-	r.step(KindError, o.Failed, r.proved.errorRate(m.settings.BaseRate), m.settings)
+	r.step(KindError, o.Failed, r.proved.errorRate(m.settings.BaseRate), m.settings.AddedRate)
 }
 
 // stepSlow compares a time with the proved version's. Without enough of
 // these the time proves nothing either way.
-func (m *Monitor) stepSlow(now time.Time, r *route, kind Kind, took time.Duration) {
-	limit, ok := r.proved.limit(kind, m.settings.SlowFactor)
-	if took == 0 || !ok {
+func (m *Monitor) stepSlow(now time.Time, r *route, kind Kind, took time.Duration, load int) {
+	slow, ok := m.isSlow(r, kind, took, load)
+	if !ok {
 		return
 	}
-	slow := took > limit+m.settings.SlowSlack
 	if slow && now.Sub(r.lastSlow[kind]) < m.settings.SlowSpacing {
 		return
 	}
 	if slow {
 		r.lastSlow[kind] = now
 	}
-	r.step(kind, slow, m.settings.BaseRate, m.settings)
+	r.step(kind, slow, m.provedSlow[kind].rate(m.settings.BaseSlowRate), m.settings.AddedSlowRate)
+}
+
+// noteSlow counts an observation of the proved version.
+func (m *Monitor) noteSlow(r *route, kind Kind, took time.Duration, load int) {
+	if slow, ok := m.isSlow(r, kind, took, load); ok {
+		m.provedSlow[kind].add(slow)
+	}
+}
+
+// isSlow compares a time with the proved version's, and tells whether it could.
+func (m *Monitor) isSlow(r *route, kind Kind, took time.Duration, load int) (slow, ok bool) {
+	if took == 0 {
+		return false, false
+	}
+	limit, ok := r.proved.limit(kind, load, m.settings.SlowFactor)
+	return took > limit+m.settings.SlowSlack, ok
 }
 
 // step adds the log likelihood ratio of one observation, with the base rate
 // against the base rate and the added rate.
-func (r *route) step(kind Kind, bad bool, base float64, s Settings) {
-	alternative := min(base+s.AddedRate, maxRate)
+func (r *route) step(kind Kind, bad bool, base, added float64) {
+	alternative := min(base+added, maxRate)
 	ratio := math.Log((1 - alternative) / (1 - base))
 	if bad {
 		ratio = math.Log(alternative / base)
--- a/internal/decision/verdict/verdict_test.go
+++ b/internal/decision/verdict/verdict_test.go
@@ -135,3 +135,22 @@
 		t.Fatalf("got %q %q %v", route, reason, bad)
 	}
 }
+
+// While the host of both versions has pauses, one request in four is slow on
+// either, and neither is to blame.
+func TestPausesOfTheHostAreNotBlamedOnTheVersion(t *testing.T) {
+	for seed := range uint64(100) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		quiet := failing(random, 0)
+		pausing := func(i int) Observation {
+			o := quiet(i)
+			if i > 100 && random.Float64() < 0.25 {
+				o.FirstToken, o.BetweenTokens = 4*o.FirstToken, 4*o.BetweenTokens
+			}
+			return o
+		}
+		if n, bad := run(random, 400, pausing, pausing); bad {
+			t.Fatalf("seed %d: judged bad after %d requests", seed, n)
+		}
+	}
+}
--- a/internal/scheduler/shards/shard/queue/evidence.go
+++ b/internal/scheduler/shards/shard/queue/evidence.go
@@ -17,8 +17,9 @@
 // observeVersion takes an outcome into the trials of unproved versions. A
 // version found bad gets nothing more from this placement round on; the
 // other hosts are told.
-func (d *Duty) observeVersion(o *core.Outcome, now time.Time) {
-	for _, found := range d.trials.Observe(o, d.pool.Kind, now) {
+func (d *Duty) observeVersion(e *endpoint, o *core.Outcome, running int, now time.Time) {
+	place := trial.Place{Kind: d.pool.Kind, Running: running, Slots: e.Slots}
+	for _, found := range d.trials.Observe(o, place, now) {
 		if found.Late {
 			d.alarm(found)
 			continue
--- a/internal/scheduler/shards/shard/queue/report.go
+++ b/internal/scheduler/shards/shard/queue/report.go
@@ -40,7 +40,7 @@
 		e.leavingSince = now
 	}
 	d.judge(e, o, now)
-	d.observeVersion(o, now)
+	d.observeVersion(e, o, running, now)
 	if o.Result == core.ResultOK {
 		d.learn(e, o, attempt, running, now)
 	}
