--- a/internal/decision/verdict/slow.go
+++ b/internal/decision/verdict/slow.go
@@ -9,6 +9,9 @@
 	// maxSlowRate bounds the slow rate that the proved version is credited
 	// with.
 	maxSlowRate = 0.4
+	// slowMargin is how many times the proved version's slow rate the other
+	// is credited with: the rate of the last moments is not known better.
+	slowMargin = 1.5
 )
 
 // slowRate counts which of the proved version's newest observations were slow
@@ -40,5 +43,5 @@
 // while there are few, and never below it.
 func (s *slowRate) rate(base float64) float64 {
 	rate := (float64(s.count) + base*priorSlow) / (float64(len(s.slow)) + priorSlow)
-	return min(max(rate, base), maxSlowRate)
+	return min(max(slowMargin*rate, base), maxSlowRate)
 }
--- a/internal/decision/verdict/verdict_test.go
+++ b/internal/decision/verdict/verdict_test.go
@@ -137,20 +137,36 @@
 }
 
 // While the host of both versions has pauses, one request in four is slow on
-// either, and neither is to blame.
+// either, and neither is to blame. The route has few requests, so that its own
+// limit follows late. A few runs in a thousand may still go wrong.
 func TestPausesOfTheHostAreNotBlamedOnTheVersion(t *testing.T) {
-	for seed := range uint64(100) {
+	const quietSteps, steps = 60, 120
+	judgedBad := 0
+	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 2))
 		quiet := failing(random, 0)
-		pausing := func(i int) Observation {
+		observe := func(i int) Observation {
 			o := quiet(i)
-			if i > 100 && random.Float64() < 0.25 {
-				o.FirstToken, o.BetweenTokens = 4*o.FirstToken, 4*o.BetweenTokens
+			if i > quietSteps && random.Float64() < 0.25 {
+				o.FirstToken *= 4
 			}
 			return o
 		}
-		if n, bad := run(random, 400, pausing, pausing); bad {
-			t.Fatalf("seed %d: judged bad after %d requests", seed, n)
+		m, now := New(DefaultSettings()), time.Unix(0, 0)
+		for i := range steps {
+			now = now.Add(300 * time.Millisecond)
+			m.ObserveProved(now, "rare", observe(i))
+			for range 5 {
+				m.ObserveProved(now, "often", observe(i))
+			}
+			m.ObserveUnproved(now, "rare", observe(i))
+		}
+		if _, _, bad := m.Bad(); bad {
+			judgedBad++
 		}
 	}
+	t.Logf("judged bad in %d of 200 runs", judgedBad)
+	if judgedBad > 2 {
+		t.Errorf("want at most 2")
+	}
 }
