--- a/integration/capacity_test.go
+++ b/integration/capacity_test.go
@@ -11,12 +11,15 @@
 
 	"kingcupcourse/internal/capacity"
 	"kingcupcourse/internal/manifest"
+	"kingcupcourse/internal/settings"
 	"kingcupcourse/internal/standin/engine"
 )
 
 const (
 	// restTime lets processes that have started come to rest.
 	restTime = 8 * time.Second
+	// fleetRestTime lets many hosts come to rest.
+	fleetRestTime = 20 * time.Second
 	// idleWindow and loadWindow are how long each point is measured.
 	idleWindow = 25 * time.Second
 	loadWindow = 10 * time.Second
@@ -27,10 +30,10 @@
 // Idle hosts with three processes each: what control costs.
 func TestCapacityHosts(t *testing.T) {
 	var s capacity.Series
-	for _, hosts := range []int{7, 14, 28, 56} {
+	for _, hosts := range []int{7, 14, 28, 42, 56} {
 		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
 			c := startCluster(t, options{hosts: hosts})
-			time.Sleep(restTime)
+			time.Sleep(fleetRestTime)
 			w := c.measure(pause(idleWindow))
 			w.addHost(&s, float64(hosts))
 			w.addPlatform(&s, float64(hosts))
@@ -138,6 +141,32 @@
 	save(t, "requests", &s)
 }
 
+// The shortest time between two writes of a journal, at one rate of requests:
+// writes a second against what a request waits.
+func TestCapacityFlush(t *testing.T) {
+	const rate = 100
+	var s capacity.Series
+	for _, flush := range []int64{10, 25, 50, 100} {
+		t.Run(fmt.Sprint(flush), func(t *testing.T) {
+			c := startCluster(t, options{hosts: 3, ledgers: 8, tuneScheduler: func(s *settings.Scheduler) {
+				s.JournalFlushMS = flush
+			}})
+			c.keepConnections()
+			time.Sleep(restTime)
+			w := c.measure(func() { c.load(rate, func() call { return filing(newKey()) }) })
+			c.addRequests(&s, &w, float64(flush))
+			before, last := w.before["scheduler"], w.last["scheduler"]
+			var seconds, count float64
+			for i := range c.hosts {
+				seconds += last[i].metrics["kingcup_reservation_seconds_sum"] - before[i].metrics["kingcup_reservation_seconds_sum"]
+				count += last[i].metrics["kingcup_reservation_seconds_count"] - before[i].metrics["kingcup_reservation_seconds_count"]
+			}
+			s.Add("ms until a key is reserved, mean", float64(flush), 1000*seconds/max(count, 1))
+		})
+	}
+	save(t, "flush", &s)
+}
+
 func (c *cluster) addRequests(s *capacity.Series, w *window, rate float64) {
 	owner, entries, others := 0, 0.0, 0.0
 	for i := range c.hosts {
@@ -301,3 +330,31 @@
 	}
 	save(t, "herd", &s)
 }
+
+// Pools, with idle hosts: each entry host reports to the owner of every pool
+// shard.
+func TestCapacityPools(t *testing.T) {
+	var s capacity.Series
+	for _, pools := range []int{3, 5, 10, 20, 40} {
+		t.Run(fmt.Sprint(pools), func(t *testing.T) {
+			c := startCluster(t, options{hosts: 4, ledgers: pools - 1, tuneManifest: addPools})
+			time.Sleep(restTime)
+			w := c.measure(pause(loadWindow))
+			w.addHost(&s, float64(pools))
+			w.addPlatform(&s, float64(pools))
+		})
+	}
+	save(t, "pools", &s)
+}
+
+// addPools gives each endpoint of the ledgers' pool a pool of its own.
+func addPools(m *manifest.Manifest) {
+	shared := m.Pools[1]
+	m.Pools[1].Endpoints = shared.Endpoints[:1]
+	for i, e := range shared.Endpoints[1:] {
+		pool := shared
+		pool.Name = fmt.Sprintf("pool-%02d", i)
+		pool.Endpoints = []manifest.Endpoint{e}
+		m.Pools = append(m.Pools, pool)
+	}
+}
