Integration: a caller chooses its host before it sends

The race detector found two goroutines of one caller drawing from its random source in TestRunOnceUnderKillsAndPauses; the fault was the test's.

--- a/integration/history_test.go
+++ b/integration/history_test.go
@@ -231,7 +231,8 @@
 	}
 	k.deadline = 10 * time.Second
 	var sent sync.WaitGroup
-	sent.Go(func() { c.record(ctx, h, c.anyHost(random), k, key) })
+	first := c.anyHost(random)
+	sent.Go(func() { c.record(ctx, h, first, k, key) })
 	if key != "" && random.IntN(3) == 0 {
 		delay, other := time.Duration(random.IntN(300))*time.Millisecond, c.anyHost(random)
 		sent.Go(func() {
--- a/internal/decision/poison/poison.go
+++ b/internal/decision/poison/poison.go
@@ -13,7 +13,7 @@
 	Lifetime = 10 * time.Minute
 	// maxRequests bounds the requests that are remembered; beyond it the
 	// deaths that are forgotten first go.
-	maxRequests = 4096
+	maxRequests = 1024
 )
 
 // Marks holds the deaths by request fingerprint.
