--- a/internal/load/command/command.go
+++ b/internal/load/command/command.go
@@ -28,6 +28,7 @@
 	Run     Run              `cmd:"" help:"Run one experiment and report it."`
 	Compare Compare          `cmd:"" help:"Run one experiment against several systems in turn, over several seeds, and report ratios."`
 	Report  Report           `cmd:"" help:"Write the readable report of a JSON result."`
+	Table   Table            `cmd:"" help:"Report the ratios between the JSON results of earlier runs."`
 }
 
 // Overrides change an experiment from the command line.
@@ -173,13 +174,46 @@
 
 // Run writes the report.
 func (r *Report) Run() error {
-	text, err := os.ReadFile(r.Result)
+	result, err := readResult(r.Result)
 	if err != nil {
-		return eris.Wrap(err, "read result")
+		return err
 	}
-	var result collector.Result
-	if err := json.Unmarshal(text, &result); err != nil {
-		return eris.Wrap(err, "read result")
+	return report.Text(os.Stdout, result)
+}
+
+// Table is the table command.
+type Table struct {
+	Targets []string `arg:"" help:"Systems as NAME=FOLDER, at least two; each folder has one folder with a result.json for each seed. The first is the base of the ratios."`
+}
+
+// Run writes the table.
+func (t *Table) Run() error {
+	names, folders, err := (&Compare{Targets: t.Targets}).split()
+	if err != nil {
+		return err
+	}
+	results := map[string][]*collector.Result{}
+	for i, name := range names {
+		files, err := filepath.Glob(filepath.Join(folders[i], "*", "result.json"))
+		if err != nil || len(files) == 0 {
+			return eris.Errorf("no result.json below %s", folders[i])
+		}
+		for _, file := range files {
+			result, err := readResult(file)
+			if err != nil {
+				return err
+			}
+			results[name] = append(results[name], result)
+		}
+	}
+	return report.Compare(os.Stdout, names, results)
+}
+
+func readResult(path string) (*collector.Result, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "read result")
 	}
-	return report.Text(os.Stdout, &result)
+	result := new(collector.Result)
+	return result, eris.Wrap(json.Unmarshal(text, result), "read result")
 }
