Docs: the operations page, with tables generated from the source

The tables of settings, manifest, metrics and log events are written by internal/reference from json tags, comments, prometheus options and log calls. Its test fails when the page is out of step; with KINGCUP_WRITE_REFERENCE=1 it writes them. Fields without a comment, which would have had an empty row, got one.

--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -28,12 +28,15 @@
 
 // Region is a group of availability zones.
 type Region struct {
-	Name              core.Region             `json:"name"`
+	// Name is the name of the region.
+	Name core.Region `json:"name"`
+	// AvailabilityZones lists its availability zones.
 	AvailabilityZones []core.AvailabilityZone `json:"availability_zones"`
 }
 
 // ClientAccount is one caller.
 type ClientAccount struct {
+	// Name is the name of the account in logs.
 	Name string `json:"name"`
 	// KeySHA256 lists the hex SHA-256 hashes of the bearer keys in force.
 	KeySHA256 []string `json:"key_sha256"`
@@ -52,9 +55,11 @@
 
 // Pool is a set of endpoints that can serve the same requests.
 type Pool struct {
+	// Name is what routes and moves call the pool.
 	Name string `json:"name"`
 	// Kind is "model" or "service".
-	Kind      core.Kind  `json:"kind"`
+	Kind core.Kind `json:"kind"`
+	// Endpoints lists the pool's endpoints.
 	Endpoints []Endpoint `json:"endpoints"`
 	// QueueRequests bounds how many requests wait at once. Default 1024.
 	QueueRequests int `json:"queue_requests,omitempty"`
@@ -80,11 +85,14 @@
 
 // Endpoint is one back end.
 type Endpoint struct {
+	// Name is unique among all endpoints.
 	Name string `json:"name"`
 	// Address is host:port by IP number.
-	Address          string                `json:"address"`
+	Address string `json:"address"`
+	// AvailabilityZone is where the endpoint is.
 	AvailabilityZone core.AvailabilityZone `json:"availability_zone"`
-	Version          core.Version          `json:"version"`
+	// Version is the version that the endpoint serves.
+	Version core.Version `json:"version"`
 	// Slots is how many requests the endpoint runs at once.
 	Slots int `json:"slots"`
 	// PrefillRate is a first guess in prompt tokens a second, for a model
@@ -97,7 +105,9 @@
 
 // Route tells what kind of request this is.
 type Route struct {
+	// Name is the name of the route in logs and metrics.
 	Name string `json:"name"`
+	// Pool is the pool that serves the route.
 	Pool string `json:"pool"`
 	// Methods limits the route to these methods; empty for all.
 	Methods []string `json:"methods,omitempty"`
@@ -122,10 +132,14 @@
 
 // Move is a planned version move.
 type Move struct {
-	Name        string       `json:"name"`
-	Pool        string       `json:"pool"`
+	// Name stands for one pair of versions of a pool for good.
+	Name string `json:"name"`
+	// Pool is the pool that the move is in.
+	Pool string `json:"pool"`
+	// FromVersion is the version that has the traffic before the move.
 	FromVersion core.Version `json:"from_version"`
-	ToVersion   core.Version `json:"to_version"`
+	// ToVersion is the version that has the traffic after the move.
+	ToVersion core.Version `json:"to_version"`
 	// DeadlineUnixMS is when the move must be done or reverted.
 	DeadlineUnixMS int64 `json:"deadline_unix_ms"`
 	// MaxShare is the largest share of the pool's traffic, from 0 to 1, for
--- /dev/null
+++ b/internal/reference/events.go
@@ -0,0 +1,110 @@
+package reference
+
+import (
+	"go/ast"
+	"slices"
+	"strings"
+)
+
+// notOperated returns the folders whose metrics and log events are not those
+// of a running host: tools for tests and trials, and this package.
+func notOperated() []string {
+	return []string{"internal/load", "internal/standin", "internal/reference"}
+}
+
+// metricTable lists the metrics that the source registers with prometheus.
+func metricTable(root string) (string, error) {
+	parsed, err := parse(root, "internal", notOperated()...)
+	if err != nil {
+		return "", err
+	}
+	var rows [][]string
+	parsed.eachCall(func(folder string, call *ast.CallExpr) {
+		if name, kind, labels, help, ok := metric(call); ok {
+			rows = append(rows, []string{code(name), kind, labels, prose(help), code(folder)})
+		}
+	})
+	return sortedTable([]string{"metric", "kind", "labels", "meaning", "package"}, rows), nil
+}
+
+// metric reads a call such as prometheus.NewCounterVec.
+func metric(call *ast.CallExpr) (name, kind, labels, help string, ok bool) {
+	selector, isSelector := call.Fun.(*ast.SelectorExpr)
+	if !isSelector || len(call.Args) == 0 {
+		return "", "", "", "", false
+	}
+	if from, isName := selector.X.(*ast.Ident); !isName || from.Name != "prometheus" {
+		return "", "", "", "", false
+	}
+	if selector.Sel.Name == "NewDesc" && len(call.Args) > 2 {
+		name, ok = text(call.Args[0])
+		help, _ = text(call.Args[1])
+		return name, "computed when read", labelList(call.Args[2]), help, ok
+	}
+	options, isLiteral := call.Args[0].(*ast.CompositeLit)
+	kind, isNew := strings.CutPrefix(selector.Sel.Name, "New")
+	if !isLiteral || !isNew {
+		return "", "", "", "", false
+	}
+	if len(call.Args) > 1 {
+		labels = labelList(call.Args[1])
+	}
+	kind = strings.ToLower(strings.TrimSuffix(kind, "Vec"))
+	name, help = option(options, "Name"), option(options, "Help")
+	return name, kind, labels, help, name != ""
+}
+
+// option returns the text of a field of a literal.
+func option(literal *ast.CompositeLit, field string) string {
+	for _, element := range literal.Elts {
+		pair, ok := element.(*ast.KeyValueExpr)
+		if !ok {
+			continue
+		}
+		if key, ok := pair.Key.(*ast.Ident); ok && key.Name == field {
+			value, _ := text(pair.Value)
+			return value
+		}
+	}
+	return ""
+}
+
+func labelList(e ast.Expr) string {
+	literal, ok := e.(*ast.CompositeLit)
+	if !ok {
+		return ""
+	}
+	var labels []string
+	for _, element := range literal.Elts {
+		if label, ok := text(element); ok {
+			labels = append(labels, code(label))
+		}
+	}
+	return strings.Join(labels, ", ")
+}
+
+// eventTable lists the log events of level info and above.
+func eventTable(root string) (string, error) {
+	parsed, err := parse(root, "internal", notOperated()...)
+	if err != nil {
+		return "", err
+	}
+	var rows [][]string
+	parsed.eachCall(func(folder string, call *ast.CallExpr) {
+		level := strings.ToLower(selected(call))
+		if !slices.Contains([]string{"info", "warn", "error"}, level) || len(call.Args) == 0 {
+			return
+		}
+		if message, ok := text(call.Args[0]); ok {
+			rows = append(rows, []string{code(folder), level, prose(message)})
+		}
+	})
+	return sortedTable([]string{"package", "level", "message"}, rows), nil
+}
+
+// sortedTable orders the rows and leaves out equal ones.
+func sortedTable(heading []string, rows [][]string) string {
+	slices.SortFunc(rows, slices.Compare[[]string])
+	rows = slices.CompactFunc(rows, func(a, b []string) bool { return slices.Compare(a, b) == 0 })
+	return table(heading, rows)
+}
--- /dev/null
+++ b/internal/reference/fields.go
@@ -0,0 +1,123 @@
+package reference
+
+import (
+	"fmt"
+	"go/ast"
+	"reflect"
+	"strconv"
+	"strings"
+)
+
+// fieldTables writes a table for each of the named struct types of a folder,
+// from the json tags and the comments of their fields.
+func fieldTables(root, folder string, names ...string) (string, error) {
+	here, err := parse(root, folder)
+	if err != nil {
+		return "", err
+	}
+	shared, err := parse(root, "internal/core")
+	if err != nil {
+		return "", err
+	}
+	writer := &fieldWriter{here: here.types(), shared: shared.types()}
+	var out strings.Builder
+	for i, name := range names {
+		section, err := writer.section(name)
+		if err != nil {
+			return "", err
+		}
+		if i > 0 {
+			out.WriteString("\n")
+		}
+		out.WriteString(section)
+	}
+	return out.String(), nil
+}
+
+// fieldWriter writes the tables of one folder's types.
+type fieldWriter struct {
+	here   map[string]*ast.TypeSpec
+	shared map[string]*ast.TypeSpec
+}
+
+func (w *fieldWriter) section(name string) (string, error) {
+	spec := w.here[name]
+	if spec == nil {
+		return "", fmt.Errorf("there is no type %s", name)
+	}
+	structure, ok := spec.Type.(*ast.StructType)
+	if !ok {
+		return "", fmt.Errorf("%s is no struct", name)
+	}
+	var rows [][]string
+	for _, field := range structure.Fields.List {
+		row, err := w.row(field)
+		if err != nil {
+			return "", fmt.Errorf("%s: %w", name, err)
+		}
+		if row != nil {
+			rows = append(rows, row)
+		}
+	}
+	return fmt.Sprintf("### %s\n\n%s\n\n%s", name, prose(spec.Doc.Text()),
+		table([]string{"field", "type", "required", "meaning"}, rows)), nil
+}
+
+// row describes one field. There is none for a field that is not in the JSON
+// form, or an embedded struct, which has a table of its own.
+func (w *fieldWriter) row(field *ast.Field) ([]string, error) {
+	if field.Tag == nil {
+		return nil, nil
+	}
+	tag, err := strconv.Unquote(field.Tag.Value)
+	if err != nil {
+		return nil, err
+	}
+	name, options, _ := strings.Cut(reflect.StructTag(tag).Get("json"), ",")
+	meaning := prose(field.Doc.Text())
+	if meaning == "" {
+		return nil, fmt.Errorf("the field %s has no comment", name)
+	}
+	kind, err := w.kind(field.Type)
+	if err != nil {
+		return nil, fmt.Errorf("the field %s: %w", name, err)
+	}
+	required := "yes"
+	if strings.Contains(options, "omit") {
+		required = ""
+	}
+	return []string{code(name), kind, required, meaning}, nil
+}
+
+// kind returns the JSON type of a field.
+func (w *fieldWriter) kind(e ast.Expr) (string, error) {
+	switch e := e.(type) {
+	case *ast.ArrayType:
+		element, err := w.kind(e.Elt)
+		return "list of " + element, err
+	case *ast.SelectorExpr:
+		if spec := w.shared[e.Sel.Name]; spec != nil {
+			return w.kind(spec.Type)
+		}
+	case *ast.Ident:
+		return w.named(e.Name)
+	}
+	return "", fmt.Errorf("a type of the form %T has no description", e)
+}
+
+func (w *fieldWriter) named(name string) (string, error) {
+	switch name {
+	case "string":
+		return "string", nil
+	case "bool":
+		return "true or false", nil
+	case "int", "int64":
+		return "integer", nil
+	case "float64":
+		return "number", nil
+	}
+	if w.here[name] != nil {
+		return fmt.Sprintf("[%s](#%s)", name, strings.ToLower(name)), nil
+	}
+	return "", fmt.Errorf("the type %s has no description", name)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,8 +8,9 @@
 type Common struct {
 	// Host is the name of the entry host that the process runs on.
 	Host string `json:"host"`
-	// Region and AvailabilityZone are where the host is.
-	Region           core.Region           `json:"region"`
+	// Region is the region that the host is in.
+	Region core.Region `json:"region"`
+	// AvailabilityZone is the availability zone that the host is in.
 	AvailabilityZone core.AvailabilityZone `json:"availability_zone"`
 	// Control is the listener for other processes of the system, as
 	// host:port by IP number; peers reach it at the same address.
