--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -145,7 +145,7 @@
 	// MaxShare is the largest share of the pool's traffic, from 0 to 1, for
 	// the version while it is unproved. Default 0.05.
 	MaxShare float64 `json:"max_share,omitempty"`
-	// SoakMS is how long the version is watched at full share before the
-	// move is done, in milliseconds. Default 30,000.
+	// SoakMS is how long the version is watched at the largest share of the
+	// ramp before the move is done, in milliseconds. Default 30,000.
 	SoakMS int64 `json:"soak_ms,omitempty"`
 }
--- /dev/null
+++ b/internal/reference/limits.go
@@ -0,0 +1,120 @@
+package reference
+
+import (
+	"fmt"
+	"go/ast"
+	"go/token"
+	"strconv"
+	"strings"
+)
+
+// limits are the constants that bound what a process takes from outside, by
+// their folders.
+func limits() []limit {
+	return []limit{
+		{"internal/supervisor", []string{"headerTimeout", "idleTimeout", "maxHeaderBytes"}},
+		{"internal/entry/callers", []string{"bodyTimeout", "answerTimeout", "endpointDialTimeout",
+			"maxAnswerHeaderBytes", "maxAnswerBytes"}},
+		{"internal/entry/completions", []string{"maxEventBytes"}},
+		{"internal/codec", []string{"DialTimeout", "MaxMessageBytes"}},
+		{"internal/control", []string{"handlerTimeout", "gossipTimeout"}},
+		{"internal/platform", []string{"DefaultCallTimeout", "MaxValueBytes", "maxAnswerBytes"}},
+		{"internal/manifest", []string{"MaxTiers", "MaxSlots", "MaxJournalSlots", "MaxRouteBodyBytes"}},
+	}
+}
+
+// limit names constants of a folder.
+type limit struct {
+	folder string
+	names  []string
+}
+
+// limitTable lists the limits with their values and comments.
+func limitTable(root string) (string, error) {
+	var rows [][]string
+	for _, l := range limits() {
+		parsed, err := parse(root, l.folder)
+		if err != nil {
+			return "", err
+		}
+		constants := parsed.constants(l.folder)
+		for _, name := range l.names {
+			spec := constants[name]
+			if spec == nil || spec.Doc.Text() == "" {
+				return "", fmt.Errorf("%s: there is no constant %s with a comment", l.folder, name)
+			}
+			value, err := quantity(spec.Values[0])
+			if err != nil {
+				return "", fmt.Errorf("%s: %s: %w", l.folder, name, err)
+			}
+			rows = append(rows, []string{code(l.folder), code(name), value, prose(spec.Doc.Text())})
+		}
+	}
+	return table([]string{"package", "limit", "value", "meaning"}, rows), nil
+}
+
+// constants returns the declarations of one constant each in a folder, by
+// name.
+func (s *source) constants(folder string) map[string]*ast.ValueSpec {
+	found := map[string]*ast.ValueSpec{}
+	for _, file := range s.files {
+		for _, declaration := range file.syntax.Decls {
+			general, ok := declaration.(*ast.GenDecl)
+			if !ok || general.Tok != token.CONST || file.folder != folder {
+				continue
+			}
+			for _, spec := range general.Specs {
+				value := spec.(*ast.ValueSpec)
+				if len(value.Names) != 1 || len(value.Values) != 1 {
+					continue
+				}
+				if value.Doc == nil {
+					value.Doc = general.Doc
+				}
+				found[value.Names[0].Name] = value
+			}
+		}
+	}
+	return found
+}
+
+// quantity writes a number, a size such as 4 << 20, or a time such as
+// 5 * time.Second for people.
+func quantity(e ast.Expr) (string, error) {
+	switch e := e.(type) {
+	case *ast.BasicLit:
+		return strings.ReplaceAll(e.Value, "_", ","), nil
+	case *ast.SelectorExpr:
+		return duration("1", e)
+	case *ast.BinaryExpr:
+		count, isNumber := e.X.(*ast.BasicLit)
+		if !isNumber {
+			break
+		}
+		if unit, isUnit := e.Y.(*ast.SelectorExpr); isUnit && e.Op == token.MUL {
+			return duration(count.Value, unit)
+		}
+		if shift, isNumber := e.Y.(*ast.BasicLit); isNumber && e.Op == token.SHL {
+			return size(count.Value, shift.Value)
+		}
+	}
+	return "", fmt.Errorf("a value of the form %T has no description", e)
+}
+
+func duration(count string, unit *ast.SelectorExpr) (string, error) {
+	units := map[string]string{"Millisecond": "ms", "Second": "s", "Minute": "min", "Hour": "h"}
+	name, ok := units[unit.Sel.Name]
+	if !ok {
+		return "", fmt.Errorf("the unit %s has no description", unit.Sel.Name)
+	}
+	return count + " " + name, nil
+}
+
+func size(count, shift string) (string, error) {
+	units := map[string]string{"10": "KiB", "20": "MiB", "30": "GiB"}
+	unit, ok := units[shift]
+	if _, err := strconv.Atoi(count); err != nil || !ok {
+		return "", fmt.Errorf("the size %s << %s has no description", count, shift)
+	}
+	return count + " " + unit, nil
+}
--- a/internal/reference/page.go
+++ b/internal/reference/page.go
@@ -5,28 +5,45 @@
 	"strings"
 )
 
-// Update returns a page with the text between the markers of each section
-// written anew from the source under root. It changes nothing else.
-func Update(root, page string) (string, error) {
-	sections := []struct {
-		name  string
-		write func(root string) (string, error)
-	}{
-		{"settings", settingsTables},
-		{"manifest", manifestTables},
-		{"metrics", metricTable},
-		{"log events", eventTable},
+// Page is a page with sections that are written from the source.
+type Page struct {
+	// Path is the page's place from the root.
+	Path     string
+	sections []section
+}
+
+// section is the part of a page between two markers.
+type section struct {
+	name  string
+	write func(root string) (string, error)
+}
+
+// Pages returns the pages with generated sections.
+func Pages() []Page {
+	return []Page{
+		{"docs/OPERATIONS.md", []section{
+			{"settings", settingsTables},
+			{"manifest", manifestTables},
+			{"metrics", metricTable},
+			{"log events", eventTable},
+		}},
+		{"docs/SECURITY.md", []section{{"limits", limitTable}}},
 	}
-	for _, section := range sections {
-		content, err := section.write(root)
+}
+
+// Update returns the page's text with its generated sections written anew
+// from the source under root. It changes nothing else.
+func (p Page) Update(root, text string) (string, error) {
+	for _, s := range p.sections {
+		content, err := s.write(root)
 		if err != nil {
-			return "", fmt.Errorf("%s: %w", section.name, err)
+			return "", fmt.Errorf("%s: %w", s.name, err)
 		}
-		if page, err = replace(page, section.name, content); err != nil {
+		if text, err = replace(text, s.name, content); err != nil {
 			return "", err
 		}
 	}
-	return page, nil
+	return text, nil
 }
 
 func settingsTables(root string) (string, error) {
@@ -39,13 +56,13 @@
 }
 
 // replace puts content between the markers of a section.
-func replace(page, section, content string) (string, error) {
-	begin := fmt.Sprintf("<!-- begin generated: %s -->\n", section)
-	end := fmt.Sprintf("<!-- end generated: %s -->\n", section)
+func replace(page, name, content string) (string, error) {
+	begin := fmt.Sprintf("<!-- begin generated: %s -->\n", name)
+	end := fmt.Sprintf("<!-- end generated: %s -->\n", name)
 	before, rest, found := strings.Cut(page, begin)
 	_, after, ended := strings.Cut(rest, end)
 	if !found || !ended {
-		return "", fmt.Errorf("the page has no markers of the section %q", section)
+		return "", fmt.Errorf("the page has no markers of the section %q", name)
 	}
 	return before + begin + "\n" + content + "\n" + end + after, nil
 }
--- a/internal/reference/reference_test.go
+++ b/internal/reference/reference_test.go
@@ -13,17 +13,23 @@
 	writeVariable = "KINGCUP_WRITE_REFERENCE"
 )
 
-func TestOperationsPageIsInStepWithTheSource(t *testing.T) {
-	path := filepath.Join(root, "docs", "OPERATIONS.md")
-	page, err := os.ReadFile(path)
+func TestPagesAreInStepWithTheSource(t *testing.T) {
+	for _, page := range Pages() {
+		t.Run(page.Path, func(t *testing.T) { checkPage(t, page) })
+	}
+}
+
+func checkPage(t *testing.T, page Page) {
+	path := filepath.Join(root, filepath.FromSlash(page.Path))
+	text, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	updated, err := Update(root, string(page))
+	updated, err := page.Update(root, string(text))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if updated == string(page) {
+	if updated == string(text) {
 		return
 	}
 	if os.Getenv(writeVariable) == "1" {
@@ -32,14 +38,14 @@
 		}
 		return
 	}
-	old, wanted := strings.Split(string(page), "\n"), strings.Split(updated, "\n")
+	old, wanted := strings.Split(string(text), "\n"), strings.Split(updated, "\n")
 	for i := range min(len(old), len(wanted)) {
 		if old[i] != wanted[i] {
-			t.Errorf("docs/OPERATIONS.md:%d is\n%s\nbut the source says\n%s", i+1, old[i], wanted[i])
+			t.Errorf("%s:%d is\n%s\nbut the source says\n%s", page.Path, i+1, old[i], wanted[i])
 			break
 		}
 	}
-	t.Errorf("docs/OPERATIONS.md is out of step; run %s=1 go test ./internal/reference", writeVariable)
+	t.Errorf("%s is out of step; run %s=1 go test ./internal/reference", page.Path, writeVariable)
 }
 
 func TestTablesHaveKnownRows(t *testing.T) {
@@ -69,6 +75,12 @@
 			"| `internal/process` | info | draining |",
 			"| `internal/entry/callers` | info | placed |",
 		}},
+		{"limits", limitTable, []string{
+			"| `internal/supervisor` | `maxHeaderBytes` | 32 KiB | ",
+			"| `internal/entry/callers` | `bodyTimeout` | 10 s | ",
+			"| `internal/codec` | `DialTimeout` | 1 s | ",
+			"| `internal/manifest` | `MaxSlots` | 65,536 | ",
+		}},
 	} {
 		written, err := c.write(root)
 		if err != nil {
--- a/internal/reference/source.go
+++ b/internal/reference/source.go
@@ -1,6 +1,6 @@
-// Package reference writes the reference tables of the operations page from
-// the source: settings and manifest fields, metrics, and log events. Its test
-// fails when the page is out of step.
+// Package reference writes the reference tables of the pages for operators
+// from the source: settings and manifest fields, metrics, log events and
+// limits. Its test fails when a page is out of step.
 package reference
 
 import (
