Scheduler: a new owner of a pool counts the newest dispatches anew

Cause: the count of the newest 200 dispatches, which bounds the share of an unproved version, was kept while another scheduler owned the pool. An owner that came back with a count of old dispatches alone could place up to 200 times the share in a row on the version, one at a time.

--- a/internal/scheduler/shards/shard/queue/view.go
+++ b/internal/scheduler/shards/shard/queue/view.go
@@ -108,6 +108,7 @@
 	if owned {
 		d.book = outstanding.NewBook()
 		d.trials.Restart()
+		d.recent = share.NewRecent()
 		d.gatherUntil = now.Add(gatherTime)
 		d.tickAt = now
 		return
