--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"kingcupcourse/internal/decision/leaving"
+	"kingcupcourse/internal/decision/poison"
 	"kingcupcourse/internal/message"
 )
 
@@ -15,7 +16,7 @@
 	LeavingLifetime = time.Hour
 	// PoisonLifetime is how long a FactPoison lasts unless its finder says
 	// otherwise.
-	PoisonLifetime = time.Hour
+	PoisonLifetime = poison.Lifetime
 )
 
 // completed fills in what a finder may leave out of a fact.
--- a/internal/ctl/commit.go
+++ b/internal/ctl/commit.go
@@ -84,6 +84,7 @@
 	committed := committedMoves(base)
 	list := manifest.Check(parsed, committed, bad)
 	list = append(list, lateMoves(parsed, committed, time.Now())...)
+	list = append(list, changedJournals(parsed, base)...)
 	return asFindings(file, append(list, renamedMoves(parsed, committed)...))
 }
 
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -290,3 +290,19 @@
 	}
 	b.expect(t, ExitOK, "committed", "commit", write(t, strings.Replace(string(text), `"d"`, `"renamed"`, 1)))
 }
+
+// A journal that is read or kept in another way than it was written could
+// forget keys in force.
+func TestCommitRefusesAChangedJournal(t *testing.T) {
+	b := newBench(t)
+	path := file(t, "a")
+	b.expect(t, ExitOK, "committed version 1", "commit", path)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, field := range []string{`"journal_slots": 16`, `"retention_ms": 7200000`, `"clock_skew_ms": 1000`} {
+		changed := strings.Replace(string(text), `"endpoints": [`, field+`, "endpoints": [`, 1)
+		b.expect(t, ExitFindings, "cannot change", "commit", write(t, changed))
+	}
+}
