--- a/integration/moves_harness_test.go
+++ b/integration/moves_harness_test.go
@@ -42,6 +42,9 @@
 	deadline, soak time.Duration
 	// ignoresFence makes the endpoints take orders of any fencing number.
 	ignoresFence bool
+	// stepSlowdown is the part by which each running request lengthens a step
+	// of the engines.
+	stepSlowdown float64
 }
 
 func (p movingPool) move() string { return "move-" + p.name }
@@ -54,18 +57,21 @@
 	*cluster
 	pools   []movingPool
 	traffic map[string]*traffic
+	// tried are the endpoints with the new version, by pool.
+	tried []manifest.Endpoint
 }
 
 // startMoves starts a cluster of three hosts, the traffic of each pool, and
-// then commits the moves.
+// then commits the moves with the endpoints of the new versions.
 func startMoves(t *testing.T, pools ...movingPool) *movingCluster {
 	t.Helper()
+	m := &movingCluster{pools: pools, traffic: map[string]*traffic{}}
 	c := startCluster(t, options{tuneFleet: func(c *cluster) {
 		for _, p := range pools {
-			addPool(c, p)
+			m.tried = append(m.tried, addPool(c, p))
 		}
 	}})
-	m := &movingCluster{cluster: c, pools: pools, traffic: map[string]*traffic{}}
+	m.cluster = c
 	m.awaitOwners()
 	for i, p := range pools {
 		if p.fault != "" {
@@ -73,7 +79,9 @@
 		}
 		m.traffic[p.name] = c.startTraffic(callersPerPool, uint64(i+1), poolCalls(p.name, p.kind))
 	}
-	for _, p := range pools {
+	for i, p := range pools {
+		pool := &c.manifest.Pools[len(c.manifest.Pools)-len(pools)+i]
+		pool.Endpoints = append(pool.Endpoints, m.tried[i])
 		c.manifest.Moves = append(c.manifest.Moves, manifest.Move{Name: p.move(), Pool: p.name,
 			FromVersion: oldVersion, ToVersion: newVersion, MaxShare: maxShare,
 			DeadlineUnixMS: time.Now().Add(p.deadline).UnixMilli(), SoakMS: max(1, p.soak.Milliseconds())})
@@ -95,7 +103,9 @@
 	}
 }
 
-func addPool(c *cluster, p movingPool) {
+// addPool adds a pool with the endpoints of the old version, and returns that
+// of the new version, of which only the stand-in is added.
+func addPool(c *cluster, p movingPool) (tried manifest.Endpoint) {
 	pool := manifest.Pool{Name: p.name, Kind: p.kind, ChecksFence: !p.ignoresFence}
 	for i := range oldEndpoints + 1 {
 		e := manifest.Endpoint{Name: fmt.Sprintf("%s-%d", p.name, i), Address: freeAddress(c.t),
@@ -111,13 +121,17 @@
 			e.PrefillRate, e.DecodeRate = 8000, 100
 			c.fleet.Engines = append(c.fleet.Engines, engine.Config{Name: e.Name, Address: e.Address,
 				Version: string(e.Version), Slots: e.Slots, PrefillTokensPerSecond: e.PrefillRate,
-				DecodeTokensPerSecond: e.DecodeRate, LoadLagMS: 300, Seed: uint64(i),
+				DecodeTokensPerSecond: e.DecodeRate, StepSlowdown: p.stepSlowdown, LoadLagMS: 300, Seed: uint64(i),
 				CheckFence: pool.ChecksFence, LoadTimeMS: 500})
 		}
-		pool.Endpoints = append(pool.Endpoints, e)
+		if i < oldEndpoints {
+			pool.Endpoints = append(pool.Endpoints, e)
+		}
+		tried = e
 	}
 	c.manifest.Pools = append(c.manifest.Pools, pool)
 	c.manifest.Routes = append(c.manifest.Routes, poolRoutes(p)...)
+	return tried
 }
 
 func poolRoutes(p movingPool) []manifest.Route {
@@ -187,7 +201,7 @@
 	Endpoint string       `json:"endpoint"`
 	Attempt  string       `json:"attempt"`
 	Detail   string       `json:"detail"`
-	Move     string       `json:"move"`
+	Share    float64      `json:"share"`
 	at       time.Time
 }
 
