--- a/internal/scheduler/shards/shard/journal/caller/caller.go
+++ b/internal/scheduler/shards/shard/journal/caller/caller.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"kingcupcourse/internal/decision/journal"
+	"kingcupcourse/internal/decision/ownership"
 	"kingcupcourse/internal/platform"
 	"kingcupcourse/internal/ring"
 	"kingcupcourse/internal/scheduler/inbox"
@@ -27,7 +28,7 @@
 
 // Duty makes the calls that arrive in its ring.
 type Duty struct {
-	pool     string
+	shard    ownership.Shard
 	calls    *ring.Ring[journal.Op]
 	results  *ring.Ring[inbox.Journal]
 	platform Platform
@@ -35,8 +36,8 @@
 }
 
 // New returns a duty that takes calls and puts results.
-func New(pool string, calls *ring.Ring[journal.Op], results *ring.Ring[inbox.Journal], p Platform, log *zap.Logger) *Duty {
-	return &Duty{pool: pool, calls: calls, results: results, platform: p, log: log.With(zap.String("pool", pool))}
+func New(shard ownership.Shard, calls *ring.Ring[journal.Op], results *ring.Ring[inbox.Journal], p Platform, log *zap.Logger) *Duty {
+	return &Duty{shard: shard, calls: calls, results: results, platform: p, log: log.With(zap.String("pool", shard.Pool))}
 }
 
 // Serve implements supervisor.Duty.
@@ -67,7 +68,11 @@
 	return inbox.ReadDone{Result: journal.ReadResult{Slot: op.Slot, Failed: true}}
 }
 
-func (d *Duty) key(slot int) string { return "journal/" + d.pool + "/" + strconv.Itoa(slot) }
+// key names a slot object. Each region has an owner and so a journal of its
+// own: a key always belongs to the home region of its client account.
+func (d *Duty) key(slot int) string {
+	return "journal/" + d.shard.Pool + "/" + string(d.shard.Region) + "/" + strconv.Itoa(slot)
+}
 
 func (d *Duty) write(ctx context.Context, op journal.Op) inbox.Journal {
 	version, err := d.platform.Put(ctx, d.key(op.Slot), op.IfVersion, encode(op.Batch))
--- a/internal/scheduler/shards/shard/journal/supervisor.go
+++ b/internal/scheduler/shards/shard/journal/supervisor.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	machine "kingcupcourse/internal/decision/journal"
+	"kingcupcourse/internal/decision/ownership"
 	"kingcupcourse/internal/manifest"
 	"kingcupcourse/internal/ring"
 	"kingcupcourse/internal/scheduler/inbox"
@@ -33,7 +34,8 @@
 
 // Config sets the journal of one pool up.
 type Config struct {
-	Pool manifest.Pool
+	Shard ownership.Shard
+	Pool  manifest.Pool
 	// Owner names this process; no other process, nor this one after a
 	// restart, may have the same name.
 	Owner string
@@ -50,12 +52,12 @@
 	writer := ring.New[machine.Op]("journal_writer", callCapacity)
 	readers := make([]*ring.Ring[machine.Op], inbox.JournalReaders)
 	children := []supervisor.Child{
-		{Name: "writer", Duty: caller.New(c.Pool.Name, writer, c.Inbox, c.Platform, c.Log)},
+		{Name: "writer", Duty: caller.New(c.Shard, writer, c.Inbox, c.Platform, c.Log)},
 	}
 	for i := range readers {
 		readers[i] = ring.New[machine.Op]("journal_reader", callCapacity)
 		children = append(children, supervisor.Child{Name: fmt.Sprintf("reader-%d", i),
-			Duty: caller.New(c.Pool.Name, readers[i], c.Inbox, c.Platform, c.Log)})
+			Duty: caller.New(c.Shard, readers[i], c.Inbox, c.Platform, c.Log)})
 	}
 	children = append(children, supervisor.Child{Name: "owner", Duty: owner.New(owner.Config{
 		Pool: c.Pool.Name, Machine: newMachine(c), Inbox: c.Inbox, Queue: c.Queue,
--- a/internal/scheduler/shards/shard/supervisor.go
+++ b/internal/scheduler/shards/shard/supervisor.go
@@ -72,7 +72,7 @@
 	s.supervisor = supervisor.New(supervisor.Spec{
 		Name: "shard-" + pool.Name,
 		Children: []supervisor.Child{
-			{Name: "journal", Duty: journal.New(journal.Config{Pool: pool, Owner: config.Owner,
+			{Name: "journal", Duty: journal.New(journal.Config{Shard: s.id, Pool: pool, Owner: config.Owner,
 				Flush: config.JournalFlush, Inbox: s.Journal, Queue: s.Queue, Platform: config.Platform, Log: config.Log})},
 			{Name: "queue", Duty: queue.New(queue.Config{Shard: s.id, Host: config.Host, Policy: policy,
 				Inbox: s.Queue, Journal: s.Journal, Report: config.Report, Log: config.Log})},
