--- a/integration/moves_faults_test.go
+++ b/integration/moves_faults_test.go
@@ -69,9 +69,10 @@
 // move is reverted. Every host stops using the version by its own clock.
 func TestPlatformOutageAcrossTheDeadline(t *testing.T) {
 	good := movingPool{name: "good", kind: core.KindModel, deadline: 30 * time.Second, soak: 6 * time.Second}
-	bad := movingPool{name: "bad", kind: core.KindModel, deadline: 40 * time.Second, soak: 2 * time.Second}
+	bad := movingPool{name: "bad", kind: core.KindModel, deadline: 45 * time.Second, soak: 20 * time.Second}
 	m := startMoves(t, good, bad)
 	m.awaitStage(good, good.deadline, message.StageRamp)
+	m.awaitStage(bad, good.deadline, message.StageCanary, message.StageRamp, message.StageSoak)
 	m.fault("platform", `{"outage": true}`)
 	away := time.Now()
 	m.fault(bad.tried(), `{"error_rate": 1}`)
