--- a/internal/load/collector/result.go
+++ b/internal/load/collector/result.go
@@ -253,7 +253,7 @@
 }
 
 func series(samples []Sample, duration time.Duration) []Second {
-	out := make([]Second, int(duration/time.Second)+1)
+	out := make([]Second, int((duration+time.Second-1)/time.Second))
 	for i := range out {
 		out[i].Good = map[core.Tier]int{}
 	}
--- a/internal/load/report/plot.go
+++ b/internal/load/report/plot.go
@@ -32,6 +32,8 @@
 	p.Title.Text = r.Experiment + ": goodput"
 	p.X.Label.Text = "seconds since the start"
 	p.Y.Label.Text = "good requests a second"
+	p.Y.Min = 0
+	p.Legend.Top, p.Legend.Left = true, true
 	var lines []any
 	for tier := core.Tier(1); int(tier) <= len(r.Tiers); tier++ {
 		points := make(plotter.XYs, len(r.Series))
