--- a/internal/decision/admission/admit.go
+++ b/internal/decision/admission/admit.go
@@ -5,13 +5,11 @@
 
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/ownership"
+	"kingcupcourse/internal/decision/poison"
 	"kingcupcourse/internal/manifest"
 )
 
 const (
-	// PoisonLimit is how many endpoints must have died under a fingerprint
-	// before it is refused.
-	PoisonLimit = 2
 	// PoisonRetryAfter is how long a refused fingerprint is asked to wait.
 	PoisonRetryAfter = 10 * time.Minute
 	// tierReserve is the share of the in-progress bound that each tier
@@ -91,7 +89,7 @@
 		return Terms{}, core.Refuse(core.ReasonDeadlinePassed, "the deadline has passed")
 	}
 	terms.Deadline = now.Add(deadline(ask, route))
-	if ask.PoisonMarks >= PoisonLimit {
+	if ask.PoisonMarks >= poison.Limit {
 		return Terms{}, core.RefuseFor(core.ReasonPoison,
 			"endpoints died under this request", PoisonRetryAfter)
 	}
--- a/internal/entry/callers/call.go
+++ b/internal/entry/callers/call.go
@@ -7,7 +7,7 @@
 
 	"github.com/google/uuid"
 
-	decision "kingcupcourse/internal/decision/admission"
+	"kingcupcourse/internal/decision/poison"
 	"kingcupcourse/internal/entry/admission"
 	"kingcupcourse/internal/entry/completions"
 )
@@ -73,7 +73,7 @@
 
 // poison tells whether the request is taken for the cause of the deaths of
 // its endpoints.
-func (c *call) poison() bool { return c.deaths >= decision.PoisonLimit }
+func (c *call) poison() bool { return c.deaths >= poison.Limit }
 
 // streamed tells whether the endpoint is asked for a stream of events: for
 // every completions request whose answer can be put together from one, so
