Waits by ring.Pause, one draw of a load run's arrivals, one version text

The mover, the load tool's faults and kingcupctl commit each kept a ring that nobody put into, only to let time pass; ring.Pause does that. The load tool drew all arrivals a second time to count them. kingcup-load had a build information text of its own.

--- a/cmd/kingcup-load/main.go
+++ b/cmd/kingcup-load/main.go
@@ -5,20 +5,16 @@
 import (
 	"fmt"
 	"os"
-	"runtime/debug"
 
 	"github.com/alecthomas/kong"
 
 	"kingcupcourse/internal/load/command"
+	"kingcupcourse/internal/process"
 )
 
 func main() {
-	version := "unknown"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		version = info.Main.Version + " " + info.GoVersion
-	}
 	var cli command.CLI
-	parsed := kong.Parse(&cli, kong.Name("kingcup-load"), kong.UsageOnError(), kong.Vars{"version": version},
+	parsed := kong.Parse(&cli, kong.Name("kingcup-load"), kong.UsageOnError(), kong.Vars{"version": "kingcup-load " + process.Version()},
 		kong.Description("Send a seeded load to entry hosts and report goodput by tier, wasted prefill and latencies."))
 	if err := parsed.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/ctl/commit.go
+++ b/internal/ctl/commit.go
@@ -49,7 +49,7 @@
 	if err := checkAgainst(env, c.File, parsed, base); err != nil {
 		return err
 	}
-	writer := &commit{env: env, base: base, text: text, idle: ring.New[struct{}]("ctl_commit", 1)}
+	writer := &commit{env: env, base: base, text: text}
 	version, err := writer.write()
 	if err != nil {
 		return err
@@ -129,8 +129,6 @@
 	env  *environment
 	base platform.Object
 	text json.RawMessage
-	// idle stays empty; it is what the writer waits on between two tries.
-	idle *ring.Ring[struct{}]
 	// uncertain tells that an earlier try may have taken effect.
 	uncertain bool
 }
@@ -182,8 +180,7 @@
 	if errors.As(err, &limited) {
 		delay += limited.After
 	}
-	_, err = c.idle.TakeUntil(c.env.ctx, time.Now().Add(delay))
-	return errors.Is(err, ring.ErrTimeout)
+	return ring.Pause(c.env.ctx, delay) == nil
 }
 
 // lost tells the operator what the commit that came first has changed.
--- a/internal/load/faults/faults.go
+++ b/internal/load/faults/faults.go
@@ -28,32 +28,28 @@
 	standIns string
 	client   *http.Client
 	log      *zap.Logger
-	idle     *ring.Ring[struct{}]
 }
 
 // New returns an injector for the faults of an experiment that starts at the
 // given time.
 func New(e *experiment.Experiment, start time.Time, client *http.Client, log *zap.Logger) *Injector {
-	return &Injector{start: start, faults: e.Faults, standIns: e.StandIns, client: client, log: log,
-		idle: ring.New[struct{}]("load_faults", 1)}
+	return &Injector{start: start, faults: e.Faults, standIns: e.StandIns, client: client, log: log}
 }
 
 // Serve implements supervisor.Duty.
 func (i *Injector) Serve(ctx context.Context) error {
-	return ring.LoopUntil(ctx, i.idle, func(struct{}) error { return nil }, i.next, func() error {
+	for len(i.faults) > 0 {
 		fault := i.faults[0]
+		due := i.start.Add(time.Duration(fault.AtMS) * time.Millisecond)
+		if err := ring.Pause(ctx, time.Until(due)); err != nil {
+			return err
+		}
 		i.faults = i.faults[1:]
 		err := i.inject(ctx, fault)
 		i.log.Info("fault", zap.Any("fault", fault), zap.Error(err))
-		return nil
-	})
-}
-
-func (i *Injector) next() time.Time {
-	if len(i.faults) == 0 {
-		return time.Time{}
 	}
-	return i.start.Add(time.Duration(i.faults[0].AtMS) * time.Millisecond)
+	<-ctx.Done()
+	return ctx.Err()
 }
 
 func (i *Injector) inject(ctx context.Context, f experiment.Fault) error {
--- a/internal/load/supervisor.go
+++ b/internal/load/supervisor.go
@@ -41,12 +41,16 @@
 	root       *supervisor.Supervisor
 	start      time.Time
 	ended      ring.Reply[struct{}]
+	// planned is how many samples the run gives, resends included.
+	planned int
 }
 
 // New prepares a run that starts within startDelay after now.
 func New(e *experiment.Experiment, log *zap.Logger) *Tool {
 	t := &Tool{experiment: e, collector: collector.New(), start: time.Now().Add(startDelay),
 		ended: ring.NewReply[struct{}]()}
+	arriving := workload.Plan(e)
+	t.planned = countSendings(arriving)
 	jobs := ring.New[caller.Job]("load_jobs", jobCapacity)
 	resends := ring.New[caller.Job]("load_resends", resendCapacity)
 	client := newClient(e.MaxInFlight)
@@ -54,7 +58,7 @@
 		{Name: "collector", Duty: t.collector},
 		{Name: "callers", Duty: t.callers(jobs, resends, client, log)},
 		{Name: "faults", Duty: faults.New(e, t.start, client, log)},
-		{Name: "arrivals", Duty: &arrivals{start: t.start, planned: workload.Plan(e), jobs: jobs,
+		{Name: "arrivals", Duty: &arrivals{start: t.start, planned: arriving, jobs: jobs,
 			resends: resends, ended: t.ended}},
 	}}, log)
 	return t
@@ -100,22 +104,25 @@
 // waitForAnswers waits until every arrival has a sample, but no longer than
 // the longest deadline and the drain grace.
 func (t *Tool) waitForAnswers(ctx context.Context) ([]collector.Sample, error) {
-	expected := 0
-	for _, a := range workload.Plan(t.experiment) {
-		expected++
-		if a.Resend {
-			expected++
-		}
-	}
 	limited, cancel := context.WithTimeout(ctx, t.longestDeadline()+drainGrace)
 	defer cancel()
-	samples, err := t.collector.Samples(limited, expected)
+	samples, err := t.collector.Samples(limited, t.planned)
 	if err != nil && ctx.Err() == nil {
 		return t.collector.Samples(ctx, 0)
 	}
 	return samples, err
 }
 
+func countSendings(arrivals []workload.Arrival) int {
+	count := len(arrivals)
+	for i := range arrivals {
+		if arrivals[i].Resend {
+			count++
+		}
+	}
+	return count
+}
+
 func (t *Tool) longestDeadline() time.Duration {
 	longest := int64(0)
 	for _, c := range t.experiment.Classes {
--- a/internal/rollout/moves/mover/mover.go
+++ b/internal/rollout/moves/mover/mover.go
@@ -49,8 +49,6 @@
 	move   manifest.Move
 	views  control.Subscription
 	log    *zap.Logger
-	// steps is never put into; the mover waits on it for the time to pass.
-	steps *ring.Ring[struct{}]
 
 	view *control.View
 	// holder names this run of the duty in the lease, so that a restarted
@@ -71,7 +69,7 @@
 
 // New returns a mover for the move.
 func New(config Config, m manifest.Move, views control.Subscription) *Mover {
-	return &Mover{config: config, move: m, views: views, steps: ring.New[struct{}]("rollout_steps", 1),
+	return &Mover{config: config, move: m, views: views,
 		holder: config.Holder + "/" + uuid.NewString(),
 		log:    config.Log.With(zap.String("move", m.Name), zap.String("pool", m.Pool))}
 }
@@ -79,9 +77,12 @@
 // Serve implements supervisor.Duty. It returns supervisor.ErrDone once the
 // move has ended and its last orders are given.
 func (m *Mover) Serve(ctx context.Context) error {
-	m.next = time.Now()
-	err := ring.LoopUntil(ctx, m.steps, func(struct{}) error { return nil },
-		func() time.Time { return m.next }, func() error { return m.step(ctx) })
+	err := m.step(ctx)
+	for err == nil {
+		if err = ring.Pause(ctx, time.Until(m.next)); err == nil {
+			err = m.step(ctx)
+		}
+	}
 	m.giveBack(context.WithoutCancel(ctx))
 	return err
 }
