--- a/internal/entry/callers/call.go
+++ b/internal/entry/callers/call.go
@@ -38,7 +38,10 @@
 	deaths int
 	// mayHaveRun tells that bytes of the request have left for an endpoint
 	// that did not say that it refused them.
-	mayHaveRun   bool
+	mayHaveRun bool
+	// vouched tells that the journal has answered for the idempotency key:
+	// no earlier request with the key has run.
+	vouched      bool
 	finishedWell bool
 
 	started time.Time
--- a/internal/entry/callers/place.go
+++ b/internal/entry/callers/place.go
@@ -22,6 +22,7 @@
 	asked := time.Now()
 	reply, err := c.grant(ctx)
 	grantSeconds.Observe(time.Since(asked).Seconds())
+	c.vouched = c.vouched || err == nil
 	switch {
 	case ctx.Err() != nil:
 		c.reportUndispatched()
--- a/internal/entry/callers/refuse.go
+++ b/internal/entry/callers/refuse.go
@@ -92,9 +92,9 @@
 }
 
 // honest turns "not run" into "outcome unknown" when an earlier attempt of
-// this request may have run.
+// this request, or an earlier request with its key, may have run.
 func (c *call) honest(refusal *core.Refusal) *core.Refusal {
-	if !c.mayHaveRun || refusal.Disposition != core.NotRun {
+	if refusal.Disposition != core.NotRun || !c.mayHaveRun && !c.unvouched(refusal) {
 		return refusal
 	}
 	changed := *refusal
@@ -102,6 +102,21 @@
 	return &changed
 }
 
+// unvouched tells whether a request with an idempotency key is refused for a
+// passing reason before the journal was asked. An earlier request with the
+// key may have run then. Refusals for what the request itself says are the
+// same for each request with the key.
+func (c *call) unvouched(refusal *core.Refusal) bool {
+	if c.vouched || c.r.Header.Get(headerKey) == "" {
+		return false
+	}
+	switch refusal.Reason {
+	case core.ReasonDeadlinePassed, core.ReasonCallerGone:
+		return true
+	}
+	return refusal.Retry
+}
+
 // refusalOf tells the caller how the last attempt ended.
 func (c *call) refusalOf(end ending) *core.Refusal {
 	switch {
--- /dev/null
+++ b/internal/entry/callers/vouched_test.go
@@ -0,0 +1,44 @@
+package callers
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"kingcupcourse/internal/core"
+)
+
+// A resend that is refused before the journal was asked must not be told "not
+// run": the first request with the key may have run.
+func TestRefusalBeforeTheJournalIsAsked(t *testing.T) {
+	notReady := core.RefuseFor(core.ReasonNotReady, "no configuration yet", time.Second)
+	noJournal := core.RefuseFor(core.ReasonJournalDown, "no scheduler", time.Second)
+	late := core.Refuse(core.ReasonDeadlinePassed, "not placed in time")
+	malformed := core.Refuse(core.ReasonBadRequest, "not a UUIDv7")
+	for _, c := range []struct {
+		name    string
+		key     string
+		vouched bool
+		refusal *core.Refusal
+		want    core.Disposition
+	}{
+		{"not ready", "k", false, notReady, core.OutcomeUnknown},
+		{"no journal", "k", false, noJournal, core.OutcomeUnknown},
+		{"late", "k", false, late, core.OutcomeUnknown},
+		{"vouched", "k", true, notReady, core.NotRun},
+		{"malformed", "k", false, malformed, core.NotRun},
+		{"no key", "", false, notReady, core.NotRun},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			call := testCall(t, "POST", "{}", true)
+			call.r.Header.Set(headerKey, c.key)
+			call.vouched = c.vouched
+			call.refuse(c.refusal)
+			body := call.w.(*httptest.ResponseRecorder).Body.String()
+			if !strings.Contains(body, `"disposition":"`+string(c.want)+`"`) {
+				t.Errorf("got %s, want %s", body, c.want)
+			}
+		})
+	}
+}
