Thin path on the users' platform: one process a host, an adapter in platform/

internal/gateway is the path of a request whose callers and endpoints speak plain HTTP; platform/ decodes the platform's settings (by a template), store and headers. The client of the object API takes a form, so that the own API and the platform's store share one client.

--- /dev/null
+++ b/cmd/kingcup-host/main.go
@@ -0,0 +1,28 @@
+// Command kingcup-host is the whole of kingcupcourse on one machine of the
+// users' platform: it takes the requests of callers and sees them through.
+package main
+
+import (
+	"time"
+
+	"kingcupcourse/internal/gateway"
+	"kingcupcourse/internal/process"
+	"kingcupcourse/internal/settings"
+	"kingcupcourse/internal/supervisor"
+	"kingcupcourse/platform"
+)
+
+func main() {
+	process.MainProgram(process.Program[settings.Gateway]{
+		Name:        "kingcup-host",
+		Description: "Takes the requests of callers on a host of the platform.",
+		Load:        settings.Load[settings.Gateway],
+		Log:         func(s *settings.Gateway) process.LogTerms { return process.LogTerms{Host: s.Host, Log: s.Log} },
+		Stopping: func(s *settings.Gateway) process.Stopping {
+			return process.Stopping{Delay: time.Duration(s.DrainDelayMS) * time.Millisecond}
+		},
+		Build: func(env process.Surroundings, s *settings.Gateway) ([]supervisor.Child, error) {
+			return gateway.Build(platform.Adapter(), env, s)
+		},
+	})
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -122,6 +122,7 @@
 	ReasonForbidden        Reason = "forbidden"
 	ReasonBadRequest       Reason = "bad_request"
 	ReasonTooLarge         Reason = "too_large"
+	ReasonHeaderTooLarge   Reason = "header_too_large"
 	ReasonUnknownRoute     Reason = "unknown_route"
 	ReasonKeyRequired      Reason = "idempotency_key_required"
 	ReasonKeyExpired       Reason = "idempotency_key_expired"
--- a/internal/decision/placement/pickers.go
+++ b/internal/decision/placement/pickers.go
@@ -41,3 +41,22 @@
 	r.last = candidates[next].Endpoint.Name
 	return next
 }
+
+// LowestInTurn picks the lowest score; of equal ones each in its turn, so that
+// hosts that don't see each other do not all choose the same.
+type LowestInTurn struct {
+	// Turn is where the next search begins. Hosts begin at different places.
+	Turn int
+}
+
+// Pick implements Picker.
+func (l *LowestInTurn) Pick(candidates []Candidate, scores []float64) int {
+	l.Turn = (l.Turn + 1) % len(candidates)
+	best := l.Turn
+	for step := range candidates {
+		if at := (l.Turn + step) % len(candidates); scores[at] < scores[best] {
+			best = at
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/gateway/callers/admit.go
@@ -0,0 +1,89 @@
+package callers
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/catalog"
+	"kingcupcourse/internal/gateway/admission"
+	"kingcupcourse/internal/gateway/frontend"
+	"kingcupcourse/internal/ring"
+)
+
+// call is one request of a caller on its way.
+type call struct {
+	h        *Handler
+	w        http.ResponseWriter
+	r        *http.Request
+	received time.Time
+
+	request *frontend.Request
+	ticket  admission.Ticket
+	body    []byte
+
+	// exclude lists the endpoints that have been tried.
+	exclude []string
+	// runs counts the endpoints that may have run the request.
+	runs int
+	// passed tells that a part of an answer has reached the caller.
+	passed bool
+}
+
+// admit reads the request and asks for a ticket. It returns nil if the request
+// is let in.
+func (c *call) admit(ctx context.Context) *core.Refusal {
+	var refusal *core.Refusal
+	if c.request, refusal = c.h.Protocol.Decode(c.r); refusal != nil {
+		return refusal
+	}
+	ask := admission.Admit{Reply: ring.NewReply[admission.Ticket](), Request: c.request, Received: c.received}
+	if c.h.Admission.Put(ctx, ask) != nil {
+		return core.Refuse(core.ReasonCallerGone, "the caller has gone")
+	}
+	ticket, err := ask.Wait(ctx)
+	switch {
+	case ctx.Err() != nil:
+		return core.Refuse(core.ReasonCallerGone, "the caller has gone")
+	case err != nil:
+		return core.RefuseFor(core.ReasonNotReady, err.Error(), time.Second)
+	case ticket.Refusal != nil:
+		return ticket.Refusal
+	}
+	c.ticket = ticket
+	return c.readBody()
+}
+
+// readBody reads the whole body, so that the request can be sent again and a
+// slow caller holds no endpoint.
+func (c *call) readBody() *core.Refusal {
+	limit := c.ticket.MaxBodyBytes
+	if limit > 0 && c.r.ContentLength > limit {
+		return core.Refuse(core.ReasonTooLarge, "the body is larger than allowed")
+	}
+	_ = http.NewResponseController(c.w).SetReadDeadline(c.ticket.Deadline)
+	body := c.r.Body
+	if limit > 0 {
+		body = http.MaxBytesReader(c.w, body, limit)
+	}
+	var err error
+	c.body, err = io.ReadAll(body)
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return core.Refuse(core.ReasonTooLarge, "the body is larger than allowed")
+	case err != nil:
+		return core.Refuse(core.ReasonBadRequest, "the body did not come whole: "+err.Error())
+	}
+	return nil
+}
+
+// repeatable tells whether the request may run more than once.
+func (c *call) repeatable() bool { return c.ticket.Route.Repetition == catalog.Repeatable }
+
+// callerGone tells whether the caller has closed its connection.
+func (c *call) callerGone() bool { return c.r.Context().Err() != nil }
--- /dev/null
+++ b/internal/gateway/callers/answer.go
@@ -0,0 +1,91 @@
+package callers
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"kingcupcourse/internal/codec"
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/gateway/frontend"
+)
+
+const (
+	// maxWholeBytes is the largest answer that is read whole before it is
+	// passed on; a larger one is passed on as it comes.
+	maxWholeBytes = 256 << 10
+	// relayBytes is the buffer for passing an answer on.
+	relayBytes = 16 << 10
+)
+
+// whole reads an answer and passes it on once it is complete, so that one
+// that is cut can be tried again or told as failed.
+func (c *call) whole(ctx context.Context, response *http.Response, answer frontend.Answer) ending {
+	if response.ContentLength > maxWholeBytes {
+		return c.stream(ctx, response)
+	}
+	body, err := codec.ReadLimited(response.Body, maxWholeBytes)
+	switch {
+	case errors.Is(err, codec.ErrTooLarge):
+		return ending{result: core.ResultFailed, reason: core.ReasonAnswerIncomplete, detail: err.Error()}
+	case err != nil:
+		return c.cut(ctx, err)
+	}
+	c.h.Protocol.Relay(c.w.Header(), response)
+	c.w.WriteHeader(response.StatusCode)
+	_, err = c.w.Write(body)
+	result := core.ResultOK
+	if answer.Status >= http.StatusInternalServerError {
+		result = core.ResultFailed
+	}
+	return ending{result: result, delivered: true, detail: detail(err)}
+}
+
+// stream passes an answer on as it comes.
+func (c *call) stream(ctx context.Context, response *http.Response) ending {
+	controller := http.NewResponseController(c.w)
+	buffer := make([]byte, relayBytes)
+	for {
+		n, err := response.Body.Read(buffer)
+		if n > 0 {
+			c.begin(response)
+			if _, failed := c.w.Write(buffer[:n]); failed != nil {
+				return ending{result: core.ResultCancelled, reason: core.ReasonCallerGone, detail: failed.Error()}
+			}
+			_ = controller.Flush()
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			c.begin(response)
+			return ending{result: core.ResultOK, delivered: true}
+		case err != nil:
+			return c.cut(ctx, err)
+		}
+	}
+}
+
+// begin passes the header on before the first byte.
+func (c *call) begin(response *http.Response) {
+	if c.passed {
+		return
+	}
+	c.passed = true
+	c.h.Protocol.Relay(c.w.Header(), response)
+	c.w.WriteHeader(response.StatusCode)
+}
+
+// cut is the end of an attempt whose answer did not come whole.
+func (c *call) cut(ctx context.Context, err error) ending {
+	if ctx.Err() != nil {
+		return ending{result: core.ResultCancelled, reason: core.ReasonDeadlinePassed, detail: err.Error()}
+	}
+	return ending{result: core.ResultLost, reason: core.ReasonAnswerIncomplete, detail: err.Error()}
+}
+
+func detail(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/gateway/callers/dispatch.go
@@ -0,0 +1,83 @@
+package callers
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/catalog"
+	"kingcupcourse/internal/gateway/frontend"
+)
+
+// dispatch sends the request to the endpoint, at most once, and sees its
+// answer through.
+func (c *call) dispatch(ctx context.Context, endpoint catalog.Endpoint) ending {
+	x := &exchange{}
+	request, err := c.h.Protocol.Outgoing(x.trace(ctx), c.r, frontend.Send{
+		Endpoint: endpoint, Account: c.ticket.Account, Left: time.Until(c.ticket.Deadline), Body: c.body,
+	})
+	if err != nil {
+		return ending{result: core.ResultNotDispatched, reason: core.ReasonBadRequest, detail: err.Error()}
+	}
+	response, err := c.transport().RoundTrip(request)
+	switch {
+	case err != nil && !x.bytesLeft():
+		return ending{result: core.ResultNotDispatched, reason: core.ReasonNoEndpoint, detail: err.Error()}
+	case err != nil && ctx.Err() != nil:
+		return ending{result: core.ResultCancelled, reason: core.ReasonDeadlinePassed, detail: err.Error()}
+	case err != nil:
+		return ending{result: core.ResultLost, reason: core.ReasonEndpointFailed, detail: err.Error()}
+	}
+	defer response.Body.Close()
+	end := c.receive(ctx, response)
+	end.status = response.StatusCode
+	return end
+}
+
+func (c *call) transport() *http.Transport {
+	if c.repeatable() {
+		return c.h.connections.kept
+	}
+	return c.h.connections.fresh
+}
+
+// receive sees an answer through whose header has come.
+func (c *call) receive(ctx context.Context, response *http.Response) ending {
+	answer := c.h.Protocol.Interpret(c.request, response)
+	switch {
+	case !answer.Matches:
+		return ending{result: core.ResultLost, reason: core.ReasonAnswerIncomplete,
+			detail: "the answer belongs to another request"}
+	case answer.NotRun:
+		return ending{result: core.ResultRejected, reason: core.ReasonShed, detail: "the endpoint turned it away"}
+	case answer.Status < http.StatusBadRequest && !answer.Proved:
+		return ending{result: core.ResultFailed, reason: core.ReasonAnswerIncomplete,
+			detail: "no endpoint vouches for the answer"}
+	case promisesNotRun(answer.Status):
+		return ending{result: core.ResultFailed, reason: core.ReasonEndpointFailed,
+			detail: "the endpoint failed without saying that it did not run the request"}
+	case answer.Status >= http.StatusInternalServerError && c.mayRunAgain():
+		return ending{result: core.ResultFailed, reason: core.ReasonEndpointFailed, detail: "the endpoint failed"}
+	case answer.Events:
+		return c.stream(ctx, response)
+	}
+	return c.whole(ctx, response, answer)
+}
+
+// mayRunAgain tells whether another endpoint may still run the request after
+// the one in hand.
+func (c *call) mayRunAgain() bool {
+	return c.repeatable() && c.runs+1 < c.ticket.Route.MaxAttempts && time.Until(c.ticket.Deadline) > minRemaining
+}
+
+// promisesNotRun lists the statuses that tell a caller that its request has
+// not run, which an endpoint's failure does not.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests,
+		http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/gateway/callers/refuse.go
@@ -0,0 +1,48 @@
+package callers
+
+import (
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/gateway/placement"
+)
+
+// refuse answers the caller with a refusal.
+func (c *call) refuse(refusal *core.Refusal) {
+	c.logRefusal(refusal)
+	c.h.Protocol.Refuse(c.w, c.request, refusal)
+}
+
+// breakOff ends an answer of which a part has been passed on, so that it does
+// not look complete.
+func (c *call) breakOff(end ending) {
+	c.h.Log.Info("answer broken off", zap.String("request", c.request.ID), zap.String("reason", string(end.reason)),
+		zap.String("detail", end.detail), zap.Duration("after", time.Since(c.received)))
+	panic(http.ErrAbortHandler)
+}
+
+func (c *call) logRefusal(refusal *core.Refusal) {
+	c.h.Log.Info("request refused", zap.String("request", c.request.ID), zap.String("route", c.routeName()),
+		zap.String("account", c.ticket.Account), zap.String("disposition", string(refusal.Disposition)),
+		zap.String("reason", string(refusal.Reason)), zap.String("detail", refusal.Detail),
+		zap.Duration("retry_after", refusal.RetryAfter), zap.Uint64("configuration", c.ticket.ConfigVersion),
+		zap.Duration("after", time.Since(c.received)))
+}
+
+func (c *call) logAttempt(placed placement.Placed, end ending, took time.Duration) {
+	c.h.Log.Info("attempt ended", zap.String("request", c.request.ID), zap.String("route", c.routeName()),
+		zap.String("account", c.ticket.Account), zap.String("endpoint", placed.Endpoint.Name),
+		zap.Int("running", placed.Running), zap.Uint64("configuration", c.ticket.ConfigVersion),
+		zap.String("result", string(end.result)), zap.Int("status", end.status), zap.String("reason", string(end.reason)),
+		zap.String("detail", end.detail), zap.Duration("took", took))
+}
+
+func (c *call) routeName() string {
+	if c.ticket.Route == nil {
+		return ""
+	}
+	return c.ticket.Route.Name
+}
--- /dev/null
+++ b/internal/gateway/callers/run.go
@@ -0,0 +1,128 @@
+package callers
+
+import (
+	"context"
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/gateway/placement"
+	"kingcupcourse/internal/ring"
+)
+
+const (
+	// maxRejections bounds how many endpoints may turn one request away.
+	maxRejections = 3
+	// minRemaining is the least time to the deadline that makes another
+	// attempt worth its cost.
+	minRemaining = 30 * time.Millisecond
+	// busyRetry is when a caller may come back whose request the endpoints
+	// turned away.
+	busyRetry = 300 * time.Millisecond
+)
+
+// ending is what is known of an attempt when it is over.
+type ending struct {
+	result core.Result
+	reason core.Reason
+	detail string
+	status int
+	// delivered tells that the caller has its final answer.
+	delivered bool
+}
+
+// run places and dispatches the request until an attempt is the last one.
+func (c *call) run(ctx context.Context) {
+	for {
+		placed, refusal := c.place(ctx)
+		if refusal != nil {
+			c.refuse(c.honest(refusal))
+			return
+		}
+		began := time.Now()
+		end := c.dispatch(ctx, placed.Endpoint)
+		c.settle(placed, end, time.Since(began))
+		if end.delivered {
+			return
+		}
+		if c.passed {
+			c.breakOff(end)
+			return
+		}
+		if !c.again(ctx, end) {
+			c.refuse(c.refusalOf(ctx, end))
+			return
+		}
+	}
+}
+
+// place asks for an endpoint.
+func (c *call) place(ctx context.Context) (placement.Placed, *core.Refusal) {
+	ask := placement.Place{
+		Reply: ring.NewReply[placement.Placed](), Service: c.ticket.Service, Exclude: c.exclude,
+		Deadline: c.ticket.Deadline,
+	}
+	if c.h.Placement.Put(ctx, ask) != nil {
+		return placement.Placed{}, c.endedEarly()
+	}
+	// The duty answers at once, also for a caller that has gone, and what it
+	// placed must be given back.
+	placed, err := ask.Wait(context.WithoutCancel(ctx))
+	if err != nil {
+		return placed, core.RefuseFor(core.ReasonNotReady, err.Error(), time.Second)
+	}
+	return placed, placed.Refusal
+}
+
+// settle gives the place back and logs the attempt.
+func (c *call) settle(placed placement.Placed, end ending, took time.Duration) {
+	c.exclude = append(c.exclude, placed.Endpoint.Name)
+	if end.result != core.ResultNotDispatched && end.result != core.ResultRejected {
+		c.runs++
+	}
+	_ = c.h.Placement.Put(context.WithoutCancel(c.r.Context()), placement.Ended{Endpoint: placed.Endpoint.Name, Result: end.result})
+	c.logAttempt(placed, end, took)
+}
+
+// again decides whether the request is placed on another endpoint.
+func (c *call) again(ctx context.Context, end ending) bool {
+	if ctx.Err() != nil || time.Until(c.ticket.Deadline) < minRemaining {
+		return false
+	}
+	switch end.result {
+	case core.ResultNotDispatched, core.ResultRejected:
+		return len(c.exclude) < maxRejections
+	case core.ResultFailed, core.ResultLost:
+		return c.repeatable() && c.runs < c.ticket.Route.MaxAttempts
+	}
+	return false
+}
+
+// endedEarly is the refusal of a request that ended before its dispatch.
+func (c *call) endedEarly() *core.Refusal {
+	if c.callerGone() {
+		return core.Refuse(core.ReasonCallerGone, "the caller has gone")
+	}
+	return core.RefuseFor(core.ReasonDeadlinePassed, "the deadline passed before the request was placed", busyRetry)
+}
+
+// honest turns "not run" into "outcome unknown" when an attempt may have run.
+func (c *call) honest(refusal *core.Refusal) *core.Refusal {
+	if c.runs == 0 || refusal.Disposition != core.NotRun {
+		return refusal
+	}
+	changed := *refusal
+	changed.Disposition = core.OutcomeUnknown
+	return &changed
+}
+
+// refusalOf tells the caller how the last attempt ended.
+func (c *call) refusalOf(ctx context.Context, end ending) *core.Refusal {
+	reason := end.reason
+	if ctx.Err() != nil {
+		reason = core.ReasonDeadlinePassed
+	}
+	if c.runs == 0 {
+		return core.RefuseFor(reason, end.detail, busyRetry)
+	}
+	return &core.Refusal{Disposition: core.OutcomeUnknown, Reason: reason, Detail: end.detail}
+}
--- /dev/null
+++ b/internal/gateway/frontend/frontend.go
@@ -0,0 +1,81 @@
+// Package frontend holds the types that the path of a request speaks in, and
+// the interface to the way in which requests, answers and refusals are spelled.
+package frontend
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/catalog"
+)
+
+// Request is what a front end has read from a caller's request, its body
+// apart.
+type Request struct {
+	// ID names this sending of the request.
+	ID string
+	// Authority and Path select the route.
+	Authority, Path string
+	// Key is the caller's bearer key, empty if there is none.
+	Key string
+	// Wait is how long the caller will wait, counted from its sending; zero
+	// if it did not say.
+	Wait time.Duration
+	// PromptTokens and MaxOutputTokens are the caller's count and bound. Both
+	// are zero for a request to a plain service.
+	PromptTokens, MaxOutputTokens int
+	// OutputHint is the caller's estimate of the output, zero if it gave
+	// none.
+	OutputHint int
+	// HeaderBytes is the size of the request's header.
+	HeaderBytes int64
+	// After is the last event that the caller has seen of a stream that it
+	// wants resumed, empty for a whole stream.
+	After string
+}
+
+// Send is what a front end needs to build the request to an endpoint.
+type Send struct {
+	Endpoint catalog.Endpoint
+	// Account is whose request it is, empty for a public route.
+	Account string
+	// Left is how long the endpoint may work on it.
+	Left time.Duration
+	Body []byte
+	// After is the last event that the caller has, when a stream goes on.
+	After string
+}
+
+// Answer is what the header of an endpoint's answer says.
+type Answer struct {
+	Status int
+	// NotRun tells that the endpoint did not run the request and will not.
+	NotRun bool
+	// Other tells that another endpoint has the address now.
+	Other bool
+	// Matches tells that the answer belongs to the request.
+	Matches bool
+	// Proved tells that an endpoint vouches for the answer.
+	Proved bool
+	// Events tells that the body is a stream of events.
+	Events bool
+}
+
+// Protocol decodes what callers and endpoints send, and encodes what they get.
+// It decides nothing.
+type Protocol interface {
+	// Decode reads the header of a caller's request. The refusal is for one
+	// that can't be understood.
+	Decode(r *http.Request) (*Request, *core.Refusal)
+	// Outgoing builds the request to an endpoint from the caller's. Its body
+	// can be read once only.
+	Outgoing(ctx context.Context, r *http.Request, send Send) (*http.Request, error)
+	// Interpret reads the header of the answer to a request.
+	Interpret(request *Request, response *http.Response) Answer
+	// Relay copies the header of an endpoint's answer for the caller.
+	Relay(header http.Header, response *http.Response)
+	// Refuse writes a refusal.
+	Refuse(w http.ResponseWriter, request *Request, refusal *core.Refusal)
+}
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -25,6 +25,9 @@
 	ErrOutcomeUnknown = errors.New("platform: outcome unknown")
 	// ErrTooLarge means that a value is above MaxValueBytes.
 	ErrTooLarge = errors.New("platform: value too large")
+	// ErrHistoryGone means that the store has dropped the history that a
+	// watch asked for; the objects must be listed again.
+	ErrHistoryGone = errors.New("platform: history gone")
 	// ErrRefused means that the platform did not understand the call.
 	ErrRefused = errors.New("platform: refused")
 )
@@ -65,7 +68,7 @@
 	if errors.Is(err, context.DeadlineExceeded) || isTimeout(err) {
 		c.transport.CloseIdleConnections()
 	}
-	if method != http.MethodPut || notSent(err) {
+	if method == http.MethodGet || notSent(err) {
 		return eris.Wrap(ErrUnavailable, err.Error())
 	}
 	return eris.Wrap(ErrOutcomeUnknown, err.Error())
@@ -83,14 +86,16 @@
 }
 
 // statusError classifies an answer other than 200.
-func statusError(method string, response *http.Response) error {
+func (c *Client) statusError(method string, response *http.Response) error {
 	switch response.StatusCode {
 	case http.StatusNotFound:
 		return ErrNotFound
 	case http.StatusConflict:
-		return conflict(response)
+		return c.conflict(response)
 	case http.StatusTooManyRequests:
 		return &RateLimitedError{After: retryAfter(response)}
+	case http.StatusGone:
+		return ErrHistoryGone
 	case http.StatusServiceUnavailable:
 		return eris.Wrap(ErrUnavailable, "status 503")
 	case http.StatusRequestEntityTooLarge:
@@ -100,25 +105,29 @@
 	cause := ErrRefused
 	if response.StatusCode >= http.StatusInternalServerError {
 		cause = ErrUnavailable
-		if method == http.MethodPut {
+		if method != http.MethodGet {
 			cause = ErrOutcomeUnknown
 		}
 	}
 	return eris.Wrapf(cause, "status %d: %s", response.StatusCode, strings.TrimSpace(string(body)))
 }
 
-func conflict(response *http.Response) error {
-	found := new(ConflictError)
-	if err := codec.Decode(response.Body, maxErrorBody, found); err != nil {
+func (c *Client) conflict(response *http.Response) error {
+	body, err := codec.ReadLimited(response.Body, maxAnswerBytes)
+	if err != nil {
+		return eris.Wrapf(ErrOutcomeUnknown, "conflict without an answer: %v", err)
+	}
+	version, err := c.form.DecodeConflict(body)
+	if err != nil {
 		return eris.Wrapf(ErrOutcomeUnknown, "conflict without a version: %v", err)
 	}
-	return found
+	return &ConflictError{Version: version}
 }
 
 func retryAfter(response *http.Response) time.Duration {
-	seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
+	seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 	if err != nil || seconds < 0 {
 		return defaultRetryAfter
 	}
-	return time.Duration(seconds) * time.Second
+	return time.Duration(seconds * float64(time.Second))
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -11,8 +11,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/url"
-	"strconv"
 	"strings"
 	"time"
 
@@ -41,6 +39,11 @@
 	// Version is positive; a later write, to any object, has a higher one.
 	Version uint64          `json:"version"`
 	Value   json.RawMessage `json:"value"`
+	// Status is what the system itself has written beside a value that
+	// belongs to another writer, where the store keeps the two apart.
+	Status json.RawMessage `json:"-"`
+	// Deleted tells that the object is gone as of Version.
+	Deleted bool `json:"-"`
 }
 
 // Changes is the answer to a watch.
@@ -56,16 +59,22 @@
 // builds one and keeps it.
 type Client struct {
 	base      string
+	form      Form
 	timeout   time.Duration
 	transport *http.Transport
 	http      *http.Client
 }
 
-// New returns a client for the API at a base URL, with DefaultCallTimeout.
-func New(base string) *Client {
+// New returns a client for the project's own object API at a base URL, with
+// DefaultCallTimeout.
+func New(base string) *Client { return NewInForm(base, native{}) }
+
+// NewInForm is New for a store that spells its calls in another form.
+func NewInForm(base string, form Form) *Client {
 	transport := codec.NewTransport(MaxWatchWait + WatchMargin)
 	return &Client{
 		base:      strings.TrimSuffix(base, "/"),
+		form:      form,
 		timeout:   DefaultCallTimeout,
 		transport: transport,
 		http:      &http.Client{Transport: transport},
@@ -73,7 +82,7 @@
 }
 
 // WithTimeout returns a client that shares the connections of c and bounds
-// each Get or Put by another time.
+// each Get, List or Put by another time.
 func (c *Client) WithTimeout(timeout time.Duration) *Client {
 	other := *c
 	other.timeout = timeout
@@ -83,82 +92,112 @@
 // Get reads an object. It fails with ErrNotFound, ErrUnavailable or
 // *RateLimitedError.
 func (c *Client) Get(ctx context.Context, key string) (Object, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
 	var object Object
-	err := c.call(ctx, http.MethodGet, objectPath(key), nil, &object)
+	body, err := c.callWithin(ctx, c.timeout, c.form.Get(key))
+	if err == nil {
+		object, err = c.form.DecodeObject(key, body)
+	}
 	return object, eris.Wrapf(err, "get %s", key)
 }
 
+// List reads all objects under the prefix, in as many calls as the store's
+// pages need. It fails like Get.
+func (c *Client) List(ctx context.Context, prefix string) (Changes, error) {
+	var list Changes
+	after := ""
+	for {
+		body, err := c.callWithin(ctx, c.timeout, c.form.List(prefix, after))
+		if err != nil {
+			return Changes{}, eris.Wrapf(err, "list %s", prefix)
+		}
+		page, err := c.form.DecodeList(prefix, body)
+		if err != nil {
+			return Changes{}, eris.Wrapf(err, "list %s", prefix)
+		}
+		// A change between two pages is seen again by a watch from the
+		// first page's revision.
+		if after == "" {
+			list.Revision = page.Revision
+		}
+		list.Objects = append(list.Objects, page.Objects...)
+		if !page.More || len(page.Objects) == 0 {
+			return list, nil
+		}
+		after = page.Objects[len(page.Objects)-1].Key
+	}
+}
+
 // Put writes an object if its version is still ifVersion, zero for an object
 // that must not exist, and returns the new version. It fails with
 // *ConflictError, ErrUnavailable or *RateLimitedError when the write did not
 // take effect, and with ErrOutcomeUnknown when it may have.
 func (c *Client) Put(ctx context.Context, key string, ifVersion uint64, value any) (uint64, error) {
-	body, err := json.Marshal(value)
+	text, err := json.Marshal(value)
 	if err != nil {
 		return 0, eris.Wrapf(err, "put %s", key)
 	}
-	if len(body) > MaxValueBytes {
-		return 0, eris.Wrapf(ErrTooLarge, "put %s: %d bytes", key, len(body))
+	if len(text) > MaxValueBytes {
+		return 0, eris.Wrapf(ErrTooLarge, "put %s: %d bytes", key, len(text))
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	path := objectPath(key) + "?if_version=" + strconv.FormatUint(ifVersion, 10)
-	var answer struct {
-		Version uint64 `json:"version"`
+	call, err := c.form.Put(key, ifVersion, text)
+	if err != nil {
+		return 0, eris.Wrapf(err, "put %s", key)
+	}
+	body, err := c.callWithin(ctx, c.timeout, call)
+	if err != nil {
+		return 0, eris.Wrapf(err, "put %s", key)
 	}
-	err = c.call(ctx, http.MethodPut, path, body, &answer)
-	return answer.Version, eris.Wrapf(err, "put %s", key)
+	version, err := c.form.DecodePut(body)
+	if err != nil {
+		return 0, eris.Wrapf(ErrOutcomeUnknown, "put %s: %v", key, err)
+	}
+	return version, nil
 }
 
 // Watch waits until an object under the prefix has a version above after, or
 // the wait passes (MaxWatchWait at most). A zero wait only reads. If the
-// connection goes silent, Watch fails with ErrUnavailable a WatchMargin after
-// the wait, and the next call uses a new connection.
+// connection goes silent, Watch fails with ErrUnavailable a margin of the
+// call's timeout after the wait, and the next call uses a new connection. It
+// fails with ErrHistoryGone if the store no longer knows what came after the
+// revision.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error) {
+	var changes Changes
 	wait = min(wait, MaxWatchWait)
-	ctx, cancel := context.WithTimeout(ctx, wait+WatchMargin)
-	defer cancel()
-	query := url.Values{
-		"prefix":     {prefix},
-		"after":      {strconv.FormatUint(after, 10)},
-		"timeout_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	body, err := c.callWithin(ctx, wait+min(WatchMargin, c.timeout), c.form.Watch(prefix, after, wait))
+	if err == nil {
+		changes, err = c.form.DecodeChanges(prefix, body)
 	}
-	var changes Changes
-	err := c.call(ctx, http.MethodGet, "/v1/watch?"+query.Encode(), nil, &changes)
 	return changes, eris.Wrapf(err, "watch %s", prefix)
 }
 
-func objectPath(key string) string {
-	segments := strings.Split(key, "/")
-	for i, segment := range segments {
-		segments[i] = url.PathEscape(segment)
-	}
-	return "/v1/objects/" + strings.Join(segments, "/")
+func (c *Client) callWithin(ctx context.Context, timeout time.Duration, call Call) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return c.call(ctx, call)
 }
 
-// call does one exchange and decodes a 200 answer.
-func (c *Client) call(ctx context.Context, method, path string, body []byte, answer any) error {
+// call does one exchange and returns the body of a 200 answer.
+func (c *Client) call(ctx context.Context, call Call) ([]byte, error) {
 	var reader io.Reader
-	if body != nil {
-		reader = strings.NewReader(string(body))
+	if call.Body != nil {
+		reader = strings.NewReader(string(call.Body))
 	}
-	request, err := http.NewRequestWithContext(ctx, method, c.base+path, reader)
+	request, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, reader)
 	if err != nil {
-		return eris.Wrap(err, "build request")
+		return nil, eris.Wrap(err, "build request")
 	}
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.http.Do(request)
 	if err != nil {
-		return c.transportError(method, err)
+		return nil, c.transportError(call.Method, err)
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return statusError(method, response)
+	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusCreated {
+		return nil, c.statusError(call.Method, response)
 	}
-	if err := codec.Decode(response.Body, maxAnswerBytes, answer); err != nil {
-		return c.transportError(method, err)
+	body, err := codec.ReadLimited(response.Body, maxAnswerBytes)
+	if err != nil {
+		return nil, c.transportError(call.Method, err)
 	}
-	return nil
+	return body, nil
 }
--- a/internal/process/drain.go
+++ b/internal/process/drain.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"kingcupcourse/internal/control"
 	"kingcupcourse/internal/ring"
 )
 
@@ -17,9 +16,10 @@
 type drain struct {
 	signalled context.Context
 	tree      *tree
-	control   *control.Control
-	log       *zap.Logger
-	delay     time.Duration
+	// leave lets the peers know.
+	leave func(context.Context) error
+	log   *zap.Logger
+	delay time.Duration
 	// idle stays empty; it is what the duty waits on.
 	idle *ring.Ring[struct{}]
 }
@@ -28,7 +28,7 @@
 	return &drain{
 		signalled: signalled,
 		tree:      t,
-		control:   env.Control,
+		leave:     env.Control.Leave,
 		log:       env.Log,
 		delay:     time.Duration(env.Settings.DrainDelayMS) * time.Millisecond,
 		idle:      ring.New[struct{}]("process_drain", 1),
@@ -44,7 +44,7 @@
 	}
 	d.log.Info("draining", zap.Duration("delay", d.delay))
 	d.tree.draining.Store(true)
-	if err := d.control.Leave(ctx); err != nil {
+	if err := d.leave(ctx); err != nil {
 		return err
 	}
 	_, err := d.idle.TakeUntil(ctx, time.Now().Add(d.delay))
--- a/internal/process/log.go
+++ b/internal/process/log.go
@@ -14,18 +14,8 @@
 // newLog returns the log of a process, which has a line for each decision and
 // so is not sampled. Each line names the host and role.
 func newLog(common settings.Common, role message.Role, out io.Writer) *zap.Logger {
-	config := zap.NewProductionEncoderConfig()
-	config.EncodeTime = zapcore.ISO8601TimeEncoder
-	encoder := zapcore.NewJSONEncoder(config)
-	if common.Log.Format == "console" {
-		encoder = zapcore.NewConsoleEncoder(config)
-	}
-	level, err := zapcore.ParseLevel(common.Log.Level)
-	if err != nil {
-		level = zapcore.InfoLevel // settings were checked before
-	}
-	core := zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(out)), level)
-	return zap.New(core).With(zap.String("host", common.Host), zap.String("role", string(role)))
+	return newLogTo(common.Log, zapcore.Lock(zapcore.AddSync(out))).
+		With(zap.String("host", common.Host), zap.String("role", string(role)))
 }
 
 // Version returns the module version and commit that the program was built
--- a/internal/process/supervisor.go
+++ b/internal/process/supervisor.go
@@ -46,8 +46,14 @@
 		log.Error("start failed", zap.String("error", eris.ToString(err, false)))
 		return ExitFailed
 	}
+	return t.run(treeCtx, log)
+}
+
+// run serves the tree until ctx ends or the tree gives up, and returns the
+// exit code.
+func (t *tree) run(ctx context.Context, log *zap.Logger) int {
 	log.Info("starting", zap.String("version", Version()), zap.Strings("duties", t.root.Names()))
-	err := t.root.Serve(treeCtx)
+	err := t.root.Serve(ctx)
 	if errors.Is(err, supervisor.ErrRestartStorm) {
 		log.Error("giving up", zap.Error(err))
 		return ExitRestartStorm
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -18,6 +18,10 @@
 	DefaultJournalFlushMS = 10    // milliseconds
 	DefaultLeaseMS        = 5_000 // milliseconds
 	minLeaseMS            = 1_000 // milliseconds
+
+	DefaultWatchMS             = 1_500 // milliseconds
+	DefaultStoreTimeoutMS      = 1_000 // milliseconds
+	DefaultGatewayDrainDelayMS = 2_500 // milliseconds
 )
 
 func (c *Common) setDefaults() {
@@ -42,6 +46,38 @@
 	setDefault(&r.LeaseMS, DefaultLeaseMS)
 }
 
+func (g *Gateway) setDefaults() {
+	setDefault(&g.WatchMS, DefaultWatchMS)
+	setDefault(&g.StoreTimeoutMS, DefaultStoreTimeoutMS)
+	setDefault(&g.DrainDelayMS, DefaultGatewayDrainDelayMS)
+	setDefault(&g.Log.Level, DefaultLogLevel)
+	setDefault(&g.Log.Format, DefaultLogFormat)
+}
+
+func (g *Gateway) check(report *strictjson.Document) {
+	checkName(report, "host", g.Host)
+	checkName(report, "region", string(g.Region))
+	checkName(report, "availability_zone", string(g.AvailabilityZone))
+	checkListener(report, "callers", g.Callers)
+	checkListener(report, "readiness", g.Readiness)
+	checkReachable(report, "peers", g.Peers)
+	checkDistinct(report, "callers", g.Callers, "readiness", g.Readiness)
+	checkDistinct(report, "callers", g.Callers, "peers", g.Peers)
+	checkBase(report, "store", g.Store)
+	checkNotNegative(report, "watch_ms", g.WatchMS)
+	checkNotNegative(report, "store_timeout_ms", g.StoreTimeoutMS)
+	checkNotNegative(report, "drain_delay_ms", g.DrainDelayMS)
+	if g.GraceMS <= g.DrainDelayMS {
+		report.Add("grace_ms", "must be above drain_delay_ms, %d", g.DrainDelayMS)
+	}
+	checkLog(report, g.Log)
+}
+
+func checkLog(report *strictjson.Document, log Log) {
+	checkOneOf(report, "log.level", log.Level, "debug", "info", "warn", "error")
+	checkOneOf(report, "log.format", log.Format, "json", "console")
+}
+
 func setDefault[T comparable](field *T, value T) {
 	var zero T
 	if *field == zero {
@@ -58,9 +94,8 @@
 	for i, peer := range c.Peers {
 		checkReachable(report, strictjson.Item("peers", i), peer)
 	}
-	checkPlatform(report, c.Platform)
-	checkOneOf(report, "log.level", c.Log.Level, "debug", "info", "warn", "error")
-	checkOneOf(report, "log.format", c.Log.Format, "json", "console")
+	checkBase(report, "platform", c.Platform)
+	checkLog(report, c.Log)
 	checkNotNegative(report, "drain_ms", c.DrainMS)
 	checkNotNegative(report, "drain_delay_ms", c.DrainDelayMS)
 	checkDistinct(report, "admin", c.Admin, "control", c.Control)
@@ -130,16 +165,17 @@
 	}
 }
 
-func checkPlatform(report *strictjson.Document, value string) {
+// checkBase checks the base URL of an object API.
+func checkBase(report *strictjson.Document, path, value string) {
 	base, err := url.Parse(value)
 	if err != nil || (base.Scheme != "http" && base.Scheme != "https") {
-		report.Add("platform", "must be an http or https URL, not %q", value)
+		report.Add(path, "must be an http or https URL, not %q", value)
 		return
 	}
 	if _, err := netip.ParseAddr(base.Hostname()); err != nil {
-		report.Add("platform", "must name its host by IP number, not %q", base.Hostname())
+		report.Add(path, "must name its host by IP number, not %q", base.Hostname())
 	}
 	if base.RawQuery != "" || base.Fragment != "" {
-		report.Add("platform", "must have no query or fragment")
+		report.Add(path, "must have no query or fragment")
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -76,3 +76,38 @@
 	// 5,000.
 	LeaseMS int64 `json:"lease_ms,omitempty"`
 }
+
+// Gateway is the settings of kingcup-host.
+type Gateway struct {
+	// Host is the name of the entry host that the process runs on.
+	Host string `json:"host"`
+	// Region is the region that the host is in.
+	Region core.Region `json:"region"`
+	// AvailabilityZone is the availability zone that the host is in.
+	AvailabilityZone core.AvailabilityZone `json:"availability_zone"`
+	// Callers is the listener for callers.
+	Callers string `json:"callers"`
+	// Readiness is the listener that the balancer asks whether the host takes
+	// callers.
+	Readiness string `json:"readiness"`
+	// Peers is the listener for other hosts and for metrics; other hosts
+	// reach it at the same address.
+	Peers string `json:"peers"`
+	// Store is the base URL of the platform's store.
+	Store string `json:"store"`
+	// WatchMS is how long a watch at the store waits for a change, in
+	// milliseconds. A watch that went silent is noticed that long, and a
+	// call's time limit, after. Default 1,500.
+	WatchMS int64 `json:"watch_ms,omitempty"`
+	// StoreTimeoutMS bounds one call to the store, in milliseconds. Default
+	// 1,000.
+	StoreTimeoutMS int64 `json:"store_timeout_ms,omitempty"`
+	// GraceMS is the time from SIGTERM to SIGKILL, in milliseconds.
+	GraceMS int64 `json:"grace_ms"`
+	// DrainDelayMS is how long the process goes on taking connections after
+	// SIGTERM, so that the balancer sees it unready, in milliseconds. Default
+	// 2,500: the balancer turns away after two questions, one a second.
+	DrainDelayMS int64 `json:"drain_delay_ms,omitempty"`
+	// Log sets the log output.
+	Log Log `json:"log,omitzero"`
+}
