Limits of client accounts and repeats are held by all hosts together

Hosts register in the store; each reports ten times a second to the first of the ranked hosts that answers, which keeps the ledger; a host that reaches none keeps to an equal part.

--- a/internal/decision/poison/poison.go
+++ b/internal/decision/poison/poison.go
@@ -16,6 +16,13 @@
 	maxRequests = 1024
 )
 
+// Death tells that an endpoint died under a request.
+type Death struct {
+	// Fingerprint recognises the request when it is sent again.
+	Fingerprint string `json:"fingerprint"`
+	Endpoint    string `json:"endpoint"`
+}
+
 // Marks holds the deaths by request fingerprint.
 type Marks struct {
 	byRequest map[string]map[string]time.Time // fingerprint, endpoint: until
@@ -33,6 +40,9 @@
 	m.byRequest[fingerprint][endpoint] = now.Add(Lifetime)
 }
 
+// Empty tells whether no request is marked.
+func (m *Marks) Empty() bool { return len(m.byRequest) == 0 }
+
 // Clear forgets the deaths under a request that has since run well.
 func (m *Marks) Clear(fingerprint string) { delete(m.byRequest, fingerprint) }
 
--- /dev/null
+++ b/internal/decision/quota/ledger.go
@@ -0,0 +1,173 @@
+// Package quota holds the limit of a client account over all hosts. One host
+// keeps the ledger of what all of them have let in and grants each a part of
+// what is left; every host can, and one that reaches no other keeps its own.
+// A ledger leaves an equal part of each limit to every host that does not
+// report to it, so that ledgers that don't see each other never grant more
+// than the limit together.
+package quota
+
+import "time"
+
+const (
+	// reportTimeout is how long after its last report a host counts as using
+	// its equal part by itself.
+	reportTimeout = time.Second
+	// demandDecay is the time constant of a host's demand, by which what is
+	// left is divided.
+	demandDecay = 2 * time.Second
+	// leastPart is the least part of what is left that a host is granted, as
+	// a share of an equal part. A host without recent demand can so let a
+	// first request in.
+	leastPart = 0.5
+)
+
+// Limit is an account's limit: Rate units a second, and Burst at once.
+type Limit struct{ Rate, Burst float64 }
+
+// Use is what a host let in and was asked for since its report before, in
+// units. Level is what it was told was left, if Known.
+type Use struct {
+	Taken float64 `json:"taken"`
+	Asked float64 `json:"asked"`
+	Level float64 `json:"level"`
+	Known bool    `json:"known,omitempty"`
+}
+
+// Grant is what a host may let in until its next report. Level is what all
+// hosts together have left.
+type Grant struct {
+	Units float64 `json:"units"`
+	Level float64 `json:"level"`
+	// Inflow is by how much Units grows a second until the next grant.
+	Inflow float64 `json:"inflow"`
+}
+
+// Ledger is the account of all limits as one host keeps it.
+type Ledger struct {
+	limits   map[string]Limit
+	hosts    map[string]time.Time // when each reported last
+	accounts map[string]*balance
+}
+
+// balance is what is left of one account's limit.
+type balance struct {
+	level  float64
+	filled time.Time
+	demand map[string]float64 // units a second by host
+}
+
+// NewLedger returns a ledger without limits or hosts.
+func NewLedger() *Ledger {
+	return &Ledger{limits: map[string]Limit{}, hosts: map[string]time.Time{}, accounts: map[string]*balance{}}
+}
+
+// SetLimits replaces the limits, by account.
+func (l *Ledger) SetLimits(limits map[string]Limit) {
+	l.limits = limits
+	for name := range l.accounts {
+		if _, ok := limits[name]; !ok {
+			delete(l.accounts, name)
+		}
+	}
+}
+
+// SetHosts replaces the hosts that the limits are divided among.
+func (l *Ledger) SetHosts(names []string) {
+	hosts := make(map[string]time.Time, len(names))
+	for _, name := range names {
+		hosts[name] = l.hosts[name]
+	}
+	l.hosts = hosts
+}
+
+// Report takes a host's report of the time since its last one and returns its
+// grants, by account.
+func (l *Ledger) Report(host string, uses map[string]Use, now time.Time) map[string]Grant {
+	since := now.Sub(l.hosts[host])
+	l.hosts[host] = now
+	reporting := l.reporting(now)
+	part := float64(reporting) / float64(max(1, len(l.hosts)))
+	grants := make(map[string]Grant, len(l.limits))
+	for name, limit := range l.limits {
+		use := uses[name]
+		b := l.balance(name, limit, use, now)
+		b.fill(limit, part, now)
+		b.level -= use.Taken
+		b.note(host, use.Asked, since)
+		share := b.share(host, reporting)
+		grants[name] = Grant{Units: max(0, b.level) * share, Level: b.level, Inflow: limit.Rate * part * share}
+	}
+	return grants
+}
+
+// Acquire takes the units of one request from what is left, or tells when it
+// may come back.
+func (l *Ledger) Acquire(account string, units float64, now time.Time) (ok bool, retry time.Duration) {
+	limit, limited := l.limits[account]
+	if !limited {
+		return true, 0
+	}
+	b := l.balance(account, limit, Use{}, now)
+	b.fill(limit, float64(l.reporting(now))/float64(max(1, len(l.hosts))), now)
+	if need := limit.need(units); b.level < need {
+		return false, retryAfter(need-b.level, limit)
+	}
+	b.level -= units
+	return true, 0
+}
+
+// balance returns the account's balance. One that is new here begins with what
+// the host was told by the ledger before, else full.
+func (l *Ledger) balance(name string, limit Limit, use Use, now time.Time) *balance {
+	b := l.accounts[name]
+	if b == nil {
+		b = &balance{level: limit.Burst, filled: now, demand: map[string]float64{}}
+		if use.Known {
+			b.level = min(limit.Burst, use.Level)
+		}
+		l.accounts[name] = b
+	}
+	return b
+}
+
+// reporting counts the hosts that report here.
+func (l *Ledger) reporting(now time.Time) int {
+	count := 0
+	for _, last := range l.hosts {
+		if now.Sub(last) < reportTimeout {
+			count++
+		}
+	}
+	return count
+}
+
+// fill adds what has flown in since the last time for the part of the hosts
+// that report.
+func (b *balance) fill(limit Limit, part float64, now time.Time) {
+	b.level += limit.Rate * part * now.Sub(b.filled).Seconds()
+	b.level = min(b.level, limit.Burst*part)
+	b.filled = now
+}
+
+// note takes over a host's demand since its last report.
+func (b *balance) note(host string, asked float64, since time.Duration) {
+	if since <= 0 {
+		return
+	}
+	weight := min(1, since.Seconds()/demandDecay.Seconds())
+	b.demand[host] += weight * (asked/since.Seconds() - b.demand[host])
+}
+
+// share is the part of what is left that a host is granted: by its demand, but
+// never less than a part of an equal one.
+func (b *balance) share(host string, reporting int) float64 {
+	total := 0.0
+	for _, demand := range b.demand {
+		total += demand
+	}
+	least := leastPart / float64(max(1, reporting))
+	if total <= 0 {
+		return least
+	}
+	return max(least, b.demand[host]/total)
+}
--- /dev/null
+++ b/internal/decision/quota/quota_test.go
@@ -0,0 +1,168 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const tick = 100 * time.Millisecond
+
+// fleet is a set of hosts, each with a share and a ledger of its own.
+type fleet struct {
+	names   []string
+	shares  []*Share
+	ledgers []*Ledger
+	limit   Limit
+	now     time.Time
+	taken   []float64 // units let in by tick
+}
+
+func newFleet(hosts int, limit Limit) *fleet {
+	f := &fleet{limit: limit, now: time.Unix(1000, 0)}
+	for i := range hosts {
+		f.names = append(f.names, fmt.Sprint("host-", i))
+	}
+	for range hosts {
+		ledger := NewLedger()
+		ledger.SetLimits(map[string]Limit{"a": limit})
+		ledger.SetHosts(f.names)
+		f.ledgers, f.shares = append(f.ledgers, ledger), append(f.shares, NewShare())
+	}
+	return f
+}
+
+// step lets each host serve its demand of requests of the size, and report to
+// the ledger of the host that it is told.
+func (f *fleet) step(demand []int, size float64, ledgerOf []int) {
+	f.now = f.now.Add(tick)
+	total := 0.0
+	for i, share := range f.shares {
+		share.Grant(f.ledgers[ledgerOf[i]].Report(f.names[i], share.Report(), f.now), f.now)
+		for range demand[i] {
+			verdict, _ := share.Take("a", f.limit, size, f.now)
+			if verdict == Ask {
+				if ok, _ := f.ledgers[ledgerOf[i]].Acquire("a", size, f.now); ok {
+					verdict = Taken
+				}
+			}
+			if verdict == Taken {
+				total += size
+			}
+		}
+	}
+	f.taken = append(f.taken, total)
+}
+
+// most returns the most units let in within any window of so many ticks.
+func (f *fleet) most(window int) float64 {
+	most := 0.0
+	for begin := range f.taken {
+		sum := 0.0
+		for _, units := range f.taken[begin:min(begin+window, len(f.taken))] {
+			sum += units
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// All hosts together keep to the limit however the demand is spread and
+// whichever hosts see each other.
+func TestHostsTogetherKeepToTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(1, 9).Draw(t, "hosts")
+		limit := Limit{Rate: 10_000, Burst: 10_000}
+		f := newFleet(hosts, limit)
+		size := rapid.Float64Range(10, 20_000).Draw(t, "size")
+		ledgerOf := make([]int, hosts)
+		demand := make([]int, hosts)
+		const ticks, window, spell = 300, 80, 30
+		for at := range ticks {
+			if at%spell == 0 {
+				groups := rapid.IntRange(1, hosts).Draw(t, "groups")
+				for i := range hosts {
+					ledgerOf[i] = rapid.IntRange(0, groups-1).Draw(t, "ledger")
+					demand[i] = rapid.IntRange(0, 20).Draw(t, "demand")
+				}
+			}
+			f.step(demand, size, ledgerOf)
+		}
+		// The rule's tolerance is a tenth. A second passes before a ledger
+		// knows which hosts have left it; there are three changes in a window.
+		allowed := (limit.Rate*window*tick.Seconds()+limit.Burst)*1.1 + limit.Rate*3
+		if most := f.most(window); most > allowed {
+			t.Fatalf("%.0f units in a window, allowed %.0f", most, allowed)
+		}
+	})
+}
+
+// A limit that is not reached refuses nothing, however uneven the hosts are.
+func TestUnevenDemandBelowTheLimitIsLetIn(t *testing.T) {
+	f := newFleet(7, Limit{Rate: 10_000, Burst: 10_000})
+	ledgerOf := make([]int, 7)
+	for range 100 {
+		f.step([]int{5, 1, 0, 0, 0, 0, 0}, 100, ledgerOf) // 6,000 a second
+	}
+	for at, units := range f.taken {
+		if units != 600 {
+			t.Fatalf("tick %d: %v units let in, want 600", at, units)
+		}
+	}
+}
+
+// A host that nobody answers uses an equal part.
+func TestAHostAloneUsesItsPart(t *testing.T) {
+	f := newFleet(5, Limit{Rate: 10_000, Burst: 10_000})
+	for range 200 {
+		f.step([]int{100, 0, 0, 0, 0}, 100, []int{0, 1, 1, 1, 1})
+	}
+	last := 0.0
+	for _, units := range f.taken[100:] {
+		last += units
+	}
+	if last < 18_000 || last > 24_000 { // 2,000 a second for ten seconds
+		t.Errorf("%v units in ten seconds, want about 20,000", last)
+	}
+}
+
+// A lowered limit binds at the next grant.
+func TestALowerLimitBinds(t *testing.T) {
+	f := newFleet(3, Limit{Rate: 10_000, Burst: 10_000})
+	for range 20 {
+		f.step([]int{5, 5, 5}, 100, make([]int, 3))
+	}
+	for _, ledger := range f.ledgers {
+		ledger.SetLimits(map[string]Limit{"a": {Rate: 1000, Burst: 1000}})
+	}
+	f.taken = nil
+	for range 100 {
+		f.step([]int{5, 5, 5}, 100, make([]int, 3))
+	}
+	if most := f.most(80); most > 1000*8+1000+1000 {
+		t.Errorf("%v units in 8 s at 1,000 a second", most)
+	}
+}
+
+// Requests of about the burst are let in although no host's part is as large,
+// and together keep to the limit.
+func TestRequestsAboveAHostsPart(t *testing.T) {
+	f := newFleet(7, Limit{Rate: 10_000, Burst: 10_000})
+	for at := range 400 {
+		demand := make([]int, 7)
+		demand[at%7] = 1
+		f.step(demand, 15_000, make([]int, 7))
+	}
+	total := 0.0
+	for _, units := range f.taken {
+		total += units
+	}
+	if total < 300_000 || total > 420_000 { // 400,000 flow in
+		t.Errorf("%v units let in, want nearly 400,000", total)
+	}
+	if most := f.most(80); most > 10_000*8+10_000+15_000 {
+		t.Errorf("%v units in 8 s", most)
+	}
+}
--- a/internal/decision/retry/retry.go
+++ b/internal/decision/retry/retry.go
@@ -28,14 +28,27 @@
 
 // Budget is a token bucket that is filled by requests and not by time.
 type Budget struct {
-	tokens float64
+	tokens       float64
+	share, burst float64
 }
 
-// NewBudget returns a full budget.
-func NewBudget() *Budget { return &Budget{tokens: Burst} }
+// NewBudget returns a full budget with the usual share and burst.
+func NewBudget() *Budget { return NewBudgetOf(Share, Burst) }
+
+// NewBudgetOf returns a full budget in which each request earns a share of a
+// retry, and burst retries may be saved up.
+func NewBudgetOf(share, burst float64) *Budget {
+	return &Budget{tokens: burst, share: share, burst: burst}
+}
+
+// SetBurst changes how many retries may be saved up.
+func (b *Budget) SetBurst(burst float64) {
+	b.burst = burst
+	b.tokens = min(b.tokens, burst)
+}
 
 // Earn counts one request.
-func (b *Budget) Earn() { b.tokens = min(b.tokens+Share, Burst) }
+func (b *Budget) Earn() { b.tokens = min(b.tokens+b.share, b.burst) }
 
 // Spend takes one retry from the budget and tells whether there was one.
 func (b *Budget) Spend() bool {
--- a/internal/gateway/admission/duty.go
+++ b/internal/gateway/admission/duty.go
@@ -10,7 +10,10 @@
 
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/catalog"
+	"kingcupcourse/internal/decision/poison"
+	"kingcupcourse/internal/decision/quota"
 	owncatalog "kingcupcourse/internal/gateway/catalog"
+	"kingcupcourse/internal/gateway/fleet"
 	"kingcupcourse/internal/gateway/frontend"
 	"kingcupcourse/internal/ring"
 )
@@ -40,6 +43,12 @@
 	// Deadline is when the request must have had its final answer.
 	Deadline     time.Time
 	MaxBodyBytes int64
+	// Want is set if the keeper of the ledger must be asked whether the
+	// account's limit allows the request.
+	Want *fleet.Want
+	// Suspected tells that endpoints died under some request, so that the
+	// duty must be asked about this one's fingerprint.
+	Suspected bool
 	// ConfigVersion is the configuration that the ticket was given under.
 	ConfigVersion uint64
 }
@@ -54,18 +63,34 @@
 // Ready asks whether the host can serve.
 type Ready struct{ ring.Reply[bool] }
 
+// Config tells the duty how much it may let in.
+type Config struct {
+	Views owncatalog.Subscription
+	// RepeatShare is how many repeats each request earns, RepeatBurst how
+	// many all hosts together may make beyond that in a window.
+	RepeatShare, RepeatBurst float64
+}
+
 // Duty implements supervisor.Duty.
 type Duty struct {
+	Config
 	inbox    *ring.Ring[Message]
-	views    owncatalog.Subscription
 	snapshot *catalog.Snapshot
+	limits   map[string]quota.Limit
+	share    *quota.Share
+	keeper   string // the address of the keeper of the ledger
+	repeats  *repeats
+	marks    *poison.Marks
+	deaths   []poison.Death // not yet reported
+	sent     int            // of which so many are in a report on its way
 }
 
 // New returns the duty.
-func New(views owncatalog.Subscription) *Duty {
+func New(config Config) *Duty {
 	return &Duty{
-		inbox: ring.New[Message]("gateway_admission", ringCapacity), views: views,
-		snapshot: &catalog.Snapshot{},
+		Config: config, inbox: ring.New[Message]("gateway_admission", ringCapacity),
+		snapshot: &catalog.Snapshot{}, share: quota.NewShare(), marks: poison.NewMarks(),
+		repeats: newRepeats(config.RepeatShare, config.RepeatBurst),
 	}
 }
 
@@ -75,8 +100,8 @@
 // Serve implements supervisor.Duty.
 func (d *Duty) Serve(ctx context.Context) error {
 	return ring.Loop(ctx, d.inbox, func(m Message) error {
-		if snapshot, ok := d.views.TryTake(); ok {
-			d.snapshot = snapshot
+		if snapshot, ok := d.Views.TryTake(); ok {
+			d.snapshot, d.limits = snapshot, fleet.Limits(snapshot.Configuration)
 		}
 		m.handle(d, time.Now())
 		return nil
@@ -115,10 +140,45 @@
 	}
 	if ticket.Service, found = route.Choose(draw(request.ID)); !found {
 		ticket.Refusal = core.RefuseFor(core.ReasonNoEndpoint, "the route has no service", time.Second)
+		return ticket
+	}
+	ticket.Suspected = !d.marks.Empty()
+	d.charge(&ticket, account, request, now)
+	if ticket.Refusal == nil {
+		d.repeats.earn(ticket.Service)
 	}
 	return ticket
 }
 
+// charge takes the request from what the account has left.
+func (d *Duty) charge(ticket *Ticket, account *catalog.Account, request *frontend.Request, now time.Time) {
+	if account == nil {
+		return
+	}
+	limit, limited := d.limits[account.Name]
+	if !limited {
+		return
+	}
+	cost := units(account, request)
+	switch verdict, retry := d.share.Take(account.Name, limit, cost, now); verdict {
+	case quota.Above:
+		ticket.Refusal = core.RefuseFor(core.ReasonRateLimited, "the account is above its limit", retry)
+	case quota.Ask:
+		ticket.Want = &fleet.Want{Account: account.Name, Units: cost, Keeper: d.keeper}
+	}
+}
+
+// units is what a request counts of its account's limit.
+func units(account *catalog.Account, request *frontend.Request) float64 {
+	switch tokens := request.PromptTokens + request.MaxOutputTokens; {
+	case !account.CountsTokens:
+		return 1
+	case tokens > 0:
+		return float64(tokens)
+	}
+	return float64(account.PlainTokens)
+}
+
 // wait is the time to the final answer: what the caller will wait and what
 // the route allows.
 func wait(request *frontend.Request, route *catalog.Route) time.Duration {
--- /dev/null
+++ b/internal/gateway/admission/repeats.go
@@ -0,0 +1,60 @@
+package admission
+
+import (
+	"time"
+
+	"kingcupcourse/internal/decision/retry"
+	"kingcupcourse/internal/ring"
+)
+
+const (
+	// unknownHosts is the size of the fleet that is assumed until it is known:
+	// large enough that no fleet of that size overspends.
+	unknownHosts = 100
+	// leastBurst lets each host of a large fleet repeat a request now and
+	// then.
+	leastBurst = 1
+)
+
+// repeats holds what this host may send again of each service's requests.
+type repeats struct {
+	share, burst float64 // burst is that of all hosts together
+	hosts        int
+	services     map[string]*retry.Budget
+}
+
+func newRepeats(share, burst float64) *repeats {
+	return &repeats{share: share, burst: burst, hosts: unknownHosts, services: map[string]*retry.Budget{}}
+}
+
+func (r *repeats) budget(service string) *retry.Budget {
+	b := r.services[service]
+	if b == nil {
+		b = retry.NewBudgetOf(r.share, r.hostBurst())
+		r.services[service] = b
+	}
+	return b
+}
+
+func (r *repeats) hostBurst() float64 { return max(leastBurst, r.burst/float64(r.hosts)) }
+
+func (r *repeats) earn(service string) { r.budget(service).Earn() }
+
+// setHosts divides the burst among the hosts of the fleet.
+func (r *repeats) setHosts(hosts int) {
+	if hosts == r.hosts || hosts < 1 {
+		return
+	}
+	r.hosts = hosts
+	for _, b := range r.services {
+		b.SetBurst(r.hostBurst())
+	}
+}
+
+// Repeat asks whether a request of the service may be sent once more.
+type Repeat struct {
+	ring.Reply[bool]
+	Service string
+}
+
+func (m Repeat) handle(d *Duty, _ time.Time) { m.Send(d.repeats.budget(m.Service).Spend()) }
--- a/internal/gateway/callers/admit.go
+++ b/internal/gateway/callers/admit.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/catalog"
 	"kingcupcourse/internal/gateway/admission"
@@ -14,6 +16,9 @@
 	"kingcupcourse/internal/ring"
 )
 
+// keeperRetry is when a caller may come back if the limits' keeper is silent.
+const keeperRetry = 200 * time.Millisecond
+
 // call is one request of a caller on its way.
 type call struct {
 	h        *Handler
@@ -54,9 +59,32 @@
 		return ticket.Refusal
 	}
 	c.ticket = ticket
+	if refusal := c.acquire(ctx); refusal != nil {
+		return refusal
+	}
 	return c.readBody()
 }
 
+// acquire asks the keeper of the ledger, if this host's part of the account's
+// limit does not suffice.
+func (c *call) acquire(ctx context.Context) *core.Refusal {
+	want := c.ticket.Want
+	if want == nil {
+		return nil
+	}
+	decided, err := c.h.Acquire(ctx, *want)
+	if err != nil {
+		c.h.Log.Warn("keeper of the ledger did not answer", zap.String("request", c.request.ID),
+			zap.String("keeper", want.Keeper), zap.String("error", err.Error()))
+		return core.RefuseFor(core.ReasonRateLimited, "this host's part of the account's limit is used up", keeperRetry)
+	}
+	if !decided.Allowed {
+		return core.RefuseFor(core.ReasonRateLimited, "the account is above its limit",
+			time.Duration(decided.RetryAfterMS)*time.Millisecond)
+	}
+	return nil
+}
+
 // readBody reads the whole body, so that the request can be sent again and a
 // slow caller holds no endpoint.
 func (c *call) readBody() *core.Refusal {
--- a/internal/gateway/callers/handler.go
+++ b/internal/gateway/callers/handler.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"kingcupcourse/internal/gateway/admission"
+	"kingcupcourse/internal/gateway/fleet"
 	"kingcupcourse/internal/gateway/frontend"
 	"kingcupcourse/internal/gateway/placement"
 	"kingcupcourse/internal/ring"
@@ -22,6 +23,8 @@
 	Protocol  frontend.Protocol
 	Admission *ring.Ring[admission.Message]
 	Placement *ring.Ring[placement.Message]
+	// Acquire asks the keeper of the ledger to let a request in.
+	Acquire func(context.Context, fleet.Want) (fleet.Decided, error)
 	// Draining tells that the process is to stop.
 	Draining func() bool
 	Log      *zap.Logger
--- a/internal/gateway/callers/run.go
+++ b/internal/gateway/callers/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/gateway/admission"
 	"kingcupcourse/internal/gateway/placement"
 	"kingcupcourse/internal/ring"
 )
@@ -33,6 +34,10 @@
 // run places and dispatches the request until an attempt is the last one.
 func (c *call) run(ctx context.Context) {
 	for {
+		if refusal := c.checkPoison(ctx); refusal != nil {
+			c.refuse(refusal)
+			return
+		}
 		placed, refusal := c.place(ctx)
 		if refusal != nil {
 			c.refuse(c.honest(refusal))
@@ -79,6 +84,14 @@
 	if end.result != core.ResultNotDispatched && end.result != core.ResultRejected {
 		c.runs++
 	}
+	switch end.result {
+	case core.ResultLost:
+		c.noteDeath(placed.Endpoint.Endpoint)
+	case core.ResultOK:
+		if c.ticket.Suspected {
+			c.tell(admission.FinishedWell{Fingerprint: c.fingerprint()})
+		}
+	}
 	_ = c.h.Placement.Put(context.WithoutCancel(c.r.Context()), placement.Ended{Endpoint: placed.Endpoint.Name, Result: end.result})
 	c.logAttempt(placed, end, took)
 }
@@ -89,14 +102,26 @@
 		return false
 	}
 	switch end.result {
-	case core.ResultNotDispatched, core.ResultRejected:
+	case core.ResultNotDispatched:
 		return len(c.exclude) < maxRejections
+	case core.ResultRejected:
+		return len(c.exclude) < maxRejections && c.mayRepeat(ctx)
 	case core.ResultFailed, core.ResultLost:
-		return c.repeatable() && c.runs < c.ticket.Route.MaxAttempts
+		return c.repeatable() && c.runs < c.ticket.Route.MaxAttempts && c.mayRepeat(ctx)
 	}
 	return false
 }
 
+// mayRepeat asks for a part of what the service's requests may be repeated.
+func (c *call) mayRepeat(ctx context.Context) bool {
+	ask := admission.Repeat{Reply: ring.NewReply[bool](), Service: c.ticket.Service}
+	if c.h.Admission.Put(ctx, ask) != nil {
+		return false
+	}
+	allowed, err := ask.Wait(ctx)
+	return err == nil && allowed
+}
+
 // endedEarly is the refusal of a request that ended before its dispatch.
 func (c *call) endedEarly() *core.Refusal {
 	if c.callerGone() {
--- /dev/null
+++ b/internal/gateway/fleet/messages.go
@@ -0,0 +1,112 @@
+// Package fleet joins the hosts of a fleet: each registers itself in the
+// platform's store, and reports to one of them, the keeper of the ledger, what
+// it let in of the limits that all hosts hold together.
+package fleet
+
+import (
+	"time"
+
+	"kingcupcourse/internal/decision/catalog"
+	"kingcupcourse/internal/decision/poison"
+	"kingcupcourse/internal/decision/quota"
+	"kingcupcourse/internal/ring"
+)
+
+// The paths where a host takes the reports and wants of others.
+const (
+	reportPath = "/v1/fleet/report"
+	wantPath   = "/v1/fleet/want"
+)
+
+// HostsPrefix is where the hosts register in the platform's store.
+const HostsPrefix = "kingcup-hosts"
+
+// host is a host's own entry in the store.
+type host struct {
+	// Address is the peers' listener.
+	Address string `json:"address"`
+}
+
+// Report is what a host tells the keeper of the ledger.
+type Report struct {
+	Host string               `json:"host"`
+	Uses map[string]quota.Use `json:"uses"`
+	// Deaths are the endpoints that died under requests here.
+	Deaths []poison.Death `json:"deaths,omitempty"`
+	// KnownDeaths is how many deaths of the keeper's list the host has.
+	KnownDeaths int `json:"known_deaths"`
+	// List names the run of the keeper that KnownDeaths is about.
+	List string `json:"list,omitempty"`
+}
+
+// Answer is what the host gets.
+type Answer struct {
+	Grants map[string]quota.Grant `json:"grants"`
+	// Deaths are those of all hosts that the reporting one did not have.
+	Deaths      []poison.Death `json:"deaths,omitempty"`
+	KnownDeaths int            `json:"known_deaths"`
+	List        string         `json:"list"`
+}
+
+// Collected is what admission has used since the last report.
+type Collected struct {
+	Uses   map[string]quota.Use
+	Deaths []poison.Death
+}
+
+// Granted is what admission gets from an answer.
+type Granted struct {
+	Grants map[string]quota.Grant
+	Deaths []poison.Death
+	// Hosts is how many hosts the fleet has.
+	Hosts int
+	// Keeper is the address of the host that keeps the ledger, empty for this
+	// one.
+	Keeper string
+}
+
+// Want asks the keeper of the ledger to let one request in.
+type Want struct {
+	Account string  `json:"account"`
+	Units   float64 `json:"units"`
+	// Keeper is the address that is asked, empty for this host.
+	Keeper string `json:"-"`
+}
+
+// Decided is the keeper's answer.
+type Decided struct {
+	Allowed bool `json:"allowed"`
+	// RetryAfterMS is when a refused request may come back, in milliseconds.
+	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+}
+
+// Message is a message to the duty that keeps the ledger.
+type Message interface {
+	handle(l *ledger, now time.Time)
+}
+
+// Limits returns the limits of a configuration by account.
+func Limits(configuration *catalog.Configuration) map[string]quota.Limit {
+	limits := map[string]quota.Limit{}
+	if configuration == nil {
+		return limits
+	}
+	for _, account := range configuration.Accounts {
+		if account.Rate > 0 {
+			limits[account.Name] = quota.Limit{Rate: account.Rate, Burst: account.Burst}
+		}
+	}
+	return limits
+}
+
+// reported is a report on its way to the duty that keeps the ledger.
+type reported struct {
+	ring.Reply[Answer]
+	report Report
+}
+
+// wanted is a want on its way there.
+type wanted struct {
+	ring.Reply[Decided]
+	want Want
+}
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -17,6 +17,7 @@
 	"kingcupcourse/internal/gateway/admission"
 	"kingcupcourse/internal/gateway/callers"
 	"kingcupcourse/internal/gateway/catalog"
+	"kingcupcourse/internal/gateway/fleet"
 	"kingcupcourse/internal/gateway/frontend"
 	"kingcupcourse/internal/gateway/placement"
 	"kingcupcourse/internal/platform"
@@ -52,13 +53,19 @@
 func Build(adapter Adapter, env process.Surroundings, s *settings.Gateway) ([]supervisor.Child, error) {
 	store := adapter.Store(s.Store).WithTimeout(milliseconds(s.StoreTimeoutMS))
 	known := catalog.New(store, adapter.Decoder, milliseconds(s.WatchMS), env.Log)
-	let := admission.New(known.Subscribe())
-	placed := placement.New(core.Host{Name: s.Host, AvailabilityZone: s.AvailabilityZone}, known.Subscribe())
+	let := admission.New(admission.Config{
+		Views: known.Subscribe(), RepeatShare: s.RepeatShare / 2, RepeatBurst: s.RepeatBurst / 2,
+	})
+	host := core.Host{Name: s.Host, AvailabilityZone: s.AvailabilityZone}
+	hosts := fleet.New(fleet.Config{
+		Host: host, Address: s.Peers, Store: store, Views: known.Subscribe(), Admission: let, Log: env.Log,
+	})
+	placed := placement.New(host, known.Subscribe())
 	handler := callers.NewHandler(callers.Config{
 		Protocol: adapter.Protocol, Admission: let.Inbox(), Placement: placed.Inbox(),
-		Draining: env.Draining, Log: env.Log,
+		Acquire: hosts.Acquire, Draining: env.Draining, Log: env.Log,
 	})
-	peers, err := supervisor.Listen(s.Peers, peersMux(), listenerGrace)
+	peers, err := supervisor.Listen(s.Peers, peersMux(hosts), listenerGrace)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for peers")
 	}
@@ -78,19 +85,21 @@
 			{Name: "catalog", Duty: known.Supervisor},
 			{Name: "admission", Duty: let},
 			{Name: "placement", Duty: placed},
+			{Name: "fleet", Duty: hosts.Supervisor},
 			{Name: "peers", Duty: peers},
 			{Name: "balancer", Duty: balancer},
 			{Name: "callers", Duty: front, StopTimeout: drain + stopMargin},
 		}}, env.Log)}}, nil
 }
 
-// peersMux serves the metrics.
-func peersMux() *http.ServeMux {
+// peersMux serves other hosts' reports and the metrics.
+func peersMux(hosts *fleet.Fleet) *http.ServeMux {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(ring.Collector{}, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	hosts.Register(mux)
 	return mux
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -102,6 +102,12 @@
 	// StoreTimeoutMS bounds one call to the store, in milliseconds. Default
 	// 1,000.
 	StoreTimeoutMS int64 `json:"store_timeout_ms,omitempty"`
+	// RepeatShare is how many attempts beyond the first all hosts together may
+	// make for each request of a service, and RepeatBurst how many beyond
+	// that in the operator's window. A host uses half of both, so that a
+	// change of the fleet's size never exceeds them.
+	RepeatShare float64 `json:"repeat_share"`
+	RepeatBurst float64 `json:"repeat_burst"`
 	// GraceMS is the time from SIGTERM to SIGKILL, in milliseconds.
 	GraceMS int64 `json:"grace_ms"`
 	// DrainDelayMS is how long the process goes on taking connections after
