--- a/internal/decision/quota/ledger.go
+++ b/internal/decision/quota/ledger.go
@@ -18,7 +18,7 @@
 	// leastPart is the least part of what is left that a host is granted, as
 	// a share of an equal part. A host without recent demand can so let a
 	// first request in.
-	leastPart = 0.5
+	leastPart = 0.25
 )
 
 // Limit is an account's limit: Rate units a second, and Burst at once.
--- a/internal/gateway/admission/duty.go
+++ b/internal/gateway/admission/duty.go
@@ -65,7 +65,8 @@
 
 // Config tells the duty how much it may let in.
 type Config struct {
-	Views owncatalog.Subscription
+	Views     owncatalog.Subscription
+	Tolerance fleet.Tolerance
 	// RepeatShare is how many repeats each request earns, RepeatBurst how
 	// many all hosts together may make beyond that in a window.
 	RepeatShare, RepeatBurst float64
@@ -101,7 +102,7 @@
 func (d *Duty) Serve(ctx context.Context) error {
 	return ring.Loop(ctx, d.inbox, func(m Message) error {
 		if snapshot, ok := d.Views.TryTake(); ok {
-			d.snapshot, d.limits = snapshot, fleet.Limits(snapshot.Configuration)
+			d.snapshot, d.limits = snapshot, fleet.Limits(snapshot.Configuration, d.Tolerance)
 		}
 		m.handle(d, time.Now())
 		return nil
--- a/internal/gateway/fleet/ledger.go
+++ b/internal/gateway/fleet/ledger.go
@@ -26,6 +26,8 @@
 	views catalog.Subscription
 	hosts *ring.Latest[[]string]
 
+	tolerance Tolerance
+
 	limits *quota.Ledger
 	// list names this run of the process; deaths is its list of deaths, of
 	// which the oldest that were dropped are counted.
@@ -34,9 +36,9 @@
 	dropped int
 }
 
-func newLedger(views catalog.Subscription) *ledger {
+func newLedger(views catalog.Subscription, tolerance Tolerance) *ledger {
 	return &ledger{
-		inbox: ring.New[Message]("fleet_ledger", reportCapacity), views: views,
+		inbox: ring.New[Message]("fleet_ledger", reportCapacity), views: views, tolerance: tolerance,
 		hosts: ring.NewLatest[[]string](), limits: quota.NewLedger(), list: uuid.NewString(),
 	}
 }
@@ -46,7 +48,7 @@
 
 func (l *ledger) take(m Message) error {
 	if snapshot, ok := l.views.TryTake(); ok {
-		l.limits.SetLimits(Limits(snapshot.Configuration))
+		l.limits.SetLimits(Limits(snapshot.Configuration, l.tolerance))
 	}
 	if hosts, ok := l.hosts.TryTake(); ok {
 		l.limits.SetHosts(hosts)
--- a/internal/gateway/fleet/messages.go
+++ b/internal/gateway/fleet/messages.go
@@ -85,15 +85,31 @@
 	handle(l *ledger, now time.Time)
 }
 
-// Limits returns the limits of a configuration by account.
-func Limits(configuration *catalog.Configuration) map[string]quota.Limit {
+// Tolerance is by how much an account may exceed its limit before the operator
+// counts it as exceeded: a share of the limit, and so many units.
+type Tolerance struct {
+	Share float64
+	Units float64
+}
+
+// usedTolerance is the share of the tolerance that the hosts use, so that the
+// delay of their reports refuses nothing within the limit. The rest covers
+// what they let in too much.
+const usedTolerance = 0.5
+
+// Limits returns the limits of a configuration by account, as the hosts hold
+// them.
+func Limits(configuration *catalog.Configuration, tolerance Tolerance) map[string]quota.Limit {
 	limits := map[string]quota.Limit{}
 	if configuration == nil {
 		return limits
 	}
+	factor := 1 + usedTolerance*tolerance.Share
 	for _, account := range configuration.Accounts {
 		if account.Rate > 0 {
-			limits[account.Name] = quota.Limit{Rate: account.Rate, Burst: account.Burst}
+			limits[account.Name] = quota.Limit{
+				Rate: factor * account.Rate, Burst: factor*account.Burst + usedTolerance*tolerance.Units,
+			}
 		}
 	}
 	return limits
--- a/internal/gateway/fleet/supervisor.go
+++ b/internal/gateway/fleet/supervisor.go
@@ -23,6 +23,7 @@
 	Store     *platform.Client
 	Views     catalog.Subscription
 	Admission Admission
+	Tolerance Tolerance
 	Log       *zap.Logger
 }
 
@@ -43,7 +44,7 @@
 // hosts' entries; and the duty that registers this host, which is done once it
 // has.
 func New(c Config) *Fleet {
-	own := newLedger(c.Views)
+	own := newLedger(c.Views, c.Tolerance)
 	reports := newExchange(c.Host.Name, own, c.Admission, c.Log)
 	members := &membership{self: c.Host.Name, addresses: map[string]string{}, out: reports.members, log: c.Log}
 	return &Fleet{ledger: own, client: reports.client, Supervisor: supervisor.New(supervisor.Spec{Name: "fleet", Children: []supervisor.Child{
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -53,12 +53,14 @@
 func Build(adapter Adapter, env process.Surroundings, s *settings.Gateway) ([]supervisor.Child, error) {
 	store := adapter.Store(s.Store).WithTimeout(milliseconds(s.StoreTimeoutMS))
 	known := catalog.New(store, adapter.Decoder, milliseconds(s.WatchMS), env.Log)
+	tolerance := fleet.Tolerance{Share: s.LimitOverage, Units: s.LimitSlack}
 	let := admission.New(admission.Config{
-		Views: known.Subscribe(), RepeatShare: s.RepeatShare / 2, RepeatBurst: s.RepeatBurst / 2,
+		Views: known.Subscribe(), Tolerance: tolerance, RepeatShare: s.RepeatShare / 2, RepeatBurst: s.RepeatBurst / 2,
 	})
 	host := core.Host{Name: s.Host, AvailabilityZone: s.AvailabilityZone}
 	hosts := fleet.New(fleet.Config{
-		Host: host, Address: s.Peers, Store: store, Views: known.Subscribe(), Admission: let, Log: env.Log,
+		Host: host, Address: s.Peers, Store: store, Views: known.Subscribe(), Admission: let,
+		Tolerance: tolerance, Log: env.Log,
 	})
 	placed := placement.New(host, known.Subscribe())
 	handler := callers.NewHandler(callers.Config{
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -67,6 +67,9 @@
 	checkNotNegative(report, "watch_ms", g.WatchMS)
 	checkNotNegative(report, "store_timeout_ms", g.StoreTimeoutMS)
 	checkNotNegative(report, "drain_delay_ms", g.DrainDelayMS)
+	if g.LimitOverage < 0 || g.LimitSlack < 0 {
+		report.Add("limit_overage", "neither it nor limit_slack may be negative")
+	}
 	if g.RepeatShare < 0 || g.RepeatBurst < 0 {
 		report.Add("repeat_share", "neither it nor repeat_burst may be negative")
 	}
