One host places the requests of the fleet by the expected first token

The keeper of the ledger now places for all hosts, by its count of what runs and the speeds that it learned; each host tells it what becomes of its attempts.

--- a/internal/decision/outstanding/outstanding.go
+++ b/internal/decision/outstanding/outstanding.go
@@ -29,6 +29,9 @@
 	Account   string
 	// PrefillTokens is the prompt less the cached prefix.
 	PrefillTokens int
+	// AheadTokens is the prefill that was pending on the endpoint when the
+	// attempt was placed, RunningBefore how many attempts ran.
+	AheadTokens, RunningBefore int
 	// OutputTokens is the expected output, OutputSoFar what has arrived.
 	OutputTokens, OutputSoFar int
 	Granted                   time.Time
--- a/internal/decision/placement/scorers.go
+++ b/internal/decision/placement/scorers.go
@@ -23,9 +23,7 @@
 // Score implements Scorer.
 func (ExpectedFinish) Score(c *Candidate, _ *Need) float64 {
 	score := c.Finish().Seconds() + prefillWeight*c.Prefill.Seconds()*float64(c.Running)/float64(max(1, c.Endpoint.Slots))
-	if !c.Near {
-		score += farPenalty
-	}
+	score += nearness(c)
 	switch c.Preference {
 	case Preferred:
 		score -= preferenceWeight
@@ -35,6 +33,38 @@
 	return score
 }
 
+// FirstToken scores by the expected time to the first token and the time that
+// the prompt takes from those that run beside it, in seconds.
+type FirstToken struct{}
+
+// Name implements Scorer.
+func (FirstToken) Name() string { return "first_token" }
+
+// Score implements Scorer.
+func (FirstToken) Score(c *Candidate, _ *Need) float64 {
+	beside := prefillWeight * c.Prefill.Seconds() * float64(c.Running) / float64(max(1, c.Endpoint.Slots))
+	return c.PendingPrefill.Seconds() + c.Prefill.Seconds() + beside + nearness(c)
+}
+
+// LeastBusy scores plain services by the requests that run, in the time that
+// one takes, in seconds.
+type LeastBusy struct{}
+
+// Name implements Scorer.
+func (LeastBusy) Name() string { return "least_busy" }
+
+// Score implements Scorer.
+func (LeastBusy) Score(c *Candidate, _ *Need) float64 {
+	return c.RunTime.Seconds()*float64(c.Running+1)/float64(max(1, c.Endpoint.Slots)) + nearness(c)
+}
+
+func nearness(c *Candidate) float64 {
+	if c.Near {
+		return 0
+	}
+	return farPenalty
+}
+
 // LeastOutstanding scores by outstanding tokens, and by running attempts
 // where those are equal.
 type LeastOutstanding struct{}
--- a/internal/gateway/admission/duty.go
+++ b/internal/gateway/admission/duty.go
@@ -43,6 +43,9 @@
 	// Deadline is when the request must have had its final answer.
 	Deadline     time.Time
 	MaxBodyBytes int64
+	// Keeper is the address of the host that keeps the ledger and places the
+	// fleet's requests, empty for this one.
+	Keeper string
 	// Want is set if the keeper of the ledger must be asked whether the
 	// account's limit allows the request.
 	Want *fleet.Want
@@ -118,7 +121,8 @@
 		return Ticket{Refusal: core.RefuseFor(core.ReasonNotReady, "no configuration yet", notReadyRetry)}
 	}
 	configuration, request := d.snapshot.Configuration, m.Request
-	ticket := Ticket{MaxBodyBytes: configuration.Limits.MaxBodyBytes, ConfigVersion: configuration.Version}
+	ticket := Ticket{MaxBodyBytes: configuration.Limits.MaxBodyBytes, ConfigVersion: configuration.Version,
+		Keeper: d.keeper}
 	route, found := configuration.Match(request.Authority, request.Path)
 	if !found {
 		ticket.Refusal = core.Refuse(core.ReasonUnknownRoute, "no route takes this path")
--- a/internal/gateway/callers/admit.go
+++ b/internal/gateway/callers/admit.go
@@ -30,6 +30,11 @@
 	ticket  admission.Ticket
 	body    []byte
 
+	// attempt names the attempt in progress, began is when it was sent, and
+	// firstPart how long its first part took, zero if none has come.
+	attempt   string
+	began     time.Time
+	firstPart time.Duration
 	// exclude lists the endpoints that have been tried.
 	exclude []string
 	// runs counts the endpoints that may have run the request.
--- a/internal/gateway/callers/answer.go
+++ b/internal/gateway/callers/answer.go
@@ -5,10 +5,12 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"kingcupcourse/internal/codec"
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/gateway/frontend"
+	"kingcupcourse/internal/gateway/placement"
 )
 
 const (
@@ -49,6 +51,7 @@
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
+			c.noteFirst()
 			c.begin(response)
 			if _, failed := c.w.Write(buffer[:n]); failed != nil {
 				return ending{result: core.ResultCancelled, reason: core.ReasonCallerGone, detail: failed.Error()}
@@ -65,6 +68,15 @@
 	}
 }
 
+// noteFirst tells that the first part of an answer has come.
+func (c *call) noteFirst() {
+	if c.firstPart > 0 {
+		return
+	}
+	c.firstPart = time.Since(c.began)
+	c.report(placement.Update{Attempt: c.attempt})
+}
+
 // begin passes the header on before the first byte.
 func (c *call) begin(response *http.Response) {
 	if c.passed {
--- a/internal/gateway/callers/handler.go
+++ b/internal/gateway/callers/handler.go
@@ -22,7 +22,12 @@
 type Config struct {
 	Protocol  frontend.Protocol
 	Admission *ring.Ring[admission.Message]
-	Placement *ring.Ring[placement.Message]
+	// Host is the name of this host.
+	Host string
+	// Place finds an endpoint for an attempt.
+	Place func(context.Context, placement.Ask) placement.Placed
+	// Reports takes what becomes of attempts.
+	Reports *ring.Ring[placement.Report]
 	// Acquire asks the keeper of the ledger to let a request in.
 	Acquire func(context.Context, fleet.Want) (fleet.Decided, error)
 	// Draining tells that the process is to stop.
--- a/internal/gateway/callers/refuse.go
+++ b/internal/gateway/callers/refuse.go
@@ -35,7 +35,8 @@
 func (c *call) logAttempt(placed placement.Placed, end ending, took time.Duration) {
 	c.h.Log.Info("attempt ended", zap.String("request", c.request.ID), zap.String("route", c.routeName()),
 		zap.String("account", c.ticket.Account), zap.String("endpoint", placed.Endpoint.Name),
-		zap.Int("running", placed.Running), zap.Uint64("configuration", c.ticket.ConfigVersion),
+		zap.Int("running", placed.Choice.Running), zap.Float64("expected_ms", placed.Choice.ExpectedMS),
+		zap.Bool("by_keeper", placed.Keeper), zap.Duration("first", c.firstPart), zap.Uint64("configuration", c.ticket.ConfigVersion),
 		zap.String("result", string(end.result)), zap.Int("status", end.status), zap.String("reason", string(end.reason)),
 		zap.String("detail", end.detail), zap.Duration("took", took))
 }
--- a/internal/gateway/callers/run.go
+++ b/internal/gateway/callers/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"kingcupcourse/internal/core"
@@ -43,9 +44,9 @@
 			c.refuse(c.honest(refusal))
 			return
 		}
-		began := time.Now()
+		c.began, c.firstPart = time.Now(), 0
 		end := c.dispatch(ctx, placed.Endpoint)
-		c.settle(placed, end, time.Since(began))
+		c.settle(placed, end, time.Since(c.began))
 		if end.delivered {
 			return
 		}
@@ -62,22 +63,23 @@
 
 // place asks for an endpoint.
 func (c *call) place(ctx context.Context) (placement.Placed, *core.Refusal) {
-	ask := placement.Place{
-		Reply: ring.NewReply[placement.Placed](), Service: c.ticket.Service, Exclude: c.exclude,
-		Deadline: c.ticket.Deadline,
-	}
-	if c.h.Placement.Put(ctx, ask) != nil {
-		return placement.Placed{}, c.endedEarly()
-	}
-	// The duty answers at once, also for a caller that has gone, and what it
-	// placed must be given back.
-	placed, err := ask.Wait(context.WithoutCancel(ctx))
-	if err != nil {
-		return placed, core.RefuseFor(core.ReasonNotReady, err.Error(), time.Second)
-	}
+	c.attempt = c.request.ID + "/" + strconv.Itoa(len(c.exclude)+1)
+	placed := c.h.Place(ctx, placement.Ask{
+		Attempt: c.attempt, Host: c.h.Host, Service: c.ticket.Service,
+		PromptTokens: c.request.PromptTokens, OutputTokens: c.expectedOutput(),
+		Exclude: c.exclude, LeftMS: time.Until(c.ticket.Deadline).Milliseconds(), Keeper: c.ticket.Keeper,
+	})
 	return placed, placed.Refusal
 }
 
+// expectedOutput is the caller's estimate of the output, or its bound.
+func (c *call) expectedOutput() int {
+	if hint := c.request.OutputHint; hint > 0 {
+		return min(hint, max(hint, c.request.MaxOutputTokens))
+	}
+	return c.request.MaxOutputTokens
+}
+
 // settle gives the place back and logs the attempt.
 func (c *call) settle(placed placement.Placed, end ending, took time.Duration) {
 	c.exclude = append(c.exclude, placed.Endpoint.Name)
@@ -92,10 +94,21 @@
 			c.tell(admission.FinishedWell{Fingerprint: c.fingerprint()})
 		}
 	}
-	_ = c.h.Placement.Put(context.WithoutCancel(c.r.Context()), placement.Ended{Endpoint: placed.Endpoint.Name, Result: end.result})
+	c.report(placement.Update{
+		Attempt: c.attempt, Result: end.result, FirstMS: inMilliseconds(c.firstPart), TotalMS: inMilliseconds(took),
+		OutputTokens: c.request.MaxOutputTokens,
+	})
 	c.logAttempt(placed, end, took)
 }
 
+// report tells how the attempt goes on, also when the caller has gone.
+func (c *call) report(update placement.Update) {
+	report := placement.Report{Update: update, Keeper: c.ticket.Keeper}
+	_ = c.h.Reports.Put(context.WithoutCancel(c.r.Context()), report)
+}
+
+func inMilliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
 // again decides whether the request is placed on another endpoint.
 func (c *call) again(ctx context.Context, end ending) bool {
 	if ctx.Err() != nil || time.Until(c.ticket.Deadline) < minRemaining {
--- /dev/null
+++ b/internal/gateway/placement/candidates.go
@@ -0,0 +1,62 @@
+package placement
+
+import (
+	"time"
+
+	"kingcupcourse/internal/decision/health"
+	"kingcupcourse/internal/decision/outstanding"
+	"kingcupcourse/internal/decision/placement"
+)
+
+// candidates lists the endpoints of the service with what is on each.
+func (d *Duty) candidates(ask Ask, now time.Time) []placement.Candidate {
+	all := d.services[ask.Service]
+	resting := 0
+	for _, e := range all {
+		if e.health.Resting(now) {
+			resting++
+		}
+	}
+	excuse := health.Excuse(resting, len(all))
+	candidates := make([]placement.Candidate, 0, len(all))
+	for _, e := range all {
+		c := placement.Candidate{
+			Endpoint: e.Endpoint.Endpoint, Version: e.Version, Leaving: e.Leaving,
+			NotReady: !excuse && e.health.Resting(now), Near: e.AvailabilityZone == d.host.AvailabilityZone,
+		}
+		d.count(&c, e, ask, now)
+		candidates = append(candidates, c)
+	}
+	return candidates
+}
+
+// count fills in the work on a candidate, and how long the request would take
+// there.
+func (d *Duty) count(c *placement.Candidate, e *endpoint, ask Ask, now time.Time) {
+	name := c.Endpoint.Name
+	c.Running = d.book.Running(name)
+	if ask.PromptTokens == 0 {
+		c.RunTime = d.speeds.Service(c.Endpoint, c.Version)
+		return
+	}
+	// Prompts are read one after another. The part of the first one that is
+	// read already is known by the time since it was expected to begin.
+	pending := time.Duration(0)
+	d.book.Each(name, func(a *outstanding.Attempt) {
+		if a.OutputSoFar == 0 {
+			pending += d.speeds.Prefill(c.Endpoint, c.Version, a.PrefillTokens)
+		}
+	})
+	c.PendingPrefill = pending
+	c.Prefill = d.prefill(e, ask)
+	decode := d.speeds.Decode(c.Endpoint, c.Version, c.Running+1, ask.OutputTokens)
+	c.RunTime = c.Prefill + decode
+	if over := c.Running + 1 - c.Endpoint.Slots; over > 0 {
+		// It waits until so many of those that run have ended.
+		c.PendingPrefill += time.Duration(float64(over) / float64(c.Endpoint.Slots) * float64(c.RunTime))
+	}
+}
+
+func (d *Duty) prefill(e *endpoint, ask Ask) time.Duration {
+	return d.speeds.Prefill(e.Endpoint.Endpoint, e.Version, ask.PromptTokens)
+}
--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -1,5 +1,3 @@
-// Package placement is the duty that chooses endpoints. It counts what this
-// host has running on each, and keeps work away from endpoints that fail.
 package placement
 
 import (
@@ -10,7 +8,9 @@
 
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/catalog"
+	"kingcupcourse/internal/decision/estimate"
 	"kingcupcourse/internal/decision/health"
+	"kingcupcourse/internal/decision/outstanding"
 	"kingcupcourse/internal/decision/placement"
 	owncatalog "kingcupcourse/internal/gateway/catalog"
 	"kingcupcourse/internal/ring"
@@ -18,67 +18,55 @@
 
 const (
 	// ringCapacity bounds the messages that wait for the duty.
-	ringCapacity = 1024
+	ringCapacity = 2048
+	// silentPeriod is how often attempts of silent hosts are looked for.
+	silentPeriod = time.Second
 	// maxFirstTurn bounds where a host begins among equal endpoints.
 	maxFirstTurn = 1 << 16
-	// noEndpointRetry is when a caller may come back that found no endpoint.
-	noEndpointRetry = 500 * time.Millisecond
+	// firstPrefillRate and firstDecodeRate, in tokens a second, are the first
+	// guesses of an engine's speed. They are those of a fast engine, so that a
+	// new one is tried.
+	firstPrefillRate = 150_000
+	firstDecodeRate  = 400
 )
 
-// Message is a message to the duty.
-type Message interface{ handle(d *Duty, now time.Time) }
-
-// Place asks for an endpoint.
-type Place struct {
-	ring.Reply[Placed]
-	Service string
-	// Exclude lists endpoints that must not be chosen again.
-	Exclude  []string
-	Deadline time.Time
-}
-
-// Placed is the answer. Each endpoint given is returned by Ended.
-type Placed struct {
-	Endpoint catalog.Endpoint
-	Refusal  *core.Refusal
-	// Running is what this host had running on the endpoint before.
-	Running int
-}
-
-// Ended tells how an attempt ended.
-type Ended struct {
-	Endpoint string
-	Result   core.Result
+// Duty implements supervisor.Duty.
+type Duty struct {
+	host   core.Host
+	inbox  *ring.Ring[Message]
+	views  owncatalog.Subscription
+	model  *placement.Policy
+	plain  *placement.Policy
+	book   *outstanding.Book
+	speeds *estimate.Speeds
+
+	configuration *catalog.Configuration
+	endpoints     map[string]*endpoint
+	services      map[string][]*endpoint
+	asks          map[string]Ask // of the attempts that are counted
+	next          time.Time
 }
 
 // endpoint is what the duty knows of one endpoint.
 type endpoint struct {
 	catalog.Endpoint
-	health  health.Endpoint
-	running int
-	gone    bool
-}
-
-// Duty implements supervisor.Duty.
-type Duty struct {
-	inbox     *ring.Ring[Message]
-	views     owncatalog.Subscription
-	zone      core.AvailabilityZone
-	policy    *placement.Policy
-	endpoints map[string]*endpoint
-	services  map[string][]*endpoint
+	health health.Endpoint
 }
 
 // New returns the duty of a host.
 func New(host core.Host, views owncatalog.Subscription) *Duty {
-	return &Duty{
-		inbox: ring.New[Message]("gateway_placement", ringCapacity), views: views, zone: host.AvailabilityZone,
-		policy: &placement.Policy{
+	policy := func(scorer placement.Scorer) *placement.Policy {
+		return &placement.Policy{
 			Filters: []placement.Filter{placement.Leaving{}, placement.Excluded{}, placement.Ready{}},
-			Scorer:  placement.LeastOutstanding{},
+			Scorer:  scorer,
 			Picker:  &placement.LowestInTurn{Turn: int(xxhash.Sum64String(host.Name) % maxFirstTurn)},
-		},
-		endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{},
+		}
+	}
+	return &Duty{
+		host: host, inbox: ring.New[Message]("gateway_placement", ringCapacity), views: views,
+		model: policy(placement.FirstToken{}), plain: policy(placement.LeastBusy{}),
+		book: outstanding.NewBook(), speeds: estimate.NewSpeeds(),
+		endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, asks: map[string]Ask{},
 	}
 }
 
@@ -87,82 +75,98 @@
 
 // Serve implements supervisor.Duty.
 func (d *Duty) Serve(ctx context.Context) error {
-	return ring.Loop(ctx, d.inbox, func(m Message) error {
+	return ring.LoopUntil(ctx, d.inbox, func(m Message) error {
 		if snapshot, ok := d.views.TryTake(); ok {
 			d.refresh(snapshot)
 		}
 		m.handle(d, time.Now())
 		return nil
-	})
+	}, func() time.Time { return d.next }, d.tick)
 }
 
-// refresh takes over the list of endpoints. What runs on one that has gone is
-// still counted until it has ended.
-func (d *Duty) refresh(snapshot *catalog.Snapshot) {
-	for _, e := range d.endpoints {
-		e.gone = true
+// tick drops the attempts of hosts that have not been heard.
+func (d *Duty) tick() error {
+	now := time.Now()
+	d.next = now.Add(silentPeriod)
+	d.book.Heard(d.host.Name, nil, false, now)
+	for _, attempt := range d.book.Silent(now) {
+		delete(d.asks, attempt.ID)
 	}
-	d.services = map[string][]*endpoint{}
+	return nil
+}
+
+// refresh takes over the list of endpoints.
+func (d *Duty) refresh(snapshot *catalog.Snapshot) {
+	known := d.endpoints
+	d.configuration = snapshot.Configuration
+	d.endpoints, d.services = map[string]*endpoint{}, map[string][]*endpoint{}
 	for _, listed := range snapshot.Endpoints {
-		e := d.endpoints[listed.Name]
+		e := known[listed.Name]
 		if e == nil || !e.Started.Equal(listed.Started) || e.Address != listed.Address {
 			e = &endpoint{}
-			d.endpoints[listed.Name] = e
 		}
-		e.Endpoint, e.gone = listed, false
+		listed.PrefillRate, listed.DecodeRate = firstPrefillRate, firstDecodeRate
+		e.Endpoint = listed
+		d.endpoints[listed.Name] = e
 		d.services[listed.Service] = append(d.services[listed.Service], e)
 	}
-	for name, e := range d.endpoints {
-		if e.gone && e.running == 0 {
-			delete(d.endpoints, name)
-		}
-	}
 }
 
-func (m Place) handle(d *Duty, now time.Time) { m.Send(d.place(m, now)) }
+func (m Choose) handle(d *Duty, now time.Time) { m.Send(d.choose(m.Ask, now)) }
 
-func (d *Duty) place(m Place, now time.Time) Placed {
-	candidates := d.candidates(m.Service, now)
-	request := &core.Request{Exclude: m.Exclude, Deadline: m.Deadline}
-	decision := d.policy.Place(candidates, &placement.Need{Request: request, Now: now})
+// choose picks an endpoint and counts the attempt on it.
+func (d *Duty) choose(ask Ask, now time.Time) Choice {
+	candidates := d.candidates(ask, now)
+	request := &core.Request{Exclude: ask.Exclude, Deadline: now.Add(time.Duration(ask.LeftMS) * time.Millisecond)}
+	policy := d.plain
+	if ask.PromptTokens > 0 {
+		policy = d.model
+	}
+	decision := policy.Place(candidates, &placement.Need{Request: request, Now: now})
 	if decision.Chosen == nil {
-		return Placed{Refusal: core.RefuseFor(core.ReasonNoEndpoint,
-			"no endpoint of the service: "+d.policy.Blocked(decision), noEndpointRetry)}
+		return Choice{Blocked: policy.Blocked(decision)}
 	}
-	chosen := d.endpoints[decision.Chosen.Endpoint.Name]
-	chosen.running++
-	return Placed{Endpoint: chosen.Endpoint, Running: chosen.running - 1}
+	c := decision.Chosen
+	d.add(ask, c.Endpoint, now.Add(c.PendingPrefill+c.Prefill), now)
+	expected := c.PendingPrefill + c.Prefill
+	if ask.PromptTokens == 0 {
+		expected = c.Finish()
+	}
+	return Choice{Endpoint: c.Endpoint.Name, Running: c.Running, ExpectedMS: float64(expected.Microseconds()) / 1000}
 }
 
-func (d *Duty) candidates(service string, now time.Time) []placement.Candidate {
-	all := d.services[service]
-	resting := 0
-	for _, e := range all {
-		if e.health.Resting(now) {
-			resting++
+// add counts an attempt.
+func (d *Duty) add(ask Ask, e core.Endpoint, first, now time.Time) {
+	ahead := 0
+	d.book.Each(e.Name, func(a *outstanding.Attempt) {
+		if a.OutputSoFar == 0 && a.ID != ask.Attempt {
+			ahead += a.PrefillTokens
 		}
-	}
-	excuse := health.Excuse(resting, len(all))
-	candidates := make([]placement.Candidate, 0, len(all))
-	for _, e := range all {
-		candidates = append(candidates, placement.Candidate{
-			Endpoint: e.Endpoint.Endpoint, Version: e.Version, Leaving: e.Leaving, Running: e.running,
-			NotReady: !excuse && e.health.Resting(now), Near: e.AvailabilityZone == d.zone,
-		})
-	}
-	return candidates
+	})
+	d.asks[ask.Attempt] = ask
+	d.book.Add(&outstanding.Attempt{
+		ID: ask.Attempt, Host: ask.Host, Endpoint: e.Name, Version: e.Version,
+		PrefillTokens: ask.PromptTokens, AheadTokens: ahead, OutputTokens: ask.OutputTokens,
+		Granted: now, FirstToken: first, RunningBefore: d.book.Running(e.Name),
+	}, now)
 }
 
-func (m Ended) handle(d *Duty, now time.Time) {
+func (m Confirm) handle(d *Duty, now time.Time) {
 	e := d.endpoints[m.Endpoint]
-	if e == nil {
+	if e == nil || e.Leaving || e.Service != m.Ask.Service {
+		m.Send(Confirmed{})
 		return
 	}
-	e.running = max(0, e.running-1)
-	switch m.Result {
-	case core.ResultOK:
-		e.health.Succeeded()
-	case core.ResultLost, core.ResultFailed, core.ResultNotDispatched:
-		e.health.Failed(now)
+	d.add(m.Ask, e.Endpoint.Endpoint, now.Add(d.prefill(e, m.Ask)), now)
+	m.Send(Confirmed{Endpoint: e.Endpoint, OK: true})
+}
+
+func (m List) handle(d *Duty, _ time.Time) {
+	var running []Running
+	for id, ask := range d.asks {
+		if a := d.book.Get(id); a != nil && a.Host == d.host.Name {
+			running = append(running, Running{Ask: ask, Endpoint: a.Endpoint, Begun: a.OutputSoFar > 0})
+		}
 	}
+	m.Send(running)
 }
--- /dev/null
+++ b/internal/gateway/placement/messages.go
@@ -0,0 +1,112 @@
+// Package placement is the duty that chooses endpoints. On every host it
+// counts what the host has running; on the keeper, to which the hosts turn with
+// their requests, it counts what all of them have running, so that one order
+// holds for the whole fleet. A host that does not reach the keeper chooses by
+// its own count.
+package placement
+
+import (
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/catalog"
+	"kingcupcourse/internal/ring"
+)
+
+// Ask is what placing an attempt depends on.
+type Ask struct {
+	// Attempt names the attempt; Host is where it runs from.
+	Attempt string `json:"attempt"`
+	Host    string `json:"host"`
+	Service string `json:"service"`
+	// PromptTokens and OutputTokens are the expected work, zero for a plain
+	// service.
+	PromptTokens int `json:"prompt_tokens,omitempty"`
+	OutputTokens int `json:"output_tokens,omitempty"`
+	// Exclude lists endpoints that must not be chosen again.
+	Exclude []string `json:"exclude,omitempty"`
+	// LeftMS is the time to the deadline, in milliseconds.
+	LeftMS int64 `json:"left_ms"`
+	// Keeper is the address of the keeper, empty for this host.
+	Keeper string `json:"-"`
+}
+
+// Choice is the answer to an Ask.
+type Choice struct {
+	Endpoint string `json:"endpoint,omitempty"`
+	// Running is what was counted on the endpoint before.
+	Running int `json:"running"`
+	// ExpectedMS is when the first token, or the answer of a plain service, is
+	// expected, in milliseconds.
+	ExpectedMS float64 `json:"expected_ms"`
+	// Blocked says why there is no endpoint.
+	Blocked string `json:"blocked,omitempty"`
+}
+
+// Update tells how an attempt goes on.
+type Update struct {
+	Attempt string `json:"attempt"`
+	// Result is empty while the attempt runs.
+	Result core.Result `json:"result,omitempty"`
+	// FirstMS is the time from the dispatch to the first part of the answer,
+	// TotalMS that to its end, in milliseconds.
+	FirstMS float64 `json:"first_ms,omitempty"`
+	TotalMS float64 `json:"total_ms,omitempty"`
+	// OutputTokens is the length of the answer.
+	OutputTokens int `json:"output_tokens,omitempty"`
+}
+
+// Running is an attempt as its host lists it.
+type Running struct {
+	Ask
+	Endpoint string `json:"endpoint"`
+	// Begun tells that the first part of the answer has come.
+	Begun bool `json:"begun,omitempty"`
+}
+
+// Updates is what a host tells the keeper.
+type Updates struct {
+	Host    string   `json:"host"`
+	Updates []Update `json:"updates,omitempty"`
+	// Running lists all attempts of the host, if Full.
+	Running []Running `json:"running,omitempty"`
+	Full    bool      `json:"full,omitempty"`
+}
+
+// Placed is an endpoint for an attempt, or why there is none.
+type Placed struct {
+	Endpoint catalog.Endpoint
+	Choice   Choice
+	Refusal  *core.Refusal
+	// Keeper tells that the keeper has chosen.
+	Keeper bool
+}
+
+// Message is a message to the duty.
+type Message interface{ handle(d *Duty, now time.Time) }
+
+// Choose asks for an endpoint, for this host or another.
+type Choose struct {
+	ring.Reply[Choice]
+	Ask Ask
+}
+
+// Confirm counts an attempt of this host on the endpoint that the keeper has
+// chosen, if this host believes in it.
+type Confirm struct {
+	ring.Reply[Confirmed]
+	Ask      Ask
+	Endpoint string
+}
+
+// Confirmed is the endpoint as this host knows it.
+type Confirmed struct {
+	Endpoint catalog.Endpoint
+	OK       bool
+}
+
+// Tell hands on what became of a host's attempts.
+type Tell struct{ Updates Updates }
+
+// List asks for the attempts of this host.
+type List struct{ ring.Reply[[]Running] }
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -63,11 +63,13 @@
 		Tolerance: tolerance, Log: env.Log,
 	})
 	placed := placement.New(host, known.Subscribe())
+	keeper := placement.NewPeers(placed, env.Log)
+	told := placement.NewReporter(s.Host, placed, keeper, env.Log)
 	handler := callers.NewHandler(callers.Config{
-		Protocol: adapter.Protocol, Admission: let.Inbox(), Placement: placed.Inbox(),
+		Host: s.Host, Protocol: adapter.Protocol, Admission: let.Inbox(), Place: keeper.Place, Reports: told.Inbox(),
 		Acquire: hosts.Acquire, Draining: env.Draining, Log: env.Log,
 	})
-	peers, err := supervisor.Listen(s.Peers, peersMux(hosts), listenerGrace)
+	peers, err := supervisor.Listen(s.Peers, peersMux(hosts, keeper), listenerGrace)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for peers")
 	}
@@ -87,6 +89,7 @@
 			{Name: "catalog", Duty: known.Supervisor},
 			{Name: "admission", Duty: let},
 			{Name: "placement", Duty: placed},
+			{Name: "reporter", Duty: told},
 			{Name: "fleet", Duty: hosts.Supervisor},
 			{Name: "peers", Duty: peers},
 			{Name: "balancer", Duty: balancer},
@@ -94,14 +97,15 @@
 		}}, env.Log)}}, nil
 }
 
-// peersMux serves other hosts' reports and the metrics.
-func peersMux(hosts *fleet.Fleet) *http.ServeMux {
+// peersMux serves other hosts' questions and reports, and the metrics.
+func peersMux(hosts *fleet.Fleet, keeper *placement.Peers) *http.ServeMux {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(ring.Collector{}, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	hosts.Register(mux)
+	keeper.Register(mux)
 	return mux
 }
 
