--- a/internal/gateway/callers/run.go
+++ b/internal/gateway/callers/run.go
@@ -67,6 +67,7 @@
 	placed := c.h.Place(ctx, placement.Ask{
 		Attempt: c.attempt, Host: c.h.Host, Service: c.ticket.Service,
 		PromptTokens: c.request.PromptTokens, OutputTokens: c.expectedOutput(),
+		ObjectiveMS: c.ticket.Route.Objective.Milliseconds(), Priority: c.ticket.Priority,
 		Exclude: c.exclude, LeftMS: time.Until(c.ticket.Deadline).Milliseconds(), Keeper: c.ticket.Keeper,
 	})
 	return placed, placed.Refusal
--- a/internal/gateway/placement/candidates.go
+++ b/internal/gateway/placement/candidates.go
@@ -27,9 +27,30 @@
 		d.count(&c, e, ask, now)
 		candidates = append(candidates, c)
 	}
+	if ask.PromptTokens == 0 {
+		d.tryUnknown(candidates, now)
+	}
 	return candidates
 }
 
+// tryUnknown takes plain services whose speed is not known for as fast as the
+// fastest, so that a new one, or one that was slow once, is tried.
+func (d *Duty) tryUnknown(candidates []placement.Candidate, now time.Time) {
+	best := time.Duration(0)
+	for i := range candidates {
+		c := &candidates[i]
+		if d.speeds.Fresh(c.Endpoint, c.Version, now) && (best == 0 || c.RunTime < best) {
+			best = c.RunTime
+		}
+	}
+	for i := range candidates {
+		c := &candidates[i]
+		if best > 0 && !d.speeds.Fresh(c.Endpoint, c.Version, now) {
+			c.RunTime = best
+		}
+	}
+}
+
 // count fills in the work on a candidate, and how long the request would take
 // there.
 func (d *Duty) count(c *placement.Candidate, e *endpoint, ask Ask, now time.Time) {
--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -23,6 +23,11 @@
 	silentPeriod = time.Second
 	// maxFirstTurn bounds where a host begins among equal endpoints.
 	maxFirstTurn = 1 << 16
+	// mostLate is how late a first token may be expected, in parts of its
+	// objective, for a request to be placed.
+	mostLate = 1.2
+	// leastRetry is the least time after which a refused caller may come back.
+	leastRetry = 200 * time.Millisecond
 	// firstPrefillRate and firstDecodeRate, in tokens a second, are the first
 	// guesses of an engine's speed. They are those of a fast engine, so that a
 	// new one is tried.
@@ -127,6 +132,9 @@
 		return Choice{Blocked: policy.Blocked(decision)}
 	}
 	c := decision.Chosen
+	if late, over := overload(ask, c.PendingPrefill+c.Prefill); over {
+		return Choice{Blocked: "overload", Overload: true, RetryMS: late.Milliseconds(), Running: c.Running}
+	}
 	d.add(ask, c.Endpoint, now.Add(c.PendingPrefill+c.Prefill), now)
 	expected := c.PendingPrefill + c.Prefill
 	if ask.PromptTokens == 0 {
@@ -135,6 +143,16 @@
 	return Choice{Endpoint: c.Endpoint.Name, Running: c.Running, ExpectedMS: float64(expected.Microseconds()) / 1000}
 }
 
+// overload tells whether a request for a model would wait too long for its
+// first token, and by how much.
+func overload(ask Ask, first time.Duration) (late time.Duration, over bool) {
+	if ask.PromptTokens == 0 || ask.ObjectiveMS == 0 {
+		return 0, false
+	}
+	limit := time.Duration(mostLate * float64(ask.ObjectiveMS) * float64(time.Millisecond))
+	return max(leastRetry, first-limit), first > limit
+}
+
 // add counts an attempt.
 func (d *Duty) add(ask Ask, e core.Endpoint, first, now time.Time) {
 	ahead := 0
--- a/internal/gateway/placement/messages.go
+++ b/internal/gateway/placement/messages.go
@@ -23,6 +23,10 @@
 	// service.
 	PromptTokens int `json:"prompt_tokens,omitempty"`
 	OutputTokens int `json:"output_tokens,omitempty"`
+	// ObjectiveMS is the time to the first part of the answer that gives it its
+	// full value, in milliseconds. Priority is 0 for the most important.
+	ObjectiveMS int64 `json:"objective_ms,omitempty"`
+	Priority    int   `json:"priority,omitempty"`
 	// Exclude lists endpoints that must not be chosen again.
 	Exclude []string `json:"exclude,omitempty"`
 	// LeftMS is the time to the deadline, in milliseconds.
@@ -41,6 +45,10 @@
 	ExpectedMS float64 `json:"expected_ms"`
 	// Blocked says why there is no endpoint.
 	Blocked string `json:"blocked,omitempty"`
+	// Overload tells that the endpoints have too much work for the request to
+	// be served in time. It may come back after RetryMS, in milliseconds.
+	Overload bool  `json:"overload,omitempty"`
+	RetryMS  int64 `json:"retry_ms,omitempty"`
 }
 
 // Update tells how an attempt goes on.
--- a/internal/gateway/placement/peers.go
+++ b/internal/gateway/placement/peers.go
@@ -69,6 +69,9 @@
 			zap.String("error", err.Error()))
 		return Placed{}, false
 	}
+	if choice.Overload {
+		return overloaded(choice, true), true
+	}
 	if choice.Endpoint == "" {
 		return Placed{}, false
 	}
@@ -94,6 +97,9 @@
 	if err != nil {
 		return Placed{Refusal: core.RefuseFor(core.ReasonNotReady, err.Error(), noEndpointRetry)}
 	}
+	if choice.Overload {
+		return overloaded(choice, false)
+	}
 	if placed, ok := p.confirm(ctx, ask, choice); ok {
 		placed.Keeper = false
 		return placed
@@ -101,6 +107,11 @@
 	return Placed{Refusal: core.RefuseFor(core.ReasonNoEndpoint, "no endpoint of the service: "+choice.Blocked, noEndpointRetry)}
 }
 
+func overloaded(choice Choice, keeper bool) Placed {
+	return Placed{Choice: choice, Keeper: keeper, Refusal: core.RefuseFor(core.ReasonShed,
+		"the endpoints have too much work", time.Duration(choice.RetryMS)*time.Millisecond)}
+}
+
 // Register adds the handlers of other hosts' questions and updates.
 func (p *Peers) Register(mux *http.ServeMux) {
 	mux.Handle("POST "+choosePath, codec.Handle(func(ctx context.Context, ask *Ask) (*Choice, error) {
--- a/internal/process/program.go
+++ b/internal/process/program.go
@@ -84,6 +84,13 @@
 	terms := program.Log(loaded)
 	lines := newLogWriter(stdout)
 	log := newLogTo(terms.Log, lines).With(zap.String("host", terms.Host))
+	// net/http writes to the standard logger what no caller can be told.
+	restore, err := zap.RedirectStdLogAt(log, zapcore.WarnLevel)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	defer restore()
 	treeCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	t := &tree{stop: stop}
