--- a/internal/gateway/callers/answer.go
+++ b/internal/gateway/callers/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"kingcupcourse/internal/codec"
@@ -74,6 +75,7 @@
 		return
 	}
 	c.firstPart = time.Since(c.began)
+	firstPartSeconds.WithLabelValues(strconv.Itoa(c.ticket.Priority)).Observe(time.Since(c.received).Seconds())
 	c.report(placement.Update{Attempt: c.attempt})
 }
 
--- /dev/null
+++ b/internal/gateway/callers/metrics.go
@@ -0,0 +1,36 @@
+package callers
+
+import "github.com/prometheus/client_golang/prometheus"
+
+var (
+	attemptsTotal = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_gateway_attempts_total",
+		Help: "Attempts at endpoints, by result and by who placed them (keeper or host).",
+	}, []string{"result", "placed_by"})
+	refusalsTotal = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_gateway_refusals_total",
+		Help: "Requests that got no endpoint's answer, by disposition and reason.",
+	}, []string{"disposition", "reason"})
+	brokenOffTotal = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "kingcup_gateway_broken_off_total",
+		Help: "Answers that ended after a part had been passed on.",
+	})
+	firstPartSeconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "kingcup_gateway_first_part_seconds",
+		Help:    "Time from the receipt of a request to the first part of its answer, by priority.",
+		Buckets: latencyBuckets,
+	}, []string{"priority"})
+	answerSeconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "kingcup_gateway_answer_seconds",
+		Help:    "Time from the receipt of a request to the end of its answer, by priority.",
+		Buckets: latencyBuckets,
+	}, []string{"priority"})
+)
+
+// latencyBuckets lie around the objectives of the requests, 0.1 to 1 s.
+var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1, 2.5, 5, 15}
+
+// Collectors returns the metrics of the callers.
+func Collectors() []prometheus.Collector {
+	return []prometheus.Collector{attemptsTotal, refusalsTotal, brokenOffTotal, firstPartSeconds, answerSeconds}
+}
--- a/internal/gateway/callers/refuse.go
+++ b/internal/gateway/callers/refuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,12 +14,14 @@
 // refuse answers the caller with a refusal.
 func (c *call) refuse(refusal *core.Refusal) {
 	c.logRefusal(refusal)
+	refusalsTotal.WithLabelValues(string(refusal.Disposition), string(refusal.Reason)).Inc()
 	c.h.Protocol.Refuse(c.w, c.request, refusal)
 }
 
 // breakOff ends an answer of which a part has been passed on, so that it does
 // not look complete.
 func (c *call) breakOff(end ending) {
+	brokenOffTotal.Inc()
 	c.h.Log.Info("answer broken off", zap.String("request", c.request.ID), zap.String("reason", string(end.reason)),
 		zap.String("detail", end.detail), zap.Duration("after", time.Since(c.received)))
 	panic(http.ErrAbortHandler)
@@ -33,6 +36,14 @@
 }
 
 func (c *call) logAttempt(placed placement.Placed, end ending, took time.Duration) {
+	by, priority := "host", strconv.Itoa(c.ticket.Priority)
+	if placed.Keeper {
+		by = "keeper"
+	}
+	attemptsTotal.WithLabelValues(string(end.result), by).Inc()
+	if end.delivered {
+		answerSeconds.WithLabelValues(priority).Observe(time.Since(c.received).Seconds())
+	}
 	c.h.Log.Info("attempt ended", zap.String("request", c.request.ID), zap.String("route", c.routeName()),
 		zap.String("account", c.ticket.Account), zap.String("endpoint", placed.Endpoint.Name),
 		zap.Int("running", placed.Choice.Running), zap.Float64("expected_ms", placed.Choice.ExpectedMS),
--- a/internal/gateway/catalog/keeper.go
+++ b/internal/gateway/catalog/keeper.go
@@ -79,6 +79,7 @@
 // noteStore logs each lost and regained watch.
 func (k *keeper) noteStore(news platform.News, now time.Time) {
 	failed := news.Err != nil
+	storeCalls.WithLabelValues(news.Prefix, result(failed)).Inc()
 	if news.Prefix == k.decoder.EndpointsPrefix() {
 		if failed {
 			k.roster.StoreFailed(now)
@@ -183,7 +184,18 @@
 	snapshot := &catalog.Snapshot{
 		Configuration: k.configuration, Endpoints: k.roster.Endpoints(), EndpointsKnown: k.listed,
 	}
+	if k.configuration != nil {
+		configurationVersion.Set(float64(k.configuration.Version))
+	}
+	endpointsKnown.Set(float64(len(snapshot.Endpoints)))
 	for _, subscriber := range k.subscribers {
 		subscriber.Publish(snapshot)
 	}
 }
+
+func result(failed bool) string {
+	if failed {
+		return "failed"
+	}
+	return "ok"
+}
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -102,6 +102,8 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(ring.Collector{}, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(callers.Collectors()...)
+	registry.MustRegister(catalog.Collectors()...)
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	hosts.Register(mux)
