--- a/internal/process/log.go
+++ b/internal/process/log.go
@@ -14,8 +14,8 @@
 // newLog returns the log of a process, which has a line for each decision and
 // so is not sampled. Each line names the host and role.
 func newLog(common settings.Common, role message.Role, out io.Writer) *zap.Logger {
-	return newLogTo(common.Log, zapcore.Lock(zapcore.AddSync(out))).
-		With(zap.String("host", common.Host), zap.String("role", string(role)))
+	log, _ := newLogTo(common.Log, zapcore.Lock(zapcore.AddSync(out)))
+	return log.With(zap.String("host", common.Host), zap.String("role", string(role)))
 }
 
 // Version returns the module version and commit that the program was built
--- a/internal/process/program.go
+++ b/internal/process/program.go
@@ -83,7 +83,8 @@
 	}
 	terms := program.Log(loaded)
 	lines := newLogWriter(stdout)
-	log := newLogTo(terms.Log, lines).With(zap.String("host", terms.Host))
+	log, level := newLogTo(terms.Log, lines)
+	log = log.With(zap.String("host", terms.Host))
 	// net/http writes to the standard logger what no caller can be told.
 	restore, err := zap.RedirectStdLogAt(log, zapcore.WarnLevel)
 	if err != nil {
@@ -103,23 +104,26 @@
 		signalled: ctx, tree: t, leave: func(context.Context) error { return nil }, log: log,
 		delay: program.Stopping(loaded).Delay, idle: ring.New[struct{}]("process_drain", 1),
 	}
+	again := &reload[T]{program: program, path: line.Settings, current: loaded, level: level, log: log}
 	t.root = supervisor.New(supervisor.Spec{Name: program.Name, Children: slices.Concat(
-		[]supervisor.Child{{Name: "log", Duty: lines}}, children, []supervisor.Child{{Name: "drain", Duty: delay}},
+		[]supervisor.Child{{Name: "log", Duty: lines}, {Name: "reload", Duty: again}}, children,
+		[]supervisor.Child{{Name: "drain", Duty: delay}},
 	)}, log)
 	return t.run(treeCtx, log)
 }
 
-// newLogTo returns a log with the settings' level and format.
-func newLogTo(terms settings.Log, out zapcore.WriteSyncer) *zap.Logger {
+// newLogTo returns a log with the settings' format, and its level, which can be
+// changed.
+func newLogTo(terms settings.Log, out zapcore.WriteSyncer) (*zap.Logger, zap.AtomicLevel) {
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.ISO8601TimeEncoder
 	encoder := zapcore.NewJSONEncoder(config)
 	if terms.Format == "console" {
 		encoder = zapcore.NewConsoleEncoder(config)
 	}
-	level, err := zapcore.ParseLevel(terms.Level)
+	level, err := zap.ParseAtomicLevel(terms.Level)
 	if err != nil {
-		level = zapcore.InfoLevel // settings were checked before
+		level = zap.NewAtomicLevel() // settings were checked before
 	}
-	return zap.New(zapcore.NewCore(encoder, out, level))
+	return zap.New(zapcore.NewCore(encoder, out, level)), level
 }
--- /dev/null
+++ b/internal/process/program_test.go
@@ -0,0 +1,131 @@
+package process
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"kingcupcourse/internal/settings"
+	"kingcupcourse/internal/supervisor"
+)
+
+// output collects what a program writes.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+func (o *output) has(text string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return strings.Contains(o.text.String(), text)
+}
+
+func (o *output) await(t *testing.T, text string) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !o.has(text); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("no %q in the output", text)
+		}
+	}
+}
+
+const gatewaySettings = `{"host":"h","region":"r","availability_zone":"a","callers":"127.0.0.1:1","readiness":"127.0.0.1:2",
+"peers":"127.0.0.1:3","store":"http://127.0.0.1:4","limit_overage":0.1,"limit_slack":0,"limit_window_ms":8000,
+"repeat_share":0.2,"repeat_burst":54,"grace_ms":8000}`
+
+func testProgram() Program[settings.Gateway] {
+	return Program[settings.Gateway]{
+		Name: "kingcup-host", Load: settings.Load[settings.Gateway],
+		Log:      func(s *settings.Gateway) LogTerms { return LogTerms{Host: s.Host, Log: s.Log} },
+		Stopping: func(*settings.Gateway) Stopping { return Stopping{} },
+		Build: func(Surroundings, *settings.Gateway) ([]supervisor.Child, error) {
+			return nil, nil
+		},
+	}
+}
+
+// startProgram runs the program until the test ends.
+func startProgram(t *testing.T, out io.Writer) (path string, stop func() int) {
+	t.Helper()
+	path = filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(path, []byte(gatewaySettings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	code := make(chan int, 1)
+	go func() { code <- RunProgram(ctx, testProgram(), []string{"--settings", path}, out, out) }()
+	stop = sync.OnceValue(func() int { cancel(); return <-code })
+	t.Cleanup(func() { stop() })
+	return path, stop
+}
+
+// A program survives SIGHUP, also in series, and keeps its settings when the
+// file is bad.
+func TestSettingsAreReadAgain(t *testing.T) {
+	out := &output{}
+	path, stop := startProgram(t, out)
+	out.await(t, `"starting"`)
+	for range 20 {
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	out.await(t, `"settings read again"`)
+	if err := os.WriteFile(path, []byte(`{"host":7}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	out.await(t, "settings not taken, those before stay")
+	if code := stop(); code != ExitOK {
+		t.Errorf("exit code %d", code)
+	}
+}
+
+// blockedOutput is a reader of the log that has stopped.
+type blockedOutput struct{ until chan struct{} }
+
+func (b *blockedOutput) Write(p []byte) (int, error) {
+	<-b.until
+	return len(p), nil
+}
+
+// A log that nobody reads holds no duty up; its lines are dropped and counted.
+func TestALogThatNobodyReads(t *testing.T) {
+	blocked := &blockedOutput{until: make(chan struct{})}
+	w := newLogWriter(blocked)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = w.Serve(ctx) }()
+	began := time.Now()
+	for range 3 * logLines {
+		if _, err := w.Write([]byte("line\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("the writers were held up for %v", took)
+	}
+	if w.dropped.Load() < logLines {
+		t.Errorf("%d lines dropped", w.dropped.Load())
+	}
+	close(blocked.until)
+	cancel()
+	<-ended
+}
