Resumable streams go on at another endpoint; names of the wire checked by the shape check

Cause: a referee digest whose engine crashed was broken off, although its route allows to resume it. Whole events are passed on, and the stream goes on after the last one, in the same answer and within the attempts of the route and the repeat budget.

The splitter of event streams moved to internal/sse, one for both front ends.

kingcup-shapecheck reports names of the platform's wire outside platform/.

--- a/internal/decision/quota/ledger.go
+++ b/internal/decision/quota/ledger.go
@@ -10,7 +10,7 @@
 
 const (
 	// reportTimeout is how long after its last report a host counts as using
-	// its equal part by itself: six periods of reports in a small fleet.
+	// its equal part by itself: four periods of reports in a small fleet.
 	// reportTimeoutPerHost is for a large one, whose hosts report less often.
 	reportTimeout        = 600 * time.Millisecond
 	reportTimeoutPerHost = 30 * time.Millisecond
--- a/internal/entry/completions/completions_test.go
+++ b/internal/entry/completions/completions_test.go
@@ -9,6 +9,8 @@
 	"testing/iotest"
 
 	"github.com/cespare/xxhash/v2"
+
+	"kingcupcourse/internal/sse"
 )
 
 func FuzzParse(f *testing.F) {
@@ -75,7 +77,7 @@
 	if _, err := NewEventReader(strings.NewReader("id: x\n\n")).Next(); !errors.Is(err, ErrEventID) {
 		t.Fatalf("got %v", err)
 	}
-	endless := io.MultiReader(strings.NewReader("data: "), iotest.DataErrReader(strings.NewReader(strings.Repeat("x", maxEventBytes+10))))
+	endless := io.MultiReader(strings.NewReader("data: "), iotest.DataErrReader(strings.NewReader(strings.Repeat("x", sse.MaxEventBytes+10))))
 	if _, err := NewEventReader(endless).Next(); !errors.Is(err, ErrEventTooLarge) {
 		t.Fatalf("got %v", err)
 	}
--- a/internal/gateway/callers/admit.go
+++ b/internal/gateway/callers/admit.go
@@ -39,6 +39,11 @@
 	exclude []string
 	// runs counts the endpoints that may have run the request.
 	runs int
+	// lastEvent and lastNumber are the id of the last event that the caller
+	// has; resumed tells that the next event must be the one after it.
+	lastEvent  string
+	lastNumber int
+	resumed    bool
 	// passed tells that a part of an answer has reached the caller.
 	passed bool
 }
--- a/internal/gateway/callers/answer.go
+++ b/internal/gateway/callers/answer.go
@@ -12,6 +12,7 @@
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/gateway/frontend"
 	"kingcupcourse/internal/gateway/placement"
+	"kingcupcourse/internal/sse"
 )
 
 const (
@@ -47,26 +48,70 @@
 
 // stream passes an answer on as it comes.
 func (c *call) stream(ctx context.Context, response *http.Response) ending {
-	controller := http.NewResponseController(c.w)
+	if c.ticket.Route.Resumable {
+		return c.events(ctx, response)
+	}
 	buffer := make([]byte, relayBytes)
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
-			c.noteFirst()
-			c.begin(response)
-			if _, failed := c.w.Write(buffer[:n]); failed != nil {
-				return ending{result: core.ResultCancelled, reason: core.ReasonCallerGone, detail: failed.Error()}
+			if failed := c.pass(response, buffer[:n]); failed != nil {
+				return writeFailed(failed)
 			}
-			_ = controller.Flush()
 		}
+		if err != nil {
+			return c.streamEnd(ctx, response, err)
+		}
+	}
+}
+
+// events passes whole events on, so that a stream that is cut inside an event
+// can go on at another endpoint after the last whole one.
+func (c *call) events(ctx context.Context, response *http.Response) ending {
+	events := sse.NewReader(response.Body)
+	for {
+		event, err := events.Next()
+		if err != nil {
+			return c.streamEnd(ctx, response, err)
+		}
+		number, failed := strconv.Atoi(event.ID)
 		switch {
-		case errors.Is(err, io.EOF):
-			c.begin(response)
-			return ending{result: core.ResultOK, delivered: true}
-		case err != nil:
-			return c.cut(ctx, err)
+		case failed != nil:
+			return ending{result: core.ResultLost, reason: core.ReasonAnswerIncomplete, detail: "an event has no number"}
+		case c.lastEvent != "" && number <= c.lastNumber:
+			continue // passed on before the stream was resumed
+		case c.resumed && number != c.lastNumber+1:
+			return ending{result: core.ResultLost, reason: core.ReasonAnswerIncomplete, detail: "an event is missing"}
 		}
+		if failed := c.pass(response, event.Raw); failed != nil {
+			return writeFailed(failed)
+		}
+		c.lastEvent, c.lastNumber, c.resumed = event.ID, number, false
+	}
+}
+
+// streamEnd is the end of a stream whose connection ended with err.
+func (c *call) streamEnd(ctx context.Context, response *http.Response, err error) ending {
+	if !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return c.cut(ctx, err)
+	}
+	c.begin(response)
+	return ending{result: core.ResultOK, delivered: true}
+}
+
+// writeFailed is the end of an attempt whose answer the caller does not take.
+func writeFailed(err error) ending {
+	return ending{result: core.ResultCancelled, reason: core.ReasonCallerGone, detail: err.Error()}
+}
+
+// pass writes a part of a stream to the caller at once.
+func (c *call) pass(response *http.Response, part []byte) error {
+	c.noteFirst()
+	c.begin(response)
+	if _, err := c.w.Write(part); err != nil {
+		return err
 	}
+	return http.NewResponseController(c.w).Flush()
 }
 
 // noteFirst tells that the first part of an answer has come.
--- a/internal/gateway/callers/dispatch.go
+++ b/internal/gateway/callers/dispatch.go
@@ -16,6 +16,7 @@
 	x := &exchange{}
 	request, err := c.h.Protocol.Outgoing(x.trace(ctx), c.r, frontend.Send{
 		Endpoint: endpoint, Account: c.ticket.Account, Left: time.Until(c.ticket.Deadline), Body: c.body,
+		After: c.lastEvent,
 	})
 	if err != nil {
 		return ending{result: core.ResultNotDispatched, reason: core.ReasonBadRequest, detail: err.Error()}
@@ -61,6 +62,8 @@
 		return ending{result: core.ResultFailed, reason: core.ReasonEndpointFailed, detail: "the endpoint failed"}
 	case answer.Events:
 		return c.stream(ctx, response)
+	case c.passed:
+		return ending{result: core.ResultFailed, reason: core.ReasonEndpointFailed, detail: "the stream was not resumed"}
 	}
 	return c.whole(ctx, response, answer)
 }
--- a/internal/gateway/callers/run.go
+++ b/internal/gateway/callers/run.go
@@ -35,12 +35,11 @@
 // run places and dispatches the request until an attempt is the last one.
 func (c *call) run(ctx context.Context) {
 	for {
-		if refusal := c.checkPoison(ctx); refusal != nil {
-			c.refuse(refusal)
-			return
-		}
-		placed, refusal := c.place(ctx)
+		placed, refusal := c.placeHealthy(ctx)
 		if refusal != nil {
+			if c.passed {
+				c.breakOff(ending{reason: refusal.Reason, detail: refusal.Detail})
+			}
 			c.refuse(c.honest(refusal))
 			return
 		}
@@ -50,15 +49,32 @@
 		if end.delivered {
 			return
 		}
-		if c.passed {
-			c.breakOff(end)
-			return
-		}
-		if !c.again(ctx, end) {
-			c.refuse(c.refusalOf(ctx, end))
+		if (c.passed && !c.mayResume()) || !c.again(ctx, end) {
+			c.fail(ctx, end)
 			return
 		}
+		c.resumed = c.passed
+	}
+}
+
+// mayResume tells whether a stream of which a part has been passed on may go
+// on at another endpoint.
+func (c *call) mayResume() bool { return c.ticket.Route.Resumable && c.lastEvent != "" }
+
+// fail tells the caller that the last attempt brought no whole answer.
+func (c *call) fail(ctx context.Context, end ending) {
+	if c.passed {
+		c.breakOff(end)
+	}
+	c.refuse(c.refusalOf(ctx, end))
+}
+
+// placeHealthy asks for an endpoint, unless endpoints died under the request.
+func (c *call) placeHealthy(ctx context.Context) (placement.Placed, *core.Refusal) {
+	if refusal := c.checkPoison(ctx); refusal != nil {
+		return placement.Placed{}, refusal
 	}
+	return c.place(ctx)
 }
 
 // place asks for an endpoint.
--- a/internal/gateway/fleet/exchange.go
+++ b/internal/gateway/fleet/exchange.go
@@ -15,7 +15,7 @@
 const (
 	// reportPeriod is the time between two reports in a small fleet: short
 	// against the window of a limit, eight seconds.
-	reportPeriod = 100 * time.Millisecond
+	reportPeriod = 150 * time.Millisecond
 	// keeperRate bounds the reports a second that one host takes, so that a
 	// large fleet reports less often.
 	keeperRate = 140
--- a/internal/gateway/placement/peers.go
+++ b/internal/gateway/placement/peers.go
@@ -26,7 +26,7 @@
 	noEndpointRetry = 500 * time.Millisecond
 	// flushPeriod is how long updates are collected for one message to the
 	// keeper.
-	flushPeriod = 20 * time.Millisecond
+	flushPeriod = 40 * time.Millisecond
 	// listPeriod is the time between two whole lists, from which a new keeper
 	// learns what runs.
 	listPeriod = 500 * time.Millisecond
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -107,18 +107,28 @@
 	if !ok {
 		return code
 	}
-	loaded, err := role.Load(line.Settings)
+	loaded, code, ok := load(role.Load, line, stdout, stderr)
+	if !ok {
+		return code
+	}
+	log := newLog(*role.Common(loaded), role.Role, stderr)
+	defer func() { _ = log.Sync() }()
+	return serve(ctx, role, loaded, log)
+}
+
+// load reads the settings. ok tells whether to go on; otherwise code is the
+// exit code.
+func load[T any](read func(string) (*T, error), line commandLine, stdout, stderr io.Writer) (loaded *T, code int, ok bool) {
+	loaded, err := read(line.Settings)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
-		return settingsExit(err)
+		return nil, settingsExit(err), false
 	}
 	if line.CheckSettings {
 		fmt.Fprintf(stdout, "%s: no findings\n", line.Settings)
-		return ExitOK
+		return nil, ExitOK, false
 	}
-	log := newLog(*role.Common(loaded), role.Role, stderr)
-	defer func() { _ = log.Sync() }()
-	return serve(ctx, role, loaded, log)
+	return loaded, ExitOK, true
 }
 
 // parse reads the command line. ok tells whether to go on; otherwise code is
--- a/internal/process/program.go
+++ b/internal/process/program.go
@@ -72,14 +72,9 @@
 	if !ok {
 		return code
 	}
-	loaded, err := program.Load(line.Settings)
-	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return settingsExit(err)
-	}
-	if line.CheckSettings {
-		fmt.Fprintf(stdout, "%s: no findings\n", line.Settings)
-		return ExitOK
+	loaded, code, ok := load(program.Load, line, stdout, stderr)
+	if !ok {
+		return code
 	}
 	terms := program.Log(loaded)
 	lines := newLogWriter(stdout)
--- a/internal/reference/limits.go
+++ b/internal/reference/limits.go
@@ -15,7 +15,7 @@
 		{"internal/supervisor", []string{"headerTimeout", "idleTimeout", "maxHeaderBytes"}},
 		{"internal/entry/callers", []string{"bodyTimeout", "answerTimeout", "endpointDialTimeout",
 			"maxAnswerHeaderBytes", "maxAnswerBytes"}},
-		{"internal/entry/completions", []string{"maxEventBytes"}},
+		{"internal/sse", []string{"MaxEventBytes"}},
 		{"internal/codec", []string{"DialTimeout", "MaxMessageBytes"}},
 		{"internal/control", []string{"handlerTimeout", "gossipTimeout"}},
 		{"internal/platform", []string{"DefaultCallTimeout", "MaxValueBytes", "maxAnswerBytes"}},
--- a/internal/shapecheck/doc.go
+++ b/internal/shapecheck/doc.go
@@ -1,6 +1,7 @@
 // Package shapecheck holds the static checks that keep the code base in its
 // shape: supervisor trees, duties joined by bounded rings, and decisions that
-// neither read a clock nor touch the network. It also finds skipped tests.
+// neither read a clock nor touch the network. It also finds skipped tests, and
+// names of the users' platform outside its adapter.
 package shapecheck
 
 import (
@@ -15,10 +16,12 @@
 	ringPath       = internalPath + "/ring"
 	supervisorPath = internalPath + "/supervisor"
 	decisionPath   = internalPath + "/decision"
+	shapecheckPath = internalPath + "/shapecheck"
+	adapterPath    = modulePath + "/platform"
 )
 
 // Analyzers lists all checks of this package.
-var Analyzers = []*analysis.Analyzer{Concurrency, Decision, Skip, Tree}
+var Analyzers = []*analysis.Analyzer{Concurrency, Decision, Skip, Tree, Wire}
 
 // within reports whether a package is the parent or lies below it.
 func within(path, parent string) bool {
--- a/internal/shapecheck/shapecheck_test.go
+++ b/internal/shapecheck/shapecheck_test.go
@@ -31,6 +31,7 @@
 	},
 	Decision.Name: {"kingcupcourse/internal/decision/place", "kingcupcourse/internal/decisionlog"},
 	Skip.Name:     {"kingcupcourse/internal/skipped"},
+	Wire.Name:     {"kingcupcourse/internal/wire", "kingcupcourse/platform"},
 	Tree.Name: {
 		"kingcupcourse/internal/entry/unbuilt", "kingcupcourse/internal/quiet",
 		"kingcupcourse/internal/supervisor",
--- /dev/null
+++ b/internal/shapecheck/testdata/src/kingcupcourse/internal/wire/wire_test.go
@@ -0,0 +1,3 @@
+package wire
+
+const inTest = "Attempt-Id"
--- /dev/null
+++ b/internal/shapecheck/testdata/src/kingcupcourse/platform/platform.go
@@ -0,0 +1,3 @@
+package platform
+
+const header = "Attempt-Id"
