--- a/internal/gateway/callers/run.go
+++ b/internal/gateway/callers/run.go
@@ -113,7 +113,6 @@
 	}
 	c.report(placement.Update{
 		Attempt: c.attempt, Result: end.result, FirstMS: inMilliseconds(c.firstPart), TotalMS: inMilliseconds(took),
-		OutputTokens: c.request.MaxOutputTokens,
 	})
 	c.logAttempt(placed, end, took)
 }
--- a/internal/gateway/placement/candidates.go
+++ b/internal/gateway/placement/candidates.go
@@ -60,21 +60,22 @@
 		c.RunTime = d.speeds.Service(c.Endpoint, c.Version)
 		return
 	}
-	// Prompts are read one after another. The part of the first one that is
-	// read already is known by the time since it was expected to begin.
-	pending := time.Duration(0)
+	// Prompts are read one after another.
+	pending, output := time.Duration(0), 0
 	d.book.Each(name, func(a *outstanding.Attempt) {
+		output += a.OutputTokens
 		if a.OutputSoFar == 0 {
 			pending += d.speeds.Prefill(c.Endpoint, c.Version, a.PrefillTokens)
 		}
 	})
 	c.PendingPrefill = pending
 	c.Prefill = d.prefill(e, ask)
-	decode := d.speeds.Decode(c.Endpoint, c.Version, c.Running+1, ask.OutputTokens)
-	c.RunTime = c.Prefill + decode
+	c.RunTime = c.Prefill + d.speeds.Decode(c.Endpoint, c.Version, c.Running+1, ask.OutputTokens)
 	if over := c.Running + 1 - c.Endpoint.Slots; over > 0 {
-		// It waits until so many of those that run have ended.
-		c.PendingPrefill += time.Duration(float64(over) / float64(c.Endpoint.Slots) * float64(c.RunTime))
+		// It waits until so many of those that run have ended, of which one
+		// ends every so often.
+		usual := d.speeds.Decode(c.Endpoint, c.Version, c.Endpoint.Slots, output/c.Running)
+		c.PendingPrefill += time.Duration(over) * usual / time.Duration(c.Endpoint.Slots)
 	}
 }
 
--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -23,9 +23,11 @@
 	silentPeriod = time.Second
 	// maxFirstTurn bounds where a host begins among equal endpoints.
 	maxFirstTurn = 1 << 16
-	// mostLate is how late a first token may be expected, in parts of its
-	// objective, for a request to be placed.
-	mostLate = 1.2
+	// mostLate is how much later than its objective a first token may be
+	// expected for a request to be placed: half of the usual error of the
+	// expectation in overload. It is the same for all, so that requests with a
+	// short objective are not refused more often.
+	mostLate = 200 * time.Millisecond
 	// leastRetry is the least time after which a refused caller may come back.
 	leastRetry = 200 * time.Millisecond
 	// firstPrefillRate and firstDecodeRate, in tokens a second, are the first
@@ -149,7 +151,7 @@
 	if ask.PromptTokens == 0 || ask.ObjectiveMS == 0 {
 		return 0, false
 	}
-	limit := time.Duration(mostLate * float64(ask.ObjectiveMS) * float64(time.Millisecond))
+	limit := time.Duration(ask.ObjectiveMS)*time.Millisecond + mostLate
 	return max(leastRetry, first-limit), first > limit
 }
 
--- /dev/null
+++ b/internal/gateway/placement/duty_test.go
@@ -0,0 +1,118 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/catalog"
+	"kingcupcourse/internal/ring"
+)
+
+// newDuty returns a duty that knows so many endpoints with four slots each.
+func newDuty(endpoints int) *Duty {
+	d := New(core.Host{Name: "h", AvailabilityZone: "a"}, ring.NewLatest[*catalog.Snapshot]())
+	snapshot := &catalog.Snapshot{}
+	for i := range endpoints {
+		snapshot.Endpoints = append(snapshot.Endpoints, catalog.Endpoint{Service: "s",
+			Endpoint: core.Endpoint{Name: fmt.Sprint("e", i), Address: fmt.Sprint("10.0.0.1:", i+1), Slots: 4}})
+	}
+	d.refresh(snapshot)
+	return d
+}
+
+func ask(id int, prompt int) Ask {
+	return Ask{Attempt: fmt.Sprint("a", id), Host: "h", Service: "s", PromptTokens: prompt, OutputTokens: 100,
+		ObjectiveMS: 500, LeftMS: 10_000}
+}
+
+// run lets an attempt run and end in the times given.
+func (d *Duty) run(t *testing.T, a Ask, first, total float64, now time.Time) string {
+	t.Helper()
+	choice := d.choose(a, now)
+	if choice.Endpoint == "" {
+		t.Fatalf("not placed: %+v", choice)
+	}
+	d.update(Update{Attempt: a.Attempt, Result: core.ResultOK, FirstMS: first, TotalMS: total}, now)
+	return choice.Endpoint
+}
+
+func TestWorkThatWouldBeLateIsRefused(t *testing.T) {
+	d, now := newDuty(2), time.Now()
+	for i := range 20 {
+		d.run(t, ask(i, 10_000), 100, 600, now) // 10 ms for 1,000 tokens
+	}
+	placed, refused := 0, 0
+	for i := range 40 {
+		choice := d.choose(ask(100+i, 10_000), now)
+		switch {
+		case choice.Overload:
+			refused++
+			if choice.RetryMS < leastRetry.Milliseconds() {
+				t.Errorf("may come back after %d ms", choice.RetryMS)
+			}
+		case choice.ExpectedMS > 500+float64(mostLate.Milliseconds()):
+			t.Errorf("placed with its first token expected after %v ms", choice.ExpectedMS)
+		default:
+			placed++
+		}
+	}
+	if placed < 4 || refused == 0 {
+		t.Errorf("%d placed, %d refused", placed, refused)
+	}
+}
+
+func TestSlowEndpointsGetLess(t *testing.T) {
+	d, now := newDuty(2), time.Now()
+	count := map[string]int{}
+	for i := range 60 {
+		choice := d.choose(ask(i, 5000), now)
+		first := 50.0
+		if choice.Endpoint == "e1" {
+			first = 250
+		}
+		count[choice.Endpoint]++
+		d.update(Update{Attempt: fmt.Sprint("a", i), Result: core.ResultOK, FirstMS: first, TotalMS: first + 300}, now)
+	}
+	if count["e1"] >= count["e0"] || count["e1"] == 0 {
+		t.Errorf("%v", count)
+	}
+}
+
+func TestAttemptsOfASilentHostAreDropped(t *testing.T) {
+	d, now := newDuty(1), time.Now()
+	a := ask(1, 1000)
+	a.Host = "other"
+	d.choose(a, now.Add(-time.Minute))
+	if err := d.tick(); err != nil || d.book.Len() != 0 || len(d.asks) != 0 {
+		t.Errorf("%d attempts counted, %d known, %v", d.book.Len(), len(d.asks), err)
+	}
+}
+
+// A new keeper learns what runs from the hosts' lists, and forgets what they
+// list no more.
+func TestListsRebuildTheCount(t *testing.T) {
+	d, now := newDuty(2), time.Now()
+	list := Updates{Host: "other", Full: true, Running: []Running{{Ask: ask(1, 1000), Endpoint: "e0"},
+		{Ask: ask(2, 1000), Endpoint: "e0", Begun: true}}}
+	Tell{Updates: list}.handle(d, now)
+	if d.book.Running("e0") != 2 {
+		t.Fatalf("%d run", d.book.Running("e0"))
+	}
+	list.Running = list.Running[:1]
+	Tell{Updates: list}.handle(d, now)
+	if d.book.Running("e0") != 1 || len(d.asks) != 1 {
+		t.Errorf("%d run, %d known", d.book.Running("e0"), len(d.asks))
+	}
+}
+
+func TestAnEndpointThatIsLeavingIsNotConfirmed(t *testing.T) {
+	d, now := newDuty(1), time.Now()
+	d.endpoints["e0"].Leaving = true
+	m := Confirm{Reply: ring.NewReply[Confirmed](), Ask: ask(1, 1000), Endpoint: "e0"}
+	m.handle(d, now)
+	if got, _ := m.Wait(t.Context()); got.OK || d.book.Len() != 0 {
+		t.Errorf("%+v", got)
+	}
+}
--- a/internal/gateway/placement/messages.go
+++ b/internal/gateway/placement/messages.go
@@ -60,8 +60,6 @@
 	// TotalMS that to its end, in milliseconds.
 	FirstMS float64 `json:"first_ms,omitempty"`
 	TotalMS float64 `json:"total_ms,omitempty"`
-	// OutputTokens is the length of the answer.
-	OutputTokens int `json:"output_tokens,omitempty"`
 }
 
 // Running is an attempt as its host lists it.
--- a/internal/gateway/placement/updates.go
+++ b/internal/gateway/placement/updates.go
@@ -45,14 +45,16 @@
 }
 
 // learn takes the speed from an attempt that ended well. The prompts that were
-// ahead of its own have been read in the time to its first token, too.
+// ahead of its own have been read in the time to its first token, too. The
+// length of the answer is the one that was expected, by which times are
+// estimated.
 func (d *Duty) learn(e *endpoint, a *outstanding.Attempt, u Update, now time.Time) {
 	sample := estimate.Sample{
-		PrefillTokens: a.PrefillTokens + a.AheadTokens, OutputTokens: u.OutputTokens, Running: a.RunningBefore + 1,
+		PrefillTokens: a.PrefillTokens + a.AheadTokens, OutputTokens: a.OutputTokens, Running: a.RunningBefore + 1,
 		FirstToken: milliseconds(u.FirstMS), Total: milliseconds(u.TotalMS), At: now,
 	}
-	if u.OutputTokens > 1 {
-		sample.BetweenTokens = milliseconds((u.TotalMS - u.FirstMS) / float64(u.OutputTokens-1))
+	if a.OutputTokens > 1 && u.FirstMS > 0 {
+		sample.BetweenTokens = milliseconds((u.TotalMS - u.FirstMS) / float64(a.OutputTokens-1))
 	}
 	d.speeds.Observe(e.Endpoint.Endpoint, e.Version, sample)
 }
