--- a/internal/gateway/callers/admit.go
+++ b/internal/gateway/callers/admit.go
@@ -102,6 +102,8 @@
 	if limit > 0 && c.r.ContentLength > limit {
 		return core.Refuse(core.ReasonTooLarge, "the body is larger than allowed")
 	}
+	// Setting a deadline fails only on a connection that has ended, and then
+	// the read fails as well.
 	_ = http.NewResponseController(c.w).SetReadDeadline(c.ticket.Deadline)
 	body := c.r.Body
 	if limit > 0 {
--- a/internal/gateway/callers/dispatch.go
+++ b/internal/gateway/callers/dispatch.go
@@ -52,10 +52,10 @@
 			detail: "the answer belongs to another request"}
 	case answer.NotRun:
 		return ending{result: core.ResultRejected, reason: core.ReasonShed, detail: "the endpoint turned it away"}
-	case answer.Status < http.StatusBadRequest && !answer.Proved:
+	case answer.Status < http.StatusBadRequest && !answer.Signed:
 		return ending{result: core.ResultFailed, reason: core.ReasonAnswerIncomplete,
-			detail: "no endpoint vouches for the answer"}
-	case promisesNotRun(answer.Status):
+			detail: "the answer is not signed by an endpoint"}
+	case answer.Misleading:
 		return ending{result: core.ResultFailed, reason: core.ReasonEndpointFailed,
 			detail: "the endpoint failed without saying that it did not run the request"}
 	case answer.Status >= http.StatusInternalServerError && c.mayRunAgain():
@@ -73,14 +73,3 @@
 func (c *call) mayRunAgain() bool {
 	return c.repeatable() && c.runs+1 < c.ticket.Route.MaxAttempts && time.Until(c.ticket.Deadline) > minRemaining
 }
-
-// promisesNotRun lists the statuses that tell a caller that its request has
-// not run, which an endpoint's failure does not.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests,
-		http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
--- a/internal/gateway/frontend/frontend.go
+++ b/internal/gateway/frontend/frontend.go
@@ -57,8 +57,11 @@
 	Other bool
 	// Matches tells that the answer belongs to the request.
 	Matches bool
-	// Proved tells that an endpoint vouches for the answer.
-	Proved bool
+	// Misleading tells that the status would tell the caller that its request
+	// has not run, although the endpoint does not say so.
+	Misleading bool
+	// Signed tells that the answer is signed by an endpoint.
+	Signed bool
 	// Events tells that the body is a stream of events.
 	Events bool
 }
