An answer without a length above 256 KiB is delivered

Cause: a plain answer is read whole before it is passed on, and one that came without a length and was larger than the buffer was told as failed, although the worker had made it. It is passed on as it comes from there. The case without a length of TestALargeAnswerIsDelivered failed before.

--- a/internal/gateway/callers/answer.go
+++ b/internal/gateway/callers/answer.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"time"
 
-	"kingcupcourse/internal/codec"
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/gateway/frontend"
 	"kingcupcourse/internal/gateway/placement"
@@ -26,15 +25,15 @@
 // whole reads an answer and passes it on once it is complete, so that one
 // that is cut can be tried again or told as failed.
 func (c *call) whole(ctx context.Context, response *http.Response, answer frontend.Answer) ending {
-	if response.ContentLength > maxWholeBytes {
-		return c.stream(ctx, response)
-	}
-	body, err := codec.ReadLimited(response.Body, maxWholeBytes)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxWholeBytes+1))
 	switch {
-	case errors.Is(err, codec.ErrTooLarge):
-		return ending{result: core.ResultFailed, reason: core.ReasonAnswerIncomplete, detail: err.Error()}
 	case err != nil:
 		return c.cut(ctx, err)
+	case len(body) > maxWholeBytes:
+		if failed := c.pass(response, body); failed != nil {
+			return writeFailed(failed)
+		}
+		return c.relay(ctx, response)
 	}
 	c.h.Protocol.Relay(c.w.Header(), response)
 	c.w.WriteHeader(response.StatusCode)
@@ -51,6 +50,11 @@
 	if c.ticket.Route.Resumable {
 		return c.events(ctx, response)
 	}
+	return c.relay(ctx, response)
+}
+
+// relay passes the bytes of an answer on.
+func (c *call) relay(ctx context.Context, response *http.Response) ending {
 	buffer := make([]byte, relayBytes)
 	for {
 		n, err := response.Body.Read(buffer)
