Gateway: fields that nothing reads are gone; the expected output says what it is

The priority of an Ask, the configuration kept by placement, Answer.Other and Request.After were written and never read; the minimum in expectedOutput was always the hint. Behaviour is the same.

--- a/internal/gateway/callers/run.go
+++ b/internal/gateway/callers/run.go
@@ -83,16 +83,16 @@
 	placed := c.h.Place(ctx, placement.Ask{
 		Attempt: c.attempt, Host: c.h.Host, Service: c.ticket.Service,
 		PromptTokens: c.request.PromptTokens, OutputTokens: c.expectedOutput(),
-		ObjectiveMS: c.ticket.Route.Objective.Milliseconds(), Priority: c.ticket.Priority,
-		Exclude: c.exclude, LeftMS: time.Until(c.ticket.Deadline).Milliseconds(), Keeper: c.ticket.Keeper,
+		ObjectiveMS: c.ticket.Route.Objective.Milliseconds(),
+		Exclude:     c.exclude, LeftMS: time.Until(c.ticket.Deadline).Milliseconds(), Keeper: c.ticket.Keeper,
 	})
 	return placed, placed.Refusal
 }
 
 // expectedOutput is the caller's estimate of the output, or its bound.
 func (c *call) expectedOutput() int {
-	if hint := c.request.OutputHint; hint > 0 {
-		return min(hint, max(hint, c.request.MaxOutputTokens))
+	if c.request.OutputHint > 0 {
+		return c.request.OutputHint
 	}
 	return c.request.MaxOutputTokens
 }
--- a/internal/gateway/frontend/frontend.go
+++ b/internal/gateway/frontend/frontend.go
@@ -31,9 +31,6 @@
 	OutputHint int
 	// HeaderBytes is the size of the request's header.
 	HeaderBytes int64
-	// After is the last event that the caller has seen of a stream that it
-	// wants resumed, empty for a whole stream.
-	After string
 }
 
 // Send is what a front end needs to build the request to an endpoint.
@@ -53,8 +50,6 @@
 	Status int
 	// NotRun tells that the endpoint did not run the request and will not.
 	NotRun bool
-	// Other tells that another endpoint has the address now.
-	Other bool
 	// Matches tells that the answer belongs to the request.
 	Matches bool
 	// Misleading tells that the status would tell the caller that its request
--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -47,11 +47,10 @@
 	book   *outstanding.Book
 	speeds *estimate.Speeds
 
-	configuration *catalog.Configuration
-	endpoints     map[string]*endpoint
-	services      map[string][]*endpoint
-	asks          map[string]Ask // of the attempts that are counted
-	next          time.Time
+	endpoints map[string]*endpoint
+	services  map[string][]*endpoint
+	asks      map[string]Ask // of the attempts that are counted
+	next      time.Time
 }
 
 // endpoint is what the duty knows of one endpoint.
@@ -105,7 +104,6 @@
 // refresh takes over the list of endpoints.
 func (d *Duty) refresh(snapshot *catalog.Snapshot) {
 	known := d.endpoints
-	d.configuration = snapshot.Configuration
 	d.endpoints, d.services = map[string]*endpoint{}, map[string][]*endpoint{}
 	for _, listed := range snapshot.Endpoints {
 		e := known[listed.Name]
--- a/internal/gateway/placement/messages.go
+++ b/internal/gateway/placement/messages.go
@@ -24,9 +24,8 @@
 	PromptTokens int `json:"prompt_tokens,omitempty"`
 	OutputTokens int `json:"output_tokens,omitempty"`
 	// ObjectiveMS is the time to the first part of the answer that gives it its
-	// full value, in milliseconds. Priority is 0 for the most important.
+	// full value, in milliseconds.
 	ObjectiveMS int64 `json:"objective_ms,omitempty"`
-	Priority    int   `json:"priority,omitempty"`
 	// Exclude lists endpoints that must not be chosen again.
 	Exclude []string `json:"exclude,omitempty"`
 	// LeftMS is the time to the deadline, in milliseconds.
