--- a/integration/leaving_test.go
+++ b/integration/leaving_test.go
@@ -82,6 +82,11 @@
 	}
 	if last < -time.Second {
 		c.t.Errorf("%s had no work before it left; the test shows nothing", endpoint)
+		for name, work := range c.placementsByEndpoint() {
+			c.t.Logf("%s: %d placements among %.1f endpoints, from %v to %v after it began to leave", name, work.count,
+				float64(work.passed)/float64(work.count),
+				work.first.Sub(left), work.last.Sub(left))
+		}
 	}
 }
 
--- a/integration/log_test.go
+++ b/integration/log_test.go
@@ -15,6 +15,8 @@
 	Request  string    `json:"request"`
 	Endpoint string    `json:"endpoint"`
 	Version  string    `json:"version"`
+	// Passed is how many endpoints could have been chosen.
+	Passed int `json:"passed"`
 }
 
 // placements returns what all schedulers logged about placements.
@@ -49,3 +51,27 @@
 	}
 	return last
 }
+
+// placementsOn sums up the placements on an endpoint.
+type placementsOn struct {
+	count, passed int
+	first, last   time.Time
+}
+
+// placementsByEndpoint sums the placements up, for a test that has failed.
+func (c *cluster) placementsByEndpoint() map[string]placementsOn {
+	c.t.Helper()
+	sums := map[string]placementsOn{}
+	for _, p := range c.placements() {
+		sum := sums[p.Endpoint]
+		if sum.count++; sum.count == 1 || p.At.Before(sum.first) {
+			sum.first = p.At
+		}
+		sum.passed += p.Passed
+		if p.At.After(sum.last) {
+			sum.last = p.At
+		}
+		sums[p.Endpoint] = sum
+	}
+	return sums
+}
--- a/internal/decision/catalog/catalog.go
+++ b/internal/decision/catalog/catalog.go
@@ -125,6 +125,8 @@
 	Endpoints     []Endpoint
 	// EndpointsKnown tells that the list of endpoints has been read.
 	EndpointsKnown bool
+	// Orders are the operator's orders to move a service, by service.
+	Orders map[string]Order
 }
 
 // Ready tells whether requests can be served.
--- a/internal/decision/move/move.go
+++ b/internal/decision/move/move.go
@@ -5,6 +5,7 @@
 package move
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -23,8 +24,16 @@
 	MaxShare float64
 	// Soak is how long the version is watched at the largest ramp share.
 	Soak time.Duration
+	// Step is the shortest time at each share of the ramp, and Revert how long
+	// before the deadline a revert begins, so that every host has stopped using
+	// the version by the deadline. Zero stands for DefaultStep and RevertTime.
+	Step, Revert time.Duration
 }
 
+func (p *Plan) step() time.Duration { return cmp.Or(p.Step, DefaultStep) }
+
+func (p *Plan) revert() time.Duration { return cmp.Or(p.Revert, RevertTime) }
+
 // Status is how far a move has come.
 type Status struct {
 	Stage message.Stage
@@ -49,16 +58,15 @@
 }
 
 const (
-	// stepTime is the shortest time at each share of the ramp.
-	stepTime = 2 * time.Second
+	// DefaultStep is the usual shortest time at each share of the ramp.
+	DefaultStep = 2 * time.Second
 	// stepRequests is how many requests the new version must have had at
 	// each share of the ramp.
 	stepRequests = 10
 	// calm is the largest alarm, as a share of the way to the verdict
 	// "bad", with which the share is raised.
 	calm = 0.5
-	// RevertTime is how long before the deadline a revert begins, so that
-	// every host has stopped using the version by the deadline.
+	// RevertTime is how long before the deadline a revert usually begins.
 	RevertTime = 5 * time.Second
 )
 
@@ -121,18 +129,18 @@
 func TimeNeeded(plan Plan, status Status, now time.Time) time.Duration {
 	elapsed := now.Sub(status.Since)
 	left := func(stage time.Duration) time.Duration { return max(0, stage-elapsed) }
-	steps := time.Duration(len(rampShares())) * stepTime
+	steps := time.Duration(len(rampShares())) * plan.step()
 	var needed time.Duration
 	switch status.Stage {
 	case message.StageRamp:
-		done := time.Duration(rampIndex(status.Share)+1) * stepTime
-		needed = left(stepTime) + steps - done + plan.Soak
+		done := time.Duration(rampIndex(status.Share)+1) * plan.step()
+		needed = left(plan.step()) + steps - done + plan.Soak
 	case message.StageSoak:
 		needed = left(plan.Soak)
 	default:
 		needed = steps + plan.Soak
 	}
-	return max(needed, RevertTime)
+	return max(needed, plan.revert())
 }
 
 func rampIndex(share float64) int {
@@ -145,7 +153,7 @@
 }
 
 func nextRamp(plan Plan, status Status, now time.Time, known Knowledge) Status {
-	if now.Sub(status.Since) < stepTime || !quiet(known.Evidence) || newRequests(status, known) < stepRequests {
+	if now.Sub(status.Since) < plan.step() || !quiet(known.Evidence) || newRequests(status, known) < stepRequests {
 		return status
 	}
 	if next := rampIndex(status.Share) + 1; next < len(rampShares()) {
--- a/internal/decision/trial/trial.go
+++ b/internal/decision/trial/trial.go
@@ -31,14 +31,19 @@
 
 // Set holds the trials of one pool. It is owned by one duty.
 type Set struct {
-	pool   string
-	trials map[core.Version]*Trial
-	bad    map[core.Version]message.BadVersion
+	pool     string
+	settings verdict.Settings
+	trials   map[core.Version]*Trial
+	bad      map[core.Version]message.BadVersion
 }
 
-// NewSet returns a set without trials.
-func NewSet(pool string) *Set {
-	return &Set{pool: pool, trials: map[core.Version]*Trial{}, bad: map[core.Version]message.BadVersion{}}
+// NewSet returns a set without trials, whose verdicts follow the usual
+// settings.
+func NewSet(pool string) *Set { return NewSetWith(pool, verdict.DefaultSettings()) }
+
+// NewSetWith is NewSet with other settings.
+func NewSetWith(pool string, settings verdict.Settings) *Set {
+	return &Set{pool: pool, settings: settings, trials: map[core.Version]*Trial{}, bad: map[core.Version]message.BadVersion{}}
 }
 
 // Follow brings the trials in line with the planned moves and their stages.
@@ -71,7 +76,7 @@
 	case t == nil && done:
 		return
 	case t == nil || t.move.FromVersion != move.FromVersion:
-		t = &Trial{monitor: verdict.New(verdict.DefaultSettings()), lastLost: map[string]time.Time{}}
+		t = &Trial{monitor: verdict.New(s.settings), lastLost: map[string]time.Time{}}
 		s.trials[move.ToVersion] = t
 	}
 	t.move, t.stage = move, stage
--- a/internal/gateway/callers/run.go
+++ b/internal/gateway/callers/run.go
@@ -83,7 +83,7 @@
 	c.attempt = c.request.ID + "/" + strconv.Itoa(len(c.exclude)+1)
 	placed := c.h.Place(ctx, placement.Ask{
 		Attempt: c.attempt, Host: c.h.Host, Service: c.ticket.Service,
-		PromptTokens: c.request.PromptTokens, OutputTokens: c.expectedOutput(), OutputBound: c.request.MaxOutputTokens,
+		Route: c.routeName(), PromptTokens: c.request.PromptTokens, OutputTokens: c.expectedOutput(), OutputBound: c.request.MaxOutputTokens,
 		ObjectiveMS: c.ticket.Route.Objective.Milliseconds(),
 		Exclude:     c.exclude, LeftMS: time.Until(c.ticket.Deadline).Milliseconds(), Keeper: c.ticket.Keeper,
 	})
--- a/internal/gateway/catalog/keeper.go
+++ b/internal/gateway/catalog/keeper.go
@@ -27,6 +27,13 @@
 	Configuration(platform.Object) (*catalog.Configuration, error)
 	Endpoint(platform.Object) (catalog.Endpoint, error)
 	EndpointName(platform.Object) string
+	// OrdersPrefix is where the orders to move a service are kept, OrderKey the
+	// one for a service.
+	OrdersPrefix() string
+	OrderKey(service string) string
+	Order(platform.Object) (catalog.Order, error)
+	// OrderStatus encodes what the operator is told of an order.
+	OrderStatus(catalog.Order, catalog.OrderState) any
 }
 
 // Subscription is a ring that always holds the newest snapshot.
@@ -42,13 +49,15 @@
 	roster        *roster.Roster
 	configuration *catalog.Configuration
 	listed        bool
-	failing       map[string]bool // prefixes whose last call failed
+	orders        map[string]catalog.Order // by key
+	failing       map[string]bool          // prefixes whose last call failed
 }
 
 func newKeeper(decoder Decoder, log *zap.Logger) *keeper {
 	return &keeper{
 		decoder: decoder, log: log, roster: roster.New(), failing: map[string]bool{},
-		inbox: ring.New[platform.News]("gateway_catalog", newsCapacity),
+		orders: map[string]catalog.Order{},
+		inbox:  ring.New[platform.News]("gateway_catalog", newsCapacity),
 	}
 }
 
@@ -69,6 +78,8 @@
 		changed = k.takeConfiguration(news.Objects)
 	case k.decoder.EndpointsPrefix():
 		changed = k.takeEndpoints(news, now)
+	case k.decoder.OrdersPrefix():
+		changed = k.takeOrders(news, now)
 	}
 	if changed {
 		k.publish()
@@ -183,6 +194,10 @@
 func (k *keeper) publish() {
 	snapshot := &catalog.Snapshot{
 		Configuration: k.configuration, Endpoints: k.roster.Endpoints(), EndpointsKnown: k.listed,
+		Orders: map[string]catalog.Order{},
+	}
+	for _, order := range k.orders {
+		snapshot.Orders[order.Service] = order
 	}
 	if k.configuration != nil {
 		configurationVersion.Set(float64(k.configuration.Version))
--- a/internal/gateway/catalog/supervisor.go
+++ b/internal/gateway/catalog/supervisor.go
@@ -11,6 +11,11 @@
 	"kingcupcourse/internal/supervisor"
 )
 
+// ordersWait is how long a watch of the orders waits. An order is answered by
+// the watch at once; the wait only bounds how long a silent connection goes
+// unnoticed.
+const ordersWait = 5 * time.Second
+
 // Catalog is the supervisor of the keeper and its followers.
 type Catalog struct {
 	*supervisor.Supervisor
@@ -20,8 +25,8 @@
 // New returns the supervisor, which is not yet running. Wait is how long a
 // watch waits for a change.
 //
-// Children, in their order: the keeper, and a follower for the configuration
-// and one for the endpoints. A follower that fails begins with a list.
+// Children, in their order: the keeper, and a follower each for the
+// configuration, the endpoints and the orders to move a service. A follower that fails begins with a list.
 func New(client *platform.Client, decoder Decoder, wait time.Duration, log *zap.Logger) *Catalog {
 	k := newKeeper(decoder, log)
 	follow := func(prefix string) supervisor.Child {
@@ -31,6 +36,8 @@
 		{Name: "keeper", Duty: k},
 		follow(decoder.ConfigurationPrefix()),
 		follow(decoder.EndpointsPrefix()),
+		{Name: "follow-" + decoder.OrdersPrefix(),
+			Duty: platform.NewFollower(client, decoder.OrdersPrefix(), ordersWait, k.inbox.Put)},
 	}}, log)}
 }
 
--- a/internal/gateway/fleet/exchange.go
+++ b/internal/gateway/fleet/exchange.go
@@ -9,6 +9,7 @@
 
 	"kingcupcourse/internal/codec"
 	"kingcupcourse/internal/decision/fleet"
+	"kingcupcourse/internal/gateway/moves"
 	"kingcupcourse/internal/ring"
 )
 
@@ -43,6 +44,7 @@
 	members   *ring.Ring[map[string]string]
 	own       *ledger
 	admission Admission
+	moves     *ring.Ring[moves.Message]
 	client    *http.Client
 	log       *zap.Logger
 
@@ -55,14 +57,14 @@
 	known     int
 }
 
-func newExchange(self string, own *ledger, admission Admission, log *zap.Logger) *exchange {
+func newExchange(c Config, own *ledger) *exchange {
 	e := &exchange{
-		self: self, own: own, admission: admission, log: log,
+		self: c.Host.Name, own: own, admission: c.Admission, moves: c.Moves, log: c.Log,
 		members: ring.New[map[string]string]("fleet_members", newsCapacity),
 		client:  &http.Client{Transport: codec.NewTransport(0)},
 		silent:  map[string]time.Time{},
 	}
-	e.setMembers(map[string]string{self: ""})
+	e.setMembers(map[string]string{e.self: ""})
 	return e
 }
 
@@ -111,13 +113,14 @@
 		answer := Answer{}
 		err := e.call(ctx, e.addresses[name], &report, &answer)
 		if err == nil {
-			e.reportedTo(name)
-			return answer, nil
+			return answer, e.reportedTo(ctx, name)
 		}
 		e.silent[name] = time.Now().Add(silentTime)
 		e.log.Warn("host did not take the report", zap.String("peer", name), zap.String("error", err.Error()))
 	}
-	e.reportedTo(e.self)
+	if err := e.reportedTo(ctx, e.self); err != nil {
+		return Answer{}, err
+	}
 	m := reported{Reply: ring.NewReply[Answer](), report: report}
 	if err := e.own.inbox.Put(ctx, m); err != nil {
 		return Answer{}, err
@@ -139,10 +142,14 @@
 	return e.addresses[e.keeper]
 }
 
-func (e *exchange) reportedTo(name string) {
-	if e.keeper != name {
-		e.log.Info("keeper of the ledger", zap.String("keeper", name), zap.String("before", e.keeper),
-			zap.Int("hosts", len(e.ranked)))
-		e.keeper = name
+// reportedTo notes the keeper, and tells the moves if that has become this
+// host, or is it no more.
+func (e *exchange) reportedTo(ctx context.Context, name string) error {
+	if e.keeper == name {
+		return nil
 	}
+	e.log.Info("keeper of the ledger", zap.String("keeper", name), zap.String("before", e.keeper),
+		zap.Int("hosts", len(e.ranked)))
+	e.keeper = name
+	return e.moves.Put(ctx, moves.Keeping{Self: name == e.self})
 }
--- a/internal/gateway/fleet/supervisor.go
+++ b/internal/gateway/fleet/supervisor.go
@@ -10,6 +10,7 @@
 	"kingcupcourse/internal/codec"
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/gateway/catalog"
+	"kingcupcourse/internal/gateway/moves"
 	"kingcupcourse/internal/platform"
 	"kingcupcourse/internal/ring"
 	"kingcupcourse/internal/supervisor"
@@ -24,7 +25,9 @@
 	Views     catalog.Subscription
 	Admission Admission
 	Tolerance Tolerance
-	Log       *zap.Logger
+	// Moves is told whether this host is the keeper.
+	Moves *ring.Ring[moves.Message]
+	Log   *zap.Logger
 }
 
 // Fleet is the supervisor of the duties that join the hosts.
@@ -45,7 +48,7 @@
 // has.
 func New(c Config) *Fleet {
 	own := newLedger(c.Views, c.Tolerance)
-	reports := newExchange(c.Host.Name, own, c.Admission, c.Log)
+	reports := newExchange(c, own)
 	members := &membership{self: c.Host.Name, addresses: map[string]string{}, out: reports.members, log: c.Log}
 	return &Fleet{ledger: own, client: reports.client, Supervisor: supervisor.New(supervisor.Spec{Name: "fleet", Children: []supervisor.Child{
 		{Name: "ledger", Duty: own},
--- a/internal/gateway/placement/candidates.go
+++ b/internal/gateway/placement/candidates.go
@@ -31,6 +31,7 @@
 	if ask.PromptTokens == 0 {
 		d.tryUnknown(candidates, now)
 	}
+	d.moving.bound(ask.Service, candidates)
 	return candidates
 }
 
--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -14,6 +14,7 @@
 	"kingcupcourse/internal/decision/outstanding"
 	"kingcupcourse/internal/decision/placement"
 	owncatalog "kingcupcourse/internal/gateway/catalog"
+	"kingcupcourse/internal/gateway/moves"
 	"kingcupcourse/internal/ring"
 )
 
@@ -51,6 +52,7 @@
 	services  map[string][]*endpoint
 	// eventTokens is how many tokens an event of a service's streams holds.
 	eventTokens map[string]int
+	moving      *moving
 	asks        map[string]Ask // of the attempts that are counted
 	next        time.Time
 	scratch     []engine.Job // reused
@@ -63,12 +65,17 @@
 }
 
 // New returns the duty of a host.
-func New(host core.Host, views owncatalog.Subscription) *Duty {
+//
+// Stages tells how far moves of services are, and outcomes takes what their
+// requests show.
+func New(host core.Host, views owncatalog.Subscription, stages *ring.Latest[map[string]moves.Stage],
+	outcomes *ring.Ring[moves.Message]) *Duty {
 	policy := func(scorer placement.Scorer) *placement.Policy {
 		return &placement.Policy{
-			Filters: []placement.Filter{placement.Leaving{}, placement.Excluded{}, placement.Ready{}},
-			Scorer:  scorer,
-			Picker:  &placement.LowestInTurn{Turn: int(xxhash.Sum64String(host.Name) % maxFirstTurn)},
+			Filters: []placement.Filter{placement.Leaving{}, placement.Excluded{}, placement.Ready{},
+				placement.VersionInForce{}, placement.VersionShare{}},
+			Scorer: scorer,
+			Picker: &placement.LowestInTurn{Turn: int(xxhash.Sum64String(host.Name) % maxFirstTurn)},
 		}
 	}
 	return &Duty{
@@ -76,7 +83,7 @@
 		model: policy(placement.FirstToken{}), plain: policy(placement.LeastBusy{}),
 		book: outstanding.NewBook(), speeds: estimate.NewSpeeds(),
 		endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, asks: map[string]Ask{},
-		eventTokens: map[string]int{},
+		eventTokens: map[string]int{}, moving: newMoving(stages, outcomes),
 	}
 }
 
@@ -89,6 +96,7 @@
 		if snapshot, ok := d.views.TryTake(); ok {
 			d.refresh(snapshot)
 		}
+		d.moving.refresh()
 		m.handle(d, time.Now())
 		return nil
 	}, func() time.Time { return d.next }, d.tick)
@@ -172,6 +180,7 @@
 		ahead = int(float64(ask.PromptTokens) * float64(c.PendingPrefill) / float64(c.Prefill))
 	}
 	d.asks[ask.Attempt] = ask
+	d.moving.placed(ask.Service, c.Version)
 	d.book.Add(&outstanding.Attempt{
 		ID: ask.Attempt, Host: ask.Host, Endpoint: c.Endpoint.Name, Version: c.Version,
 		PrefillTokens: ask.PromptTokens, AheadTokens: ahead, OutputTokens: ask.OutputTokens,
--- a/internal/gateway/placement/duty_test.go
+++ b/internal/gateway/placement/duty_test.go
@@ -7,12 +7,14 @@
 
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/catalog"
+	"kingcupcourse/internal/gateway/moves"
 	"kingcupcourse/internal/ring"
 )
 
 // newDuty returns a duty that knows so many endpoints with four slots each.
 func newDuty(endpoints int) *Duty {
-	d := New(core.Host{Name: "h", AvailabilityZone: "a"}, ring.NewLatest[*catalog.Snapshot]())
+	d := New(core.Host{Name: "h", AvailabilityZone: "a"}, ring.NewLatest[*catalog.Snapshot](),
+		ring.NewLatest[map[string]moves.Stage](), ring.New[moves.Message]("test_moves", 100))
 	snapshot := &catalog.Snapshot{}
 	for i := range endpoints {
 		snapshot.Endpoints = append(snapshot.Endpoints, catalog.Endpoint{Service: "s",
--- a/internal/gateway/placement/messages.go
+++ b/internal/gateway/placement/messages.go
@@ -19,6 +19,7 @@
 	Attempt string `json:"attempt"`
 	Host    string `json:"host"`
 	Service string `json:"service"`
+	Route   string `json:"route,omitempty"`
 	// PromptTokens and OutputTokens are the expected work, zero for a plain
 	// service.
 	PromptTokens int `json:"prompt_tokens,omitempty"`
--- a/internal/gateway/placement/updates.go
+++ b/internal/gateway/placement/updates.go
@@ -27,6 +27,7 @@
 		return
 	}
 	a := d.book.Remove(u.Attempt, now)
+	ask := d.asks[u.Attempt]
 	delete(d.asks, u.Attempt)
 	if a == nil {
 		return
@@ -35,6 +36,7 @@
 	if e == nil {
 		return
 	}
+	d.moving.ended(e, a, ask, u, max(1, d.eventTokens[e.Service]))
 	switch u.Result {
 	case core.ResultOK:
 		e.health.Succeeded()
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -19,6 +19,7 @@
 	"kingcupcourse/internal/gateway/catalog"
 	"kingcupcourse/internal/gateway/fleet"
 	"kingcupcourse/internal/gateway/frontend"
+	"kingcupcourse/internal/gateway/moves"
 	"kingcupcourse/internal/gateway/placement"
 	"kingcupcourse/internal/platform"
 	"kingcupcourse/internal/process"
@@ -57,12 +58,16 @@
 	let := admission.New(admission.Config{
 		Views: known.Subscribe(), Tolerance: tolerance, RepeatShare: s.RepeatShare / 2, RepeatBurst: s.RepeatBurst / 2,
 	})
+	moved := moves.New(moves.Config{
+		Host: s.Host, Store: store, Decoder: adapter.Decoder, Views: known.Subscribe(),
+		Exposure: moves.Exposure{Share: s.ExposeShare, Free: s.ExposeFree}, Log: env.Log,
+	})
 	host := core.Host{Name: s.Host, AvailabilityZone: s.AvailabilityZone}
 	hosts := fleet.New(fleet.Config{
 		Host: host, Address: s.Peers, Store: store, Views: known.Subscribe(), Admission: let,
-		Tolerance: tolerance, Log: env.Log,
+		Tolerance: tolerance, Moves: moved.Inbox(), Log: env.Log,
 	})
-	placed := placement.New(host, known.Subscribe())
+	placed := placement.New(host, known.Subscribe(), moved.Stages(), moved.Inbox())
 	keeper := placement.NewPeers(placed, env.Log)
 	told := placement.NewReporter(s.Host, placed, keeper, env.Log)
 	handler := callers.NewHandler(callers.Config{
@@ -87,6 +92,7 @@
 	return []supervisor.Child{{Name: "gateway", Duty: supervisor.New(supervisor.Spec{
 		Name: "gateway", Children: []supervisor.Child{
 			{Name: "catalog", Duty: known.Supervisor},
+			{Name: "moves", Duty: moved.Supervisor},
 			{Name: "admission", Duty: let},
 			{Name: "placement", Duty: placed},
 			{Name: "reporter", Duty: told},
--- a/internal/platform/form.go
+++ b/internal/platform/form.go
@@ -33,6 +33,9 @@
 	List(prefix, after string) Call
 	// Put writes an object under the condition of Client.Put.
 	Put(key string, ifVersion uint64, value json.RawMessage) (Call, error)
+	// PutStatus writes the status beside the value of an object, under the
+	// same condition. It fails for a store that keeps none.
+	PutStatus(key string, ifVersion uint64, status json.RawMessage) (Call, error)
 	// Watch waits for changes above the revision.
 	Watch(prefix string, after uint64, wait time.Duration) Call
 
@@ -66,6 +69,11 @@
 	return Call{Method: http.MethodPut, Path: path, Body: value}, nil
 }
 
+// PutStatus fails: the project's own object API keeps no status apart.
+func (native) PutStatus(key string, _ uint64, _ json.RawMessage) (Call, error) {
+	return Call{}, eris.Errorf("no status is kept beside %s", key)
+}
+
 func (native) Watch(prefix string, after uint64, wait time.Duration) Call {
 	query := url.Values{
 		"prefix":     {prefix},
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -37,7 +37,10 @@
 type Object struct {
 	Key string `json:"key"`
 	// Version is positive; a later write, to any object, has a higher one.
-	Version uint64          `json:"version"`
+	Version uint64 `json:"version"`
+	// Created is the version with which the object was created, zero if the
+	// store does not tell.
+	Created uint64          `json:"-"`
 	Value   json.RawMessage `json:"value"`
 	// Status is what the system itself has written beside a value that
 	// belongs to another writer, where the store keeps the two apart.
@@ -132,6 +135,17 @@
 // *ConflictError, ErrUnavailable or *RateLimitedError when the write did not
 // take effect, and with ErrOutcomeUnknown when it may have.
 func (c *Client) Put(ctx context.Context, key string, ifVersion uint64, value any) (uint64, error) {
+	return c.put(ctx, key, ifVersion, value, c.form.Put)
+}
+
+// PutStatus writes the status that the store keeps beside an object's value.
+// Condition, result and failures are those of Put.
+func (c *Client) PutStatus(ctx context.Context, key string, ifVersion uint64, status any) (uint64, error) {
+	return c.put(ctx, key, ifVersion, status, c.form.PutStatus)
+}
+
+func (c *Client) put(ctx context.Context, key string, ifVersion uint64, value any,
+	spell func(string, uint64, json.RawMessage) (Call, error)) (uint64, error) {
 	text, err := json.Marshal(value)
 	if err != nil {
 		return 0, eris.Wrapf(err, "put %s", key)
@@ -139,7 +153,7 @@
 	if len(text) > MaxValueBytes {
 		return 0, eris.Wrapf(ErrTooLarge, "put %s: %d bytes", key, len(text))
 	}
-	call, err := c.form.Put(key, ifVersion, text)
+	call, err := spell(key, ifVersion, text)
 	if err != nil {
 		return 0, eris.Wrapf(err, "put %s", key)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -114,6 +114,11 @@
 	// change of the fleet's size never exceeds them.
 	RepeatShare float64 `json:"repeat_share"`
 	RepeatBurst float64 `json:"repeat_burst"`
+	// ExposeShare is the largest share of a service's requests that an unproved
+	// version may have, from 0 to 1, and ExposeFree how many it may have beyond
+	// that.
+	ExposeShare float64 `json:"expose_share"`
+	ExposeFree  int     `json:"expose_free"`
 	// GraceMS is the time from SIGTERM to SIGKILL, in milliseconds.
 	GraceMS int64 `json:"grace_ms"`
 	// DrainDelayMS is how long the process goes on taking connections after
