--- a/internal/decision/move/move.go
+++ b/internal/decision/move/move.go
@@ -28,6 +28,10 @@
 	// before the deadline a revert begins, so that every host has stopped using
 	// the version by the deadline. Zero stands for DefaultStep and RevertTime.
 	Step, Revert time.Duration
+	// Unproved lets the ramp begin at the last moment for it with a version
+	// that is not proved, if all evidence speaks for it. A service with little
+	// traffic can't prove a version within seconds.
+	Unproved bool
 }
 
 func (p *Plan) step() time.Duration { return cmp.Or(p.Step, DefaultStep) }
@@ -94,6 +98,10 @@
 		if provedEverywhere(known.Evidence) {
 			return enter(message.StageRamp, rampShares()[0], now, known, "proved on every route that has traffic")
 		}
+		lastMoment := now.Add(TimeNeeded(plan, status, now) + plan.step()).After(plan.Deadline)
+		if plan.Unproved && lastMoment && favoured(known.Evidence) {
+			return enter(message.StageRamp, rampShares()[0], now, known, "nothing speaks against the version, and no time is left")
+		}
 	case message.StageRamp:
 		return nextRamp(plan, status, now, known)
 	case message.StageSoak:
@@ -124,8 +132,9 @@
 	return ""
 }
 
-// TimeNeeded returns the least time from now to the end of the move, or the
-// time of a revert if that is longer.
+// TimeNeeded returns the least time from now to the end of the move, and that
+// of a revert: a move that has come to its end later than a revert before the
+// deadline is no longer in use on every host.
 func TimeNeeded(plan Plan, status Status, now time.Time) time.Duration {
 	elapsed := now.Sub(status.Since)
 	left := func(stage time.Duration) time.Duration { return max(0, stage-elapsed) }
@@ -140,7 +149,7 @@
 	default:
 		needed = steps + plan.Soak
 	}
-	return max(needed, plan.revert())
+	return needed + plan.revert()
 }
 
 func rampIndex(share float64) int {
@@ -186,6 +195,17 @@
 	return proved > 0 && quiet(evidence)
 }
 
+// favoured tells whether the evidence on every route that has traffic speaks
+// for the version, as far as it goes.
+func favoured(evidence []verdict.RouteEvidence) bool {
+	for _, e := range evidence {
+		if e.ProvedVersion >= verdict.MinTraffic && (e.Requests == 0 || e.LogRatio >= 0) {
+			return false
+		}
+	}
+	return requests(evidence) >= stepRequests && quiet(evidence)
+}
+
 func quiet(evidence []verdict.RouteEvidence) bool {
 	for _, e := range evidence {
 		if e.Alarm > calm {
--- a/internal/decision/move/move_test.go
+++ b/internal/decision/move/move_test.go
@@ -84,3 +84,33 @@
 		}
 	}
 }
+
+// A version with too little traffic for a proof goes on at the last moment if
+// all that is known speaks for it, and is taken back otherwise.
+func TestUnprovedAtTheLastMoment(t *testing.T) {
+	p := plan()
+	p.Unproved, p.Soak, p.Step, p.Revert = true, time.Second, time.Second, time.Second
+	status := Status{Stage: message.StageCanary, Share: 0.05, Since: start}
+	last := p.Deadline.Add(-TimeNeeded(p, status, p.Deadline) - p.Step/2)
+	for _, tt := range []struct {
+		name     string
+		at       time.Time
+		evidence verdict.RouteEvidence
+		unproved bool
+		want     message.Stage
+	}{
+		{"too early", start, verdict.RouteEvidence{Requests: 12, ProvedVersion: 9, LogRatio: -1}, true, message.StageCanary},
+		{"all speaks for it", last, verdict.RouteEvidence{Requests: 12, ProvedVersion: 9, LogRatio: -1}, true, message.StageRamp},
+		{"not allowed", last, verdict.RouteEvidence{Requests: 12, ProvedVersion: 9, LogRatio: -1}, false, message.StageCanary},
+		{"something against it", last, verdict.RouteEvidence{Requests: 12, ProvedVersion: 9, LogRatio: 0.1}, true, message.StageCanary},
+		{"alarm", last, verdict.RouteEvidence{Requests: 12, ProvedVersion: 9, LogRatio: -1, Alarm: 0.6}, true, message.StageCanary},
+		{"hardly tried", last, verdict.RouteEvidence{Requests: 3, ProvedVersion: 9, LogRatio: -1}, true, message.StageCanary},
+		{"no time at all", p.Deadline, verdict.RouteEvidence{Requests: 12, ProvedVersion: 9, LogRatio: -1}, true, message.StageReverted},
+	} {
+		p.Unproved = tt.unproved
+		got := Next(p, status, tt.at, Knowledge{Ready: true, Evidence: []verdict.RouteEvidence{tt.evidence}})
+		if got.Stage != tt.want {
+			t.Errorf("%s: %s, want %s (%s)", tt.name, got.Stage, tt.want, got.Reason)
+		}
+	}
+}
--- a/internal/decision/placement/scorers.go
+++ b/internal/decision/placement/scorers.go
@@ -23,14 +23,17 @@
 // Score implements Scorer.
 func (ExpectedFinish) Score(c *Candidate, _ *Need) float64 {
 	score := c.Finish().Seconds() + prefillWeight*c.Prefill.Seconds()*float64(c.Running)/float64(max(1, c.Endpoint.Slots))
-	score += nearness(c)
+	return score + nearness(c) + preference(c)
+}
+
+func preference(c *Candidate) float64 {
 	switch c.Preference {
 	case Preferred:
-		score -= preferenceWeight
+		return -preferenceWeight
 	case Avoided:
-		score += preferenceWeight
+		return preferenceWeight
 	}
-	return score
+	return 0
 }
 
 // FirstToken scores by the expected time to the first token, the time that the
@@ -45,7 +48,7 @@
 func (FirstToken) Score(c *Candidate, n *Need) float64 {
 	beside := prefillWeight * c.Prefill.Seconds() * float64(c.Running) / float64(max(1, c.Endpoint.Slots))
 	overrun := max(0, c.PendingPrefill+c.SureTime-n.Left())
-	return c.PendingPrefill.Seconds() + c.Prefill.Seconds() + beside + nearness(c) + overrun.Seconds()
+	return c.PendingPrefill.Seconds() + c.Prefill.Seconds() + beside + nearness(c) + overrun.Seconds() + preference(c)
 }
 
 // LeastBusy scores plain services by the requests that run, in the time that
@@ -57,7 +60,7 @@
 
 // Score implements Scorer.
 func (LeastBusy) Score(c *Candidate, _ *Need) float64 {
-	return c.RunTime.Seconds()*float64(c.Running+1)/float64(max(1, c.Endpoint.Slots)) + nearness(c)
+	return c.RunTime.Seconds()*float64(c.Running+1)/float64(max(1, c.Endpoint.Slots)) + nearness(c) + preference(c)
 }
 
 func nearness(c *Candidate) float64 {
--- a/internal/decision/verdict/verdict.go
+++ b/internal/decision/verdict/verdict.go
@@ -265,6 +265,9 @@
 	Proved        bool    `json:"proved"`
 	ProvedVersion int     `json:"requests_on_proved_version"`
 	Alarm         float64 `json:"alarm"` // share of the way to the verdict "bad"
+	// LogRatio is the log likelihood ratio of its errors, bad against no worse
+	// than the proved version: below zero they speak for the version.
+	LogRatio float64 `json:"log_ratio"`
 }
 
 // Evidence returns the evidence by route, ordered by name.
@@ -275,7 +278,7 @@
 		m.expire(r, now)
 		out = append(out, RouteEvidence{Route: name, Requests: r.requests, Errors: r.bad[KindError],
 			SlowFirst: r.bad[KindFirstToken], SlowBetween: r.bad[KindBetweenTokens],
-			Proved: m.Proved(name), ProvedVersion: len(r.proved.window),
+			Proved: m.Proved(name), ProvedVersion: len(r.proved.window), LogRatio: r.proof[KindError],
 			Alarm: min(1, slices.Max(r.sums[:])/-math.Log(m.settings.FalseAlarm))})
 	}
 	return out
--- a/internal/gateway/moves/hold.go
+++ b/internal/gateway/moves/hold.go
@@ -81,16 +81,17 @@
 	if before != d.Host { // evidence that this host has not seen is missing
 		m.set = newTrials(m.order.Service)
 	}
-	if m.held = d.write(ctx, m, m.status, now); m.held {
+	if m.held = d.write(ctx, m, m.status, now) == nil; m.held {
 		d.Log.Info("move held", zap.String("service", m.order.Service), zap.String("target", string(m.order.Target)),
 			zap.String("stage", string(m.status.Stage)), zap.String("holder_before", before),
 			zap.Duration("after", now.Sub(m.began)), zap.Uint64("revision", m.revision))
 	}
 }
 
-// write writes the record with a status. It gives the move up unless the write
-// took effect for certain.
-func (d *Duty) write(ctx context.Context, m *move, status decision.Status, now time.Time) bool {
+// write writes the record with a status. A conflict tells that another host
+// holds the move, or that an earlier write of this one took effect although its
+// answer was lost; taking the move again finds out which.
+func (d *Duty) write(ctx context.Context, m *move, status decision.Status, now time.Time) error {
 	m.beat++
 	revision, err := d.Store.Put(ctx, m.key(), m.revision, record{
 		Order: m.order.ID, Target: m.order.Target, Holder: d.Host, Beat: m.beat,
@@ -100,10 +101,14 @@
 	if err != nil {
 		d.Log.Warn("move's record not written", zap.String("service", m.order.Service),
 			zap.String("stage", string(status.Stage)), zap.String("error", err.Error()))
-		return false
+		var conflict *platform.ConflictError
+		if errors.As(err, &conflict) {
+			m.held = false
+		}
+		return err
 	}
 	m.revision, m.written = revision, now
-	return true
+	return nil
 }
 
 // step lets a held move go on.
@@ -114,7 +119,9 @@
 	if changed := next.Stage != m.status.Stage || next.Share != m.status.Share; changed {
 		d.enter(ctx, m, next, known.Evidence, now)
 	} else if now.Sub(m.written) >= renewPeriod {
-		d.renew(ctx, m, now)
+		// While the store does not answer, the stage stays as it is: nobody
+		// can take the move, and requests go on to show how the version is.
+		_ = d.write(ctx, m, m.status, now)
 	}
 	d.answer(ctx, m, now)
 }
@@ -125,11 +132,8 @@
 		m.status.Share = next.Share
 		d.publish()
 	}
-	if !d.write(ctx, m, next, now) {
-		// Whether the write took effect is found out by taking the move again.
-		// A version that was found bad stays without traffic meanwhile.
-		m.held = false
-		return
+	if d.write(ctx, m, next, now) != nil {
+		return // the next tick tries again
 	}
 	m.status = next
 	d.Log.Info("move's stage", zap.String("service", m.order.Service), zap.String("target", string(m.order.Target)),
@@ -138,14 +142,6 @@
 		zap.Duration("after", now.Sub(m.began)), zap.Uint64("revision", m.revision))
 }
 
-// renew renews the lease. While the store does not answer, nobody else can
-// take the move either, and the stage stays as it is.
-func (d *Duty) renew(ctx context.Context, m *move, now time.Time) {
-	if !d.write(ctx, m, m.status, now) {
-		m.held = false
-	}
-}
-
 // answer tells the operator how far the move is. The record was written before,
 // so that no two hosts can tell of different ends.
 func (d *Duty) answer(ctx context.Context, m *move, now time.Time) {
--- a/internal/gateway/moves/move.go
+++ b/internal/gateway/moves/move.go
@@ -87,13 +87,15 @@
 		Name: m.order.Service, Pool: m.order.Service, From: m.plan.From, To: m.order.Target,
 		MaxShare: usedExposure * m.exposure.Share, Deadline: m.began.Add(m.order.Duration - writeMargin),
 		Soak: part(soakPart, leastSoak, mostSoak), Step: part(stepPart, leastStep, mostStep),
-		Revert: part(revertPart, leastRevert, mostRevert),
+		Revert: part(revertPart, leastRevert, mostRevert), Unproved: true,
 	}
 }
 
 // follow takes over the order's answer and the endpoints.
 func (m *move) follow(order catalog.Order, endpoints []catalog.Endpoint) {
-	m.order = order
+	if order.Revision > m.order.Revision { // a watch may be behind this host's own answer
+		m.order = order
+	}
 	count := map[core.Version]int{}
 	m.ready = false
 	for _, e := range endpoints {
--- a/internal/gateway/placement/moving.go
+++ b/internal/gateway/placement/moving.go
@@ -67,6 +67,11 @@
 		target := c.Version == s.Target
 		c.NoTraffic = (target && s.Share <= 0) || (!target && s.Done && hasTarget)
 		c.ShareReached = target && reached
+		if target && !s.Done && 2*c.Running < c.Endpoint.Slots {
+			// The version needs its share of requests to show how it is, also
+			// where others are faster.
+			c.Preference = placement.Preferred
+		}
 	}
 }
 
