--- a/internal/decision/move/move.go
+++ b/internal/decision/move/move.go
@@ -67,6 +67,9 @@
 	// stepRequests is how many requests the new version must have had at
 	// each share of the ramp.
 	stepRequests = 10
+	// rareRoute is the part of a service's requests, one in so many, below
+	// which a route's evidence is not waited for at the last moment.
+	rareRoute = 20
 	// calm is the largest alarm, as a share of the way to the verdict
 	// "bad", with which the share is raised.
 	calm = 0.5
@@ -198,8 +201,13 @@
 // favoured tells whether the evidence on every route that has traffic speaks
 // for the version, as far as it goes.
 func favoured(evidence []verdict.RouteEvidence) bool {
+	total := 0
+	for _, e := range evidence {
+		total += e.ProvedVersion
+	}
 	for _, e := range evidence {
-		if e.ProvedVersion >= verdict.MinTraffic && (e.Requests == 0 || e.LogRatio >= 0) {
+		rare := e.ProvedVersion < max(verdict.MinTraffic, total/rareRoute)
+		if !rare && (e.Requests == 0 || e.LogRatio >= 0) {
 			return false
 		}
 	}
