--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -51,6 +51,7 @@
 	Get        getCommand        `cmd:"" help:"Print the committed manifest."`
 	Status     statusCommand     `cmd:"" help:"Ask the processes of all hosts what is in force there."`
 	Moves      movesCommand      `cmd:"" help:"Print how far the planned moves have come."`
+	Explain    explainCommand    `cmd:"" help:"Find in the hosts' logs what became of a request or a move."`
 	Completion completionCommand `cmd:"" help:"Print a shell completion script."`
 
 	Version kong.VersionFlag `help:"Print the version and exit."`
@@ -62,6 +63,7 @@
 	platform *platform.Client
 	queriers *queriers
 	parser   *kong.Kong
+	stdin    io.Reader
 	stdout   io.Writer
 	stderr   io.Writer
 }
@@ -113,7 +115,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, line.Timeout)
 	defer cancel()
-	env := &environment{ctx: ctx, parser: parser, stdout: stdout, stderr: stderr}
+	env := &environment{ctx: ctx, parser: parser, stdin: os.Stdin, stdout: stdout, stderr: stderr}
 	if line.Platform != "" {
 		env.platform = platform.New(line.Platform)
 	}
--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -194,9 +194,11 @@
 		m.Send(Confirmed{})
 		return
 	}
-	c := placement.Candidate{Endpoint: e.Endpoint.Endpoint, Version: e.Version}
-	d.count(&c, e, m.Ask, now)
-	d.add(m.Ask, &c, now)
+	if d.book.Get(m.Ask.Attempt) == nil { // not counted by this host's own choice
+		c := placement.Candidate{Endpoint: e.Endpoint.Endpoint, Version: e.Version}
+		d.count(&c, e, m.Ask, now)
+		d.add(m.Ask, &c, now)
+	}
 	m.Send(Confirmed{Endpoint: e.Endpoint, OK: true})
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -74,6 +74,12 @@
 	if g.RepeatShare < 0 || g.RepeatBurst < 0 {
 		report.Add("repeat_share", "neither it nor repeat_burst may be negative")
 	}
+	if g.ExposeShare < 0 || g.ExposeShare > 1 {
+		report.Add("expose_share", "must be from 0 to 1")
+	}
+	if g.ExposeFree < 0 {
+		report.Add("expose_free", "must not be negative")
+	}
 	if g.GraceMS <= g.DrainDelayMS {
 		report.Add("grace_ms", "must be above drain_delay_ms, %d", g.DrainDelayMS)
 	}
