A host gets its part of the repeat budget once it knows the fleet's size

A budget that is made by a request before the first answer of the exchange has the part of one host in a hundred, one repeat, and kept it: the size of the fleet raised only what may be saved up. After a start under load a host then repeated one request in ten for long. The first time that the size is known, the difference is granted; hosts that come and go bring none.

--- a/internal/decision/retry/retry.go
+++ b/internal/decision/retry/retry.go
@@ -47,6 +47,13 @@
 	b.tokens = min(b.tokens, burst)
 }
 
+// Grow raises how many retries may be saved up and grants the difference at
+// once. It is for a budget that began with less than its part.
+func (b *Budget) Grow(burst float64) {
+	b.tokens += max(0, burst-b.burst)
+	b.SetBurst(burst)
+}
+
 // Earn counts one request.
 func (b *Budget) Earn() { b.tokens = min(b.tokens+b.share, b.burst) }
 
--- a/internal/gateway/admission/repeats.go
+++ b/internal/gateway/admission/repeats.go
@@ -40,14 +40,20 @@
 
 func (r *repeats) earn(service string) { r.budget(service).Earn() }
 
-// setHosts divides the burst among the hosts of the fleet.
+// setHosts divides the burst among the hosts of the fleet. A host that has let
+// requests in before it knew the fleet's size gets the rest of its part then.
 func (r *repeats) setHosts(hosts int) {
 	if hosts == r.hosts || hosts < 1 {
 		return
 	}
+	first := r.hosts == unknownHosts
 	r.hosts = hosts
 	for _, b := range r.services {
-		b.SetBurst(r.hostBurst())
+		if first {
+			b.Grow(r.hostBurst())
+		} else {
+			b.SetBurst(r.hostBurst())
+		}
 	}
 }
 
