Placement: the time between tokens is worked out in one place

The speed that is learned and the outcome for a move's verdict each had the same arithmetic. Behaviour is unchanged; tests of the gateway and of the moves pass.

--- a/internal/gateway/placement/messages.go
+++ b/internal/gateway/placement/messages.go
@@ -80,6 +80,16 @@
 	Events int `json:"events,omitempty"`
 }
 
+// betweenTokensMS is the mean time between two tokens after the first event, in
+// milliseconds, zero if the answer does not tell.
+func (u *Update) betweenTokensMS(eventTokens int) float64 {
+	later := (u.Events - 1) * eventTokens
+	if later <= 0 || u.FirstMS <= 0 {
+		return 0
+	}
+	return (u.TotalMS - u.FirstMS) / float64(later)
+}
+
 // Running is an attempt as its host lists it.
 type Running struct {
 	Ask
--- a/internal/gateway/placement/moving.go
+++ b/internal/gateway/placement/moving.go
@@ -95,10 +95,8 @@
 	}
 	o := moves.Outcome{Running: a.RunningBefore + 1, Slots: e.Slots, Model: ask.PromptTokens > 0, Outcome: core.Outcome{
 		Attempt: a.ID, Pool: e.Service, Route: ask.Route, Endpoint: e.Name, Version: e.Version, Result: u.Result,
-		OutputTokens: u.Events * eventTokens, FirstTokenMS: u.FirstMS, TotalMS: u.TotalMS,
+		OutputTokens: u.Events * eventTokens, FirstTokenMS: u.FirstMS,
+		BetweenTokensMS: u.betweenTokensMS(eventTokens), TotalMS: u.TotalMS,
 	}}
-	if later := (u.Events - 1) * eventTokens; later > 0 && u.FirstMS > 0 {
-		o.BetweenTokensMS = (u.TotalMS - u.FirstMS) / float64(later)
-	}
 	_ = m.outcomes.TryPut(o)
 }
--- a/internal/gateway/placement/updates.go
+++ b/internal/gateway/placement/updates.go
@@ -53,14 +53,12 @@
 	perEvent := max(1, d.eventTokens[e.Service])
 	sample := estimate.Sample{
 		PrefillTokens: a.PrefillTokens + a.AheadTokens, OutputTokens: u.Events * perEvent, Running: a.RunningBefore + 1,
-		FirstToken: milliseconds(u.FirstMS), Total: milliseconds(u.TotalMS), At: now,
+		FirstToken: milliseconds(u.FirstMS), BetweenTokens: milliseconds(u.betweenTokensMS(perEvent)),
+		Total: milliseconds(u.TotalMS), At: now,
 	}
 	if a.RunningBefore >= e.Slots {
 		sample.FirstToken = 0 // it waited for a slot, which tells nothing of the speed
 	}
-	if later := (u.Events - 1) * perEvent; later > 0 && u.FirstMS > 0 {
-		sample.BetweenTokens = milliseconds((u.TotalMS - u.FirstMS) / float64(later))
-	}
 	d.speeds.Observe(e.Endpoint.Endpoint, e.Version, sample)
 }
 
