Moves: that a version was found bad decides its share by itself

The share of a bad version was set to zero in the status, and taking the move again from its record put the record's share back until the next look at the move, 200 ms later. The stage now derives from the verdict, and the two places that set the share beside it are gone. The case in TestStage fails without it.

--- a/internal/gateway/moves/duty.go
+++ b/internal/gateway/moves/duty.go
@@ -167,7 +167,7 @@
 	switch {
 	case m.order.State == catalog.OrderSucceeded:
 		s.Share, s.Done = 1, true
-	case m.order.State == catalog.OrderRolledBack || !m.held:
+	case m.order.State == catalog.OrderRolledBack || !m.held || m.bad != nil:
 	case m.status.Stage == message.StageDone:
 		s.Share, s.Done = 1, true
 	default:
--- /dev/null
+++ b/internal/gateway/moves/duty_test.go
@@ -0,0 +1,31 @@
+package moves
+
+import (
+	"testing"
+
+	"kingcupcourse/internal/decision/catalog"
+	decision "kingcupcourse/internal/decision/move"
+	"kingcupcourse/internal/message"
+)
+
+// What a move means for the placement of requests.
+func TestStage(t *testing.T) {
+	canary := decision.Status{Stage: message.StageCanary, Share: 0.08}
+	for _, tt := range []struct {
+		name string
+		move move
+		want Stage
+	}{
+		{"not held", move{status: canary}, Stage{}},
+		{"held", move{status: canary, held: true}, Stage{Share: 0.08}},
+		{"found bad, and taken again from a record that does not know it",
+			move{status: canary, held: true, bad: &message.BadVersion{}}, Stage{}},
+		{"done", move{status: decision.Status{Stage: message.StageDone, Share: 1}, held: true}, Stage{Share: 1, Done: true}},
+		{"succeeded", move{order: catalog.Order{State: catalog.OrderSucceeded}}, Stage{Share: 1, Done: true}},
+		{"rolled back", move{status: canary, held: true, order: catalog.Order{State: catalog.OrderRolledBack}}, Stage{}},
+	} {
+		if got := tt.move.stage(); got != tt.want {
+			t.Errorf("%s: %+v, want %+v", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/gateway/moves/hold.go
+++ b/internal/gateway/moves/hold.go
@@ -71,9 +71,6 @@
 	m.beat = stored.Beat
 	m.status = decision.Status{Stage: stored.Stage, Share: stored.Share, Requests: stored.Requests,
 		Reason: stored.Reason, Since: m.began.Add(milliseconds(stored.SinceMS))}
-	if stored.Stage == message.StageReverted {
-		m.status.Share = 0
-	}
 }
 
 // hold writes this host into the record.
--- a/internal/gateway/moves/move.go
+++ b/internal/gateway/moves/move.go
@@ -133,8 +133,7 @@
 		d.logFound(m, found)
 		if !found.Late {
 			m.bad = &found.BadVersion
-			m.status.Share = 0 // no more traffic, before anything is written
-			d.publish()
+			d.publish() // no more traffic, before anything is written
 			d.next = now
 		}
 	}
