--- a/internal/gateway/admission/duty.go
+++ b/internal/gateway/admission/duty.go
@@ -51,6 +51,9 @@
 	// Acquire is set if the coordinator must be asked whether the account's limit
 	// allows the request.
 	Acquire *fleet.AcquireRequest
+	// Units is the request's cost against its account's limit, zero if the account
+	// has none.
+	Units float64
 	// CheckPoison reports that endpoints have died while they ran some request,
 	// so that this request's fingerprint must be checked.
 	CheckPoison bool
@@ -169,6 +172,7 @@
 		return
 	}
 	cost := quotaUnits(account, request)
+	ticket.Units = cost
 	switch decision, retryAfter := d.share.Admit(account.Name, limit, cost, now); decision {
 	case quota.OverLimit:
 		ticket.Refusal = core.RefuseWithRetry(core.ReasonRateLimited, "the account is above its limit", retryAfter)
--- a/internal/gateway/callers/refuse.go
+++ b/internal/gateway/callers/refuse.go
@@ -32,6 +32,7 @@
 		zap.String("account", c.ticket.Account), zap.String("disposition", string(refusal.Disposition)),
 		zap.String("reason", string(refusal.Reason)), zap.String("detail", refusal.Detail),
 		zap.Int("running", c.lastChoice.Running), zap.Float64("expected_ms", c.lastChoice.ExpectedMS),
+		zap.Int("prompt_tokens", c.request.PromptTokens), zap.Float64("units", c.ticket.Units),
 		zap.Duration("retry_after", refusal.RetryAfter), zap.Uint64("configuration", c.ticket.ConfigVersion),
 		zap.Duration("after", time.Since(c.received)))
 }
--- a/internal/gateway/placement/client.go
+++ b/internal/gateway/placement/client.go
@@ -117,7 +117,7 @@
 // hosts.
 func (c *Client) RegisterHandlers(mux *http.ServeMux) {
 	mux.Handle("POST "+choosePath, codec.Handle(func(ctx context.Context, req *Request) (*Choice, error) {
-		m := Choose{Reply: ring.NewReply[Choice](), Request: *req}
+		m := Choose{Reply: ring.NewReply[Choice](), Request: *req, received: time.Now()}
 		if err := c.local.TryPut(m); err != nil {
 			return nil, err
 		}
--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/catalog"
@@ -57,6 +58,8 @@
 	requests       map[string]Request // of the counted attempts, by attempt
 	nextExpiry     time.Time
 	jobBuffer      []engine.Job // reused
+	load           load
+	log            *zap.Logger
 }
 
 // endpoint is the state of one endpoint.
@@ -71,7 +74,7 @@
 // from constraints, and puts the outcomes of these services' attempts into
 // outcomes.
 func New(host core.Host, snapshots gatewaycatalog.Subscription, constraints *ring.Latest[map[string]moves.Constraints],
-	outcomes *ring.Ring[moves.Message]) *Duty {
+	outcomes *ring.Ring[moves.Message], log *zap.Logger) *Duty {
 	policy := func(scorer placement.Scorer) *placement.Policy {
 		return &placement.Policy{
 			Filters: []placement.Filter{placement.NotDraining{}, placement.NotExcluded{}, placement.Ready{},
@@ -85,7 +88,7 @@
 		modelPolicy: policy(placement.FirstToken{}), plainPolicy: policy(placement.LeastBusy{}),
 		attempts: outstanding.NewTracker(), speeds: estimate.NewSpeeds(),
 		endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, requests: map[string]Request{},
-		tokensPerEvent: map[string]int{}, traffic: newTrafficLimits(constraints, outcomes),
+		tokensPerEvent: map[string]int{}, traffic: newTrafficLimits(constraints, outcomes), log: log,
 	}
 }
 
@@ -99,7 +102,9 @@
 			d.updateEndpoints(snapshot)
 		}
 		d.traffic.refresh()
-		m.handle(d, time.Now())
+		began := time.Now()
+		m.handle(d, began)
+		d.load.busy += time.Since(began)
 		return nil
 	}, func() time.Time { return d.nextExpiry }, d.expireAttempts)
 }
@@ -108,6 +113,7 @@
 func (d *Duty) expireAttempts() error {
 	now := time.Now()
 	d.nextExpiry = now.Add(expiryPeriod)
+	d.logLoad()
 	d.attempts.ApplyHostReport(d.host.Name, nil, false, now)
 	for _, attempt := range d.attempts.ExpireSilentHosts(now) {
 		delete(d.requests, attempt.ID)
@@ -139,7 +145,13 @@
 	}
 }
 
-func (m Choose) handle(d *Duty, now time.Time) { m.Send(d.choose(m.Request, now)) }
+func (m Choose) handle(d *Duty, now time.Time) {
+	if !m.received.IsZero() {
+		d.load.requests++
+		d.load.longestWait = max(d.load.longestWait, now.Sub(m.received))
+	}
+	m.Send(d.choose(m.Request, now))
+}
 
 // choose selects an endpoint and counts the attempt on it.
 func (d *Duty) choose(req Request, now time.Time) Choice {
--- a/internal/gateway/placement/duty_test.go
+++ b/internal/gateway/placement/duty_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/catalog"
 	"kingcupcourse/internal/gateway/moves"
@@ -15,7 +17,7 @@
 // each.
 func newDuty(endpoints int) *Duty {
 	d := New(core.Host{Name: "h", AvailabilityZone: "a"}, ring.NewLatest[*catalog.Snapshot](),
-		ring.NewLatest[map[string]moves.Constraints](), ring.New[moves.Message]("test_moves", 100))
+		ring.NewLatest[map[string]moves.Constraints](), ring.New[moves.Message]("test_moves", 100), zap.NewNop())
 	snapshot := &catalog.Snapshot{}
 	for i := range endpoints {
 		snapshot.Endpoints = append(snapshot.Endpoints, catalog.Endpoint{Service: "s",
--- a/internal/gateway/placement/messages.go
+++ b/internal/gateway/placement/messages.go
@@ -122,6 +122,9 @@
 type Choose struct {
 	ring.Reply[Choice]
 	Request Request
+	// received is when another host's request arrived, zero for a request of
+	// this host.
+	received time.Time
 }
 
 // Confirm counts an attempt of this host on the endpoint that was chosen for it,
--- a/internal/gateway/placement/updates.go
+++ b/internal/gateway/placement/updates.go
@@ -10,6 +10,9 @@
 
 func (m ApplyUpdates) handle(d *Duty, now time.Time) {
 	d.attempts.ApplyHostReport(m.Updates.Host, nil, false, now)
+	if m.Updates.Host != d.host.Name {
+		d.load.updates++
+	}
 	for _, update := range m.Updates.Updates {
 		d.applyUpdate(update, now)
 	}
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -66,7 +66,7 @@
 		Host: host, Address: s.Peers, Store: store, Snapshots: catalogTree.Subscribe(), Admission: admissionDuty,
 		Tolerance: tolerance, Moves: movesTree.Inbox(), Log: env.Log,
 	})
-	placementDuty := placement.New(host, catalogTree.Subscribe(), movesTree.Constraints(), movesTree.Inbox())
+	placementDuty := placement.New(host, catalogTree.Subscribe(), movesTree.Constraints(), movesTree.Inbox(), env.Log)
 	placementClient := placement.NewClient(placementDuty, env.Log)
 	reporter := placement.NewReporter(s.Host, placementDuty, placementClient, env.Log)
 	handler := callers.NewHandler(callers.Config{
