Placement: attempts of silent hosts expire while the duty runs

Callers saw requests shed, and endpoints idle, after hosts were killed: the attempts that a killed host had in progress stayed counted on the coordinator. Cause: the duty's timer was armed only by its own tick, so it never fired; the existing test called the tick by hand.

TestRunningDutyDropsAttemptsOfSilentHosts runs the duty itself. Before: failed, '1 attempts counted after 3s of silence'; after: passed, with -race.

--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -97,6 +97,7 @@
 
 // Serve implements supervisor.Duty.
 func (d *Duty) Serve(ctx context.Context) error {
+	d.nextExpiry = time.Now().Add(expiryPeriod)
 	return ring.LoopUntil(ctx, d.inbox, func(m Message) error {
 		if snapshot, ok := d.snapshots.TryTake(); ok {
 			d.updateEndpoints(snapshot)
--- a/internal/gateway/placement/duty_test.go
+++ b/internal/gateway/placement/duty_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/catalog"
+	"kingcupcourse/internal/decision/outstanding"
 	"kingcupcourse/internal/gateway/moves"
 	"kingcupcourse/internal/ring"
 )
@@ -96,6 +98,34 @@
 	}
 }
 
+// Guards against the attempts of a host that was killed staying counted for ever,
+// because the running duty never looks for silent hosts.
+func TestRunningDutyDropsAttemptsOfSilentHosts(t *testing.T) {
+	t.Parallel()
+	d := newDuty(1)
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan struct{})
+	go func() { defer close(served); _ = d.Serve(ctx) }()
+	defer func() { cancel(); <-served }()
+	place := func(id int) Choice {
+		m := Choose{Reply: ring.NewReply[Choice](), Request: newRequest(id, 1000)}
+		m.Request.Host = "other"
+		if err := d.inbox.Put(ctx, m); err != nil {
+			t.Fatal(err)
+		}
+		choice, err := m.Wait(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return choice
+	}
+	place(1)
+	time.Sleep(outstanding.HostTimeout + 2*expiryPeriod)
+	if got := place(2); got.Running != 0 {
+		t.Errorf("%d attempts counted after %v of silence, want none", got.Running, outstanding.HostTimeout)
+	}
+}
+
 // A new coordinator learns the running attempts from the hosts' full lists, and
 // drops attempts that a later list does not contain.
 func TestFullListReplacesRunningCount(t *testing.T) {
