Limits: whether a request is admitted does not depend on its size

Callers saw the large requests of an account refused (429) while small ones passed. Two causes, of the same class, a check that compares a request's own size with a part: a host admitted what fits into its part, a 61st or 90th of the limit, and the ledger wanted the whole request to be left (at most half of the burst), so that above the limit small requests used it up first. When the coordinator did not answer, a large request had no way at all.

Now a request passes if anything is left of the limit, and overdraws it by the rest; the debt is repaid before the next one. A host's part is overdrawn the same way above a random reserve of up to one average request, so that the hosts admit as much as their parts on average. Without an answer of the coordinator a host admits while the last grant shows at least half of the burst.

--- a/internal/decision/quota/allocation.go
+++ b/internal/decision/quota/allocation.go
@@ -1,15 +1,19 @@
 package quota
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 const (
 	// grantGrowthPeriod is how long a grant keeps growing without a new one.
 	// After that time the host's own ledger has taken over.
 	grantGrowthPeriod = time.Second
-	// maxRequiredBurst is the largest share of the burst that must be left for
-	// a request to be admitted. A larger request overdraws the limit by the
-	// rest; otherwise it would be refused forever.
-	maxRequiredBurst = 0.5
+	// plentifulShare is the share of the burst that must be left of a limit for
+	// a host to admit requests beyond its part without the coordinator.
+	plentifulShare = 0.5
+	// sizeWeight is the weight of a request in the average size of requests.
+	sizeWeight = 0.1
 	// minRetryAfter and maxRetryAfter bound the delay after which a refused
 	// caller is told to retry.
 	minRetryAfter = 100 * time.Millisecond
@@ -17,8 +21,15 @@
 )
 
 // Allocation is the part of each account's limit that one host may admit.
+//
+// Whether a request is admitted does not depend on its size: a part may be
+// smaller than one large request, which would otherwise never pass while small
+// ones use up the limit. A host admits a request if its part has more left than a
+// random share of an average request, and overdraws the part if need be. On
+// average over the hosts they admit as much as their parts.
 type Allocation struct {
 	accounts map[string]*allowance
+	rng      *rand.Rand
 }
 
 type allowance struct {
@@ -30,10 +41,17 @@
 	admitted, requested                 float64
 	reportedAdmitted, reportedRequested float64
 	hasGrant                            bool
+	// averageSize is the average size of the account's requests, in units.
+	averageSize float64
+	// reserveShare is the share of an average request that must be left to admit
+	// another one, drawn anew with each grant.
+	reserveShare float64
 }
 
 // NewAllocation returns an allocation without grants.
-func NewAllocation() *Allocation { return &Allocation{accounts: map[string]*allowance{}} }
+func NewAllocation(rng *rand.Rand) *Allocation {
+	return &Allocation{accounts: map[string]*allowance{}, rng: rng}
+}
 
 // Decision is the outcome of a request for units.
 type Decision int
@@ -53,26 +71,45 @@
 // Admit decides whether a request of the given units is admitted, and after what
 // time a refused one may be retried.
 func (alloc *Allocation) Admit(account string, limit Limit, units float64, now time.Time) (decision Decision, retry time.Duration) {
-	a := alloc.accounts[account]
-	if a == nil {
-		a = &allowance{}
-		alloc.accounts[account] = a
-	}
+	a := alloc.allowance(account)
 	a.requested += units
-	available, required := a.available(now), limit.required(units)
+	a.addSize(units)
 	switch level := a.globalLevel(limit, now); {
-	case !a.hasGrant || available >= units:
+	case !a.hasGrant || a.available(now) > a.reserveShare*a.averageSize:
 		a.admitted += units
 		return Admitted, 0
-	case level < required:
-		return OverLimit, retryAfter(required-level, limit)
+	case level <= 0:
+		return OverLimit, retryAfter(-level, limit)
 	}
 	return AskCoordinator, 0
 }
 
-// required returns how many units must be left to admit a request of the given
-// units.
-func (l Limit) required(units float64) float64 { return min(units, maxRequiredBurst*l.Burst) }
+// AdmitAlone decides about a request for which the coordinator was asked but has
+// not answered. It is admitted if, by the last grant, plenty is left of the limit.
+func (alloc *Allocation) AdmitAlone(account string, limit Limit, units float64) bool {
+	a := alloc.allowance(account)
+	if a.grant.Level-a.admitted < plentifulShare*limit.Burst {
+		return false
+	}
+	a.admitted += units
+	return true
+}
+
+func (alloc *Allocation) allowance(account string) *allowance {
+	a := alloc.accounts[account]
+	if a == nil {
+		a = &allowance{}
+		alloc.accounts[account] = a
+	}
+	return a
+}
+
+func (a *allowance) addSize(units float64) {
+	if a.averageSize == 0 {
+		a.averageSize = units
+	}
+	a.averageSize += sizeWeight * (units - a.averageSize)
+}
 
 func retryAfter(missing float64, limit Limit) time.Duration {
 	wait := time.Duration(missing / max(1, limit.Rate) * float64(time.Second))
@@ -103,12 +140,9 @@
 // ApplyGrants applies the grants that were given for the last report.
 func (alloc *Allocation) ApplyGrants(grants map[string]Grant, now time.Time) {
 	for name, grant := range grants {
-		a := alloc.accounts[name]
-		if a == nil {
-			a = &allowance{}
-			alloc.accounts[name] = a
-		}
+		a := alloc.allowance(name)
 		a.grant, a.grantedAt, a.hasGrant = grant, now, true
+		a.reserveShare = alloc.rng.Float64()
 		a.admitted -= a.reportedAdmitted
 		a.requested -= a.reportedRequested
 		a.reportedAdmitted, a.reportedRequested = 0, 0
--- a/internal/decision/quota/ledger.go
+++ b/internal/decision/quota/ledger.go
@@ -107,8 +107,9 @@
 	return grants
 }
 
-// Acquire takes the units of one request from the remaining units. If there are
-// too few, it returns after what time the request may be retried.
+// Acquire takes the units of one request from the remaining units. The request
+// may overdraw them, so that one of any size passes as long as something is left.
+// If nothing is, it returns after what time the request may be retried.
 func (l *Ledger) Acquire(account string, units float64, now time.Time) (ok bool, retry time.Duration) {
 	limit, limited := l.limits[account]
 	if !limited {
@@ -116,8 +117,8 @@
 	}
 	b := l.balance(account, now)
 	b.refill(limit, float64(l.reporting(now))/float64(max(1, len(l.hosts))), now)
-	if required := limit.required(units); b.level < required {
-		return false, retryAfter(required-b.level, limit)
+	if b.level <= 0 {
+		return false, retryAfter(-b.level, limit)
 	}
 	b.level -= units
 	return true, 0
--- a/internal/gateway/admission/fleet.go
+++ b/internal/gateway/admission/fleet.go
@@ -37,6 +37,19 @@
 
 func (m Succeeded) handle(d *Duty, _ time.Time) { d.poisonMarks.Clear(m.Fingerprint) }
 
+// AdmitAlone asks whether a request is admitted although the coordinator did not
+// answer whether its account's limit allows it.
+type AdmitAlone struct {
+	ring.Reply[bool]
+	Account string
+	Units   float64
+}
+
+func (m AdmitAlone) handle(d *Duty, _ time.Time) {
+	limit, limited := d.limits[m.Account]
+	m.Send(!limited || d.share.AdmitAlone(m.Account, limit, m.Units))
+}
+
 // collectUsage asks for the usage and the deaths to report to the coordinator.
 type collectUsage struct{ ring.Reply[fleet.Usage] }
 
--- a/internal/gateway/callers/admit.go
+++ b/internal/gateway/callers/admit.go
@@ -12,6 +12,7 @@
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/catalog"
 	"kingcupcourse/internal/gateway/admission"
+	"kingcupcourse/internal/gateway/fleet"
 	"kingcupcourse/internal/gateway/frontend"
 	"kingcupcourse/internal/gateway/placement"
 	"kingcupcourse/internal/ring"
@@ -94,8 +95,13 @@
 	}
 	response, err := c.h.AcquireQuota(ctx, *acquire)
 	if err != nil {
+		alone := c.admitAlone(ctx, acquire)
 		c.h.Log.Warn("quota request to the coordinator failed", zap.String("request", c.request.ID),
-			zap.String("keeper", acquire.Coordinator), zap.String("error", err.Error()))
+			zap.String("keeper", acquire.Coordinator), zap.Float64("units", acquire.Units), zap.Bool("admitted", alone),
+			zap.String("error", err.Error()))
+		if alone {
+			return nil
+		}
 		return core.RefuseWithRetry(core.ReasonRateLimited, "this host's part of the account's limit is used up", coordinatorRetryAfter)
 	}
 	if !response.Allowed {
@@ -105,6 +111,16 @@
 	return nil
 }
 
+// admitAlone asks whether the request may pass without the coordinator's answer.
+func (c *call) admitAlone(ctx context.Context, acquire *fleet.AcquireRequest) bool {
+	query := admission.AdmitAlone{Reply: ring.NewReply[bool](), Account: acquire.Account, Units: acquire.Units}
+	if c.h.Admission.Put(ctx, query) != nil {
+		return false
+	}
+	admitted, err := query.Wait(ctx)
+	return err == nil && admitted
+}
+
 // readBody reads the complete body before placement, so that the request can be
 // retried and a slow caller does not occupy an endpoint.
 func (c *call) readBody() *core.Refusal {
