--- a/internal/decision/quota/allocation.go
+++ b/internal/decision/quota/allocation.go
@@ -127,10 +127,14 @@
 	return a.grant.Units + grown - a.admitted
 }
 
-// Report returns the usage since the last report for which grants have arrived.
-func (alloc *Allocation) Report() map[string]Usage {
+// Report returns the usage since the last report for which grants have arrived,
+// of the accounts that are included.
+func (alloc *Allocation) Report(included func(account string) bool) map[string]Usage {
 	usages := make(map[string]Usage, len(alloc.accounts))
 	for name, a := range alloc.accounts {
+		if !included(name) {
+			continue
+		}
 		a.reportedAdmitted, a.reportedRequested = a.admitted, a.requested
 		usages[name] = Usage{Admitted: a.admitted, Requested: a.requested, Level: a.grant.Level, LevelKnown: a.hasGrant}
 	}
--- a/internal/decision/quota/quota_test.go
+++ b/internal/decision/quota/quota_test.go
@@ -41,7 +41,7 @@
 	f.now = f.now.Add(tick)
 	total := 0.0
 	for i, allocation := range f.allocations {
-		allocation.ApplyGrants(f.ledgers[ledgerOf[i]].Report(f.names[i], allocation.Report(), f.now), f.now)
+		allocation.ApplyGrants(f.ledgers[ledgerOf[i]].Report(f.names[i], allocation.Report(all), f.now), f.now)
 		for range demand[i] {
 			decision, _ := allocation.Admit("a", f.limit, size, f.now)
 			if decision == AskCoordinator {
--- a/internal/decision/quota/sizes_test.go
+++ b/internal/decision/quota/sizes_test.go
@@ -45,11 +45,14 @@
 	return f
 }
 
+// all includes every account in a report.
+func all(string) bool { return true }
+
 func hostName(i int) string { return fmt.Sprint("h", i) }
 
 func (f *sizeFleet) report(host int, now time.Time) {
 	a := f.allocations[host]
-	a.ApplyGrants(f.ledger.Report(hostName(host), a.Report(), now), now)
+	a.ApplyGrants(f.ledger.Report(hostName(host), a.Report(all), now), now)
 }
 
 func (f *sizeFleet) request(host int, units float64, now time.Time) {
--- a/internal/gateway/admission/duty.go
+++ b/internal/gateway/admission/duty.go
@@ -46,9 +46,6 @@
 	// Deadline is when the request must have got its final response.
 	Deadline     time.Time
 	MaxBodyBytes int64
-	// Coordinator is the address of the host that keeps the quota ledger and
-	// places the requests of the fleet, empty for this host.
-	Coordinator string
 	// Acquire is set if the coordinator must be asked whether the account's limit
 	// allows the request.
 	Acquire *fleet.AcquireRequest
@@ -86,11 +83,14 @@
 // Duty implements supervisor.Duty.
 type Duty struct {
 	Config
-	inbox            *ring.Ring[Message]
-	snapshot         *catalog.Snapshot
-	limits           map[string]quota.Limit
-	share            *quota.Allocation
-	coordinator      string // address of the host that keeps the ledger
+	inbox    *ring.Ring[Message]
+	snapshot *catalog.Snapshot
+	limits   map[string]quota.Limit
+	share    *quota.Allocation
+	// limitShards is the number of shards of the limits, coordinators the address
+	// of the host that keeps the ledger of each, empty for this host.
+	limitShards      int
+	coordinators     map[int]string
 	retries          *retryBudgets
 	poisonMarks      *poison.Tracker
 	unreportedDeaths []poison.Death
@@ -102,7 +102,7 @@
 	return &Duty{
 		Config: config, inbox: ring.New[Message]("gateway_admission", inboxCapacity),
 		snapshot: &catalog.Snapshot{}, share: quota.NewAllocation(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), poisonMarks: poison.NewTracker(),
-		retries: newRetryBudgets(config.RetryShare, config.RetryBurst),
+		coordinators: map[int]string{}, retries: newRetryBudgets(config.RetryShare, config.RetryBurst),
 	}
 }
 
@@ -129,8 +129,7 @@
 		return Ticket{Refusal: core.RefuseWithRetry(core.ReasonNotReady, "no configuration yet", notReadyRetryAfter)}
 	}
 	configuration, request := d.snapshot.Configuration, m.Request
-	ticket := Ticket{MaxBodyBytes: configuration.Limits.MaxBodyBytes, ConfigVersion: configuration.Version,
-		Coordinator: d.coordinator}
+	ticket := Ticket{MaxBodyBytes: configuration.Limits.MaxBodyBytes, ConfigVersion: configuration.Version}
 	route, found := configuration.MatchRoute(request.Authority, request.Path)
 	if !found {
 		ticket.Refusal = core.Refuse(core.ReasonUnknownRoute, "no route takes this path")
@@ -178,7 +177,8 @@
 	case quota.OverLimit:
 		ticket.Refusal = core.RefuseWithRetry(core.ReasonRateLimited, "the account is above its limit", retryAfter)
 	case quota.AskCoordinator:
-		ticket.Acquire = &fleet.AcquireRequest{Account: account.Name, Units: cost, Coordinator: d.coordinator}
+		shard := fleet.ShardOfAccount(account.Name, d.limitShards)
+		ticket.Acquire = &fleet.AcquireRequest{Shard: shard, Account: account.Name, Units: cost, Coordinator: d.coordinators[shard]}
 	}
 }
 
--- a/internal/gateway/admission/fleet.go
+++ b/internal/gateway/admission/fleet.go
@@ -50,12 +50,22 @@
 	m.Send(!limited || d.share.AdmitAlone(m.Account, limit, m.Units))
 }
 
-// collectUsage asks for the usage and the deaths to report to the coordinator.
-type collectUsage struct{ ring.Reply[fleet.Usage] }
+// collectUsage asks for what to report to the coordinator of a shard of the
+// limits: the usage, and in shard 0 the deaths.
+type collectUsage struct {
+	ring.Reply[fleet.Usage]
+	shard, shards int
+}
 
 func (m collectUsage) handle(d *Duty, _ time.Time) {
-	d.deathsInReport = len(d.unreportedDeaths)
-	m.Send(fleet.Usage{Uses: d.share.Report(), Deaths: d.unreportedDeaths[:d.deathsInReport:d.deathsInReport]})
+	usage := fleet.Usage{Uses: d.share.Report(func(account string) bool {
+		return fleet.ShardOfAccount(account, m.shards) == m.shard
+	})}
+	if m.shard == 0 {
+		d.deathsInReport = len(d.unreportedDeaths)
+		usage.Deaths = d.unreportedDeaths[:d.deathsInReport:d.deathsInReport]
+	}
+	m.Send(usage)
 }
 
 // applyResult delivers the response to the last report.
@@ -63,7 +73,11 @@
 
 func (m applyResult) handle(d *Duty, now time.Time) {
 	d.share.ApplyGrants(m.Grants, now)
-	d.coordinator = m.Coordinator
+	d.coordinators[m.Shard] = m.Coordinator
+	if m.Shard != 0 {
+		return
+	}
+	d.limitShards = m.Shards
 	d.retries.setHosts(m.Hosts)
 	for _, death := range m.Deaths {
 		d.poisonMarks.RecordDeath(death.Fingerprint, death.Endpoint, now)
@@ -72,8 +86,8 @@
 }
 
 // CollectUsage implements fleet.Admission.
-func (d *Duty) CollectUsage(ctx context.Context) (fleet.Usage, error) {
-	m := collectUsage{Reply: ring.NewReply[fleet.Usage]()}
+func (d *Duty) CollectUsage(ctx context.Context, shard, shards int) (fleet.Usage, error) {
+	m := collectUsage{Reply: ring.NewReply[fleet.Usage](), shard: shard, shards: shards}
 	if err := d.inbox.Put(ctx, m); err != nil {
 		return fleet.Usage{}, err
 	}
--- a/internal/gateway/callers/handler.go
+++ b/internal/gateway/callers/handler.go
@@ -28,7 +28,7 @@
 	// Place chooses an endpoint for an attempt.
 	Place func(context.Context, placement.Request) placement.Placed
 	// Reports receives the updates on attempts.
-	Reports *ring.Ring[placement.Report]
+	Reports *ring.Ring[placement.Update]
 	// AcquireQuota asks the coordinator for quota for a request.
 	AcquireQuota func(context.Context, fleet.AcquireRequest) (fleet.AcquireResponse, error)
 	// Draining reports whether the process is shutting down.
--- a/internal/gateway/callers/run.go
+++ b/internal/gateway/callers/run.go
@@ -86,7 +86,7 @@
 		Attempt: c.attempt, Host: c.h.Host, Service: c.ticket.Service,
 		Route: c.routeName(), PromptTokens: c.request.PromptTokens, OutputTokens: c.expectedOutputTokens(), MaxOutputTokens: c.request.MaxOutputTokens,
 		ObjectiveMS: c.ticket.Route.LatencyObjective.Milliseconds(),
-		Exclude:     c.triedEndpoints, RemainingMS: time.Until(c.ticket.Deadline).Milliseconds(), Coordinator: c.ticket.Coordinator,
+		Exclude:     c.triedEndpoints, RemainingMS: time.Until(c.ticket.Deadline).Milliseconds(),
 	})
 	c.lastChoice = placed.Choice
 	return placed, placed.Refusal
@@ -124,8 +124,7 @@
 
 // report reports an update on the attempt, even if the caller has disconnected.
 func (c *call) report(update placement.Update) {
-	report := placement.Report{Update: update, Coordinator: c.ticket.Coordinator}
-	_ = c.h.Reports.Put(context.WithoutCancel(c.r.Context()), report)
+	_ = c.h.Reports.Put(context.WithoutCancel(c.r.Context()), update)
 }
 
 func toMilliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/internal/gateway/fleet/ledger.go
+++ b/internal/gateway/fleet/ledger.go
@@ -9,6 +9,7 @@
 	"kingcupcourse/internal/decision/poison"
 	"kingcupcourse/internal/decision/quota"
 	"kingcupcourse/internal/gateway/catalog"
+	"kingcupcourse/internal/gateway/moves"
 	"kingcupcourse/internal/ring"
 )
 
@@ -23,13 +24,20 @@
 // ledger is the duty that accounts for the limits across all hosts that report
 // to this one.
 type ledger struct {
-	inbox     *ring.Ring[Message]
-	snapshots catalog.Subscription
-	hosts     *ring.Latest[[]string]
+	inbox       *ring.Ring[Message]
+	snapshots   catalog.Subscription
+	hosts       Hosts
+	constraints moves.Subscription
+	moves       *ring.Ring[moves.Message]
 
 	tolerance Tolerance
 
-	quotas *quota.Ledger
+	// shards holds the ledgers by shard, for the shards that hosts have reported
+	// to this host. limits and names are what they are made from.
+	shards    map[int]*quota.Ledger
+	limits    map[string]quota.Limit
+	names     []string
+	heldMoves map[string]moves.Constraints
 	// listID identifies the death list of this run of the process. deaths holds
 	// the newest entries of the list, droppedDeaths counts the dropped ones.
 	listID        string
@@ -37,10 +45,11 @@
 	droppedDeaths int
 }
 
-func newLedger(snapshots catalog.Subscription, tolerance Tolerance) *ledger {
+func newLedger(c Config, hosts Hosts) *ledger {
 	return &ledger{
-		inbox: ring.New[Message]("fleet_ledger", inboxCapacity), snapshots: snapshots, tolerance: tolerance,
-		hosts: ring.NewLatest[[]string](), quotas: quota.NewLedger(), listID: uuid.NewString(),
+		inbox: ring.New[Message]("fleet_ledger", inboxCapacity), snapshots: c.Snapshots, tolerance: c.Tolerance,
+		hosts: hosts, constraints: c.Moves.Subscribe(), moves: c.Moves.Inbox(),
+		shards: map[int]*quota.Ledger{}, listID: uuid.NewString(),
 	}
 }
 
@@ -48,35 +57,87 @@
 func (l *ledger) Serve(ctx context.Context) error { return ring.Loop(ctx, l.inbox, l.process) }
 
 func (l *ledger) process(m Message) error {
-	if snapshot, ok := l.snapshots.TryTake(); ok {
-		l.quotas.SetLimits(Limits(snapshot.Configuration, l.tolerance))
+	snapshot, changedLimits := l.snapshots.TryTake()
+	if changedLimits {
+		l.limits = Limits(snapshot.Configuration, l.tolerance)
 	}
-	if hosts, ok := l.hosts.TryTake(); ok {
-		l.quotas.SetHosts(hosts)
+	hosts, changedHosts := l.hosts.TryTake()
+	if changedHosts {
+		l.names = l.names[:0]
+		for _, host := range hosts {
+			l.names = append(l.names, host.Name)
+		}
+	}
+	if changedLimits || changedHosts {
+		for shard, quotas := range l.shards {
+			l.configure(shard, quotas)
+		}
+	}
+	if constraints, ok := l.constraints.TryTake(); ok {
+		l.heldMoves = constraints
 	}
 	m.handle(l, time.Now())
 	return nil
 }
 
+// configure applies the hosts, and the limits of the shard's accounts.
+func (l *ledger) configure(shard int, quotas *quota.Ledger) {
+	limits, shards := map[string]quota.Limit{}, limitShards(len(l.names))
+	for account, limit := range l.limits {
+		if ShardOfAccount(account, shards) == shard {
+			limits[account] = limit
+		}
+	}
+	quotas.SetLimits(limits)
+	quotas.SetHosts(l.names)
+}
+
+// shard returns the ledger of a shard.
+func (l *ledger) shard(shard int) *quota.Ledger {
+	quotas := l.shards[shard]
+	if quotas == nil {
+		quotas = quota.NewLedger()
+		l.shards[shard] = quotas
+		l.configure(shard, quotas)
+	}
+	return quotas
+}
+
 func (m acquireMessage) handle(l *ledger, now time.Time) {
-	allowed, retryAfter := l.quotas.Acquire(m.request.Account, m.request.Units, now)
+	allowed, retryAfter := l.shard(m.request.Shard).Acquire(m.request.Account, m.request.Units, now)
 	m.Send(AcquireResponse{Allowed: allowed, RetryAfterMS: retryAfter.Milliseconds()})
 }
 
 func (m reportMessage) handle(l *ledger, now time.Time) {
-	l.addDeaths(m.report.Deaths)
-	response := ReportResponse{
-		Grants:      l.quotas.Report(m.report.Host, m.report.Uses, now),
-		DeathListID: l.listID, KnownDeaths: l.droppedDeaths + len(l.deaths),
+	response := ReportResponse{Grants: l.shard(m.report.Shard).Report(m.report.Host, m.report.Uses, now)}
+	if m.report.Shard == 0 {
+		l.exchangeDeaths(m.report, &response)
+		l.forwardOutcomes(m.report.Outcomes)
+		response.Moves = l.heldMoves
 	}
+	m.Send(response)
+}
+
+// exchangeDeaths adds the reported deaths to the list, and the deaths that the
+// host does not know to the response.
+func (l *ledger) exchangeDeaths(report Report, response *ReportResponse) {
+	l.addDeaths(report.Deaths)
+	response.DeathListID, response.KnownDeaths = l.listID, l.droppedDeaths+len(l.deaths)
 	known := 0
-	if m.report.DeathListID == l.listID {
-		known = max(0, m.report.KnownDeaths-l.droppedDeaths)
+	if report.DeathListID == l.listID {
+		known = max(0, report.KnownDeaths-l.droppedDeaths)
 	}
 	if known < len(l.deaths) {
 		response.Deaths = append(response.Deaths, l.deaths[known:]...)
 	}
-	m.Send(response)
+}
+
+// forwardOutcomes hands outcomes to the moves duty. An outcome that finds the
+// ring full is lost as evidence; the ring's metrics count it.
+func (l *ledger) forwardOutcomes(outcomes []moves.Outcome) {
+	for _, outcome := range outcomes {
+		_ = l.moves.TryPut(outcome)
+	}
 }
 
 func (l *ledger) addDeaths(deaths []poison.Death) {
--- a/internal/gateway/fleet/members.go
+++ b/internal/gateway/fleet/members.go
@@ -6,12 +6,14 @@
 	"errors"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
 	"kingcupcourse/internal/decision/backoff"
+	"kingcupcourse/internal/decision/fleet"
 	"kingcupcourse/internal/platform"
 	"kingcupcourse/internal/ring"
 	"kingcupcourse/internal/supervisor"
@@ -28,10 +30,10 @@
 
 // registrar is the duty that writes this host's entry to the store.
 type registrar struct {
-	store   *platform.Client
-	name    string
-	address string
-	log     *zap.Logger
+	store *platform.Client
+	name  string
+	entry hostEntry
+	log   *zap.Logger
 }
 
 // Serve implements supervisor.Duty. It ends once the entry is written.
@@ -39,7 +41,7 @@
 	for failures := 1; ; failures++ {
 		err := r.write(ctx)
 		if err == nil {
-			r.log.Info("host registered", zap.String("address", r.address))
+			r.log.Info("host registered", zap.String("address", r.entry.Address))
 			return supervisor.ErrDone
 		}
 		r.log.Warn("host registration failed", zap.String("error", err.Error()))
@@ -58,50 +60,69 @@
 		return err
 	}
 	var entry hostEntry
-	if err == nil && json.Unmarshal(found.Value, &entry) == nil && entry.Address == r.address {
+	if err == nil && json.Unmarshal(found.Value, &entry) == nil && entry == r.entry {
 		return nil
 	}
-	_, err = r.store.Put(ctx, key, found.Version, hostEntry{Address: r.address})
+	_, err = r.store.Put(ctx, key, found.Version, r.entry)
 	return err
 }
 
-// membership turns the store's changes into host lists. Its state is owned by
-// the watcher duty.
+// membership turns the store's changes into host lists, and publishes them. Its
+// state is owned by the watcher duty.
 type membership struct {
-	self      string
-	addresses map[string]string
-	out       *ring.Ring[map[string]string]
-	log       *zap.Logger
+	self        string
+	hosts       map[string]fleet.Host
+	subscribers []Hosts
+	log         *zap.Logger
 }
 
-func (m *membership) deliver(ctx context.Context, update platform.Update) error {
+// Hosts is a ring that holds only the latest list of the hosts.
+type Hosts = *ring.Latest[[]fleet.Host]
+
+// newMembership returns a membership that contains only the host itself.
+func newMembership(self fleet.Host, log *zap.Logger) *membership {
+	return &membership{self: self.Name, hosts: map[string]fleet.Host{self.Name: self}, log: log}
+}
+
+// subscribe returns a ring that holds only the latest list.
+func (m *membership) subscribe() Hosts {
+	subscriber := ring.NewLatest[[]fleet.Host]()
+	subscriber.Publish(m.list())
+	m.subscribers = append(m.subscribers, subscriber)
+	return subscriber
+}
+
+func (m *membership) list() []fleet.Host { return slices.Collect(maps.Values(m.hosts)) }
+
+func (m *membership) deliver(_ context.Context, update platform.Update) error {
 	if update.Err != nil {
 		return nil // the catalog logs outages of the store
 	}
 	if update.Full {
-		m.addresses = map[string]string{}
+		maps.DeleteFunc(m.hosts, func(name string, _ fleet.Host) bool { return name != m.self })
 	}
 	for _, object := range update.Objects {
 		m.apply(object)
 	}
-	if _, ok := m.addresses[m.self]; !ok {
-		m.addresses[m.self] = ""
-	}
 	if len(update.Objects) == 0 && !update.Full {
 		return nil
 	}
-	return m.out.Put(ctx, maps.Clone(m.addresses))
+	for _, subscriber := range m.subscribers {
+		subscriber.Publish(m.list())
+	}
+	return nil
 }
 
 func (m *membership) apply(object platform.Object) {
 	name := strings.TrimPrefix(object.Key, HostsPrefix+"/")
 	var entry hostEntry
 	switch err := json.Unmarshal(object.Value, &entry); {
+	case name == m.self:
 	case object.Deleted:
-		delete(m.addresses, name)
+		delete(m.hosts, name)
 	case err != nil || entry.Address == "":
 		m.log.Warn("invalid host entry ignored", zap.String("key", object.Key))
 	default:
-		m.addresses[name] = entry.Address
+		m.hosts[name] = fleet.Host{Name: name, Address: entry.Address, Processor: entry.Processor}
 	}
 }
--- a/internal/gateway/fleet/messages.go
+++ b/internal/gateway/fleet/messages.go
@@ -1,14 +1,20 @@
 // Package fleet coordinates the hosts of a fleet. Each host registers itself in
-// the platform's store and reports its quota usage to one of them, the
-// coordinator, which keeps the ledger of the limits that all hosts share.
+// the platform's store. The limits that all hosts share are divided into shards
+// by account; each host reports its usage of a shard to one host, the shard's
+// coordinator, which keeps the ledger. The coordinator of shard 0 also collects
+// what has to be known in one place: the deaths of endpoints, and the outcomes
+// that prove the version of a move.
 package fleet
 
 import (
+	"math"
 	"time"
 
 	"kingcupcourse/internal/decision/catalog"
+	"kingcupcourse/internal/decision/fleet"
 	"kingcupcourse/internal/decision/poison"
 	"kingcupcourse/internal/decision/quota"
+	"kingcupcourse/internal/gateway/moves"
 	"kingcupcourse/internal/ring"
 )
 
@@ -25,12 +31,16 @@
 type hostEntry struct {
 	// Address is the address of the peer listener.
 	Address string `json:"address"`
+	// Processor is the processor time that the host may use, in cores.
+	Processor float64 `json:"processor,omitempty"`
 }
 
-// Report is a host's usage report to the coordinator.
+// Report is a host's usage report to the coordinator of a shard of the limits.
+// The reports of shard 0 also carry the deaths and outcomes.
 type Report struct {
-	Host string                 `json:"host"`
-	Uses map[string]quota.Usage `json:"uses"`
+	Host  string                 `json:"host"`
+	Shard int                    `json:"shard,omitempty"`
+	Uses  map[string]quota.Usage `json:"uses"`
 	// Deaths are the endpoint deaths that this host has observed.
 	Deaths []poison.Death `json:"deaths,omitempty"`
 	// KnownDeaths is how many deaths of the coordinator's list the host has
@@ -39,6 +49,9 @@
 	// DeathListID identifies the death list that KnownDeaths refers to; each run
 	// of a process has its own.
 	DeathListID string `json:"list,omitempty"`
+	// Outcomes are outcomes of requests for services that are being moved, which
+	// the host placed for others.
+	Outcomes []moves.Outcome `json:"outcomes,omitempty"`
 }
 
 // ReportResponse is the coordinator's response to a report.
@@ -49,6 +62,9 @@
 	Deaths      []poison.Death `json:"deaths,omitempty"`
 	KnownDeaths int            `json:"known_deaths"`
 	DeathListID string         `json:"list"`
+	// Moves holds the constraints of the moves that the coordinator holds, by
+	// service.
+	Moves map[string]moves.Constraints `json:"moves,omitempty"`
 }
 
 // Usage is the usage and the deaths since the last report.
@@ -59,17 +75,20 @@
 
 // ReportResult is the result of a report for the admission duty.
 type ReportResult struct {
-	Grants map[string]quota.Grant
-	Deaths []poison.Death
+	// Shard is the shard of the limits that was reported, of Shards shards.
+	Shard, Shards int
+	Grants        map[string]quota.Grant
+	Deaths        []poison.Death
 	// Hosts is the number of hosts in the fleet.
 	Hosts int
-	// Coordinator is the address of the host that keeps the ledger, empty for
-	// this host.
+	// Coordinator is the address of the host that keeps the shard's ledger, empty
+	// for this host.
 	Coordinator string
 }
 
-// AcquireRequest asks the coordinator for the quota of one request.
+// AcquireRequest asks the coordinator of a shard for the quota of one request.
 type AcquireRequest struct {
+	Shard   int     `json:"shard,omitempty"`
 	Account string  `json:"account"`
 	Units   float64 `json:"units"`
 	// Coordinator is the address to send the request to, empty for this host.
@@ -102,6 +121,16 @@
 // covers requests that the hosts admit in excess.
 const usedToleranceShare = 0.4
 
+// maxLimitShards bounds the number of ledgers, as each host reports to all of
+// them.
+const maxLimitShards = 16
+
+// limitShards returns the number of shards of the limits in a fleet.
+func limitShards(hosts int) int { return min(maxLimitShards, fleet.ShardCount(hosts, math.MaxInt)) }
+
+// ShardOfAccount returns the shard of an account's limit.
+func ShardOfAccount(account string, shards int) int { return fleet.ShardOf(account, shards) }
+
 // Limits returns the limits that the hosts enforce for a configuration, by
 // account.
 func Limits(configuration *catalog.Configuration, tolerance Tolerance) map[string]quota.Limit {
--- a/internal/gateway/fleet/reporter.go
+++ b/internal/gateway/fleet/reporter.go
@@ -17,7 +17,7 @@
 	// minReportPeriod is the report interval in a small fleet. It is short
 	// compared with the window of a limit, eight seconds.
 	minReportPeriod = 150 * time.Millisecond
-	// maxReportsPerSecond bounds the reports that the coordinator receives, so
+	// maxReportsPerSecond bounds the reports that a coordinator receives, so
 	// hosts of a large fleet report less often.
 	maxReportsPerSecond = 140
 	// reportTimeout bounds one report. A host that is frozen or unreachable must
@@ -25,101 +25,138 @@
 	reportTimeout = 150 * time.Millisecond
 	// unresponsiveBackoff is how long a host that did not respond is skipped.
 	unresponsiveBackoff = time.Second
-	// membersCapacity bounds the queued host lists.
-	membersCapacity = 16
+	// limitsKey is the key of the limits in the order of coordinators.
+	limitsKey = "limits"
 )
 
 // Admission is the part of the admission duty that the usage reporter needs.
 type Admission interface {
-	// CollectUsage returns the usage since the last acknowledged report.
-	CollectUsage(ctx context.Context) (Usage, error)
+	// CollectUsage returns the usage of a shard since the last acknowledged report.
+	CollectUsage(ctx context.Context, shard, shards int) (Usage, error)
 	// ApplyReport applies the result of a report.
 	ApplyReport(ctx context.Context, result ReportResult) error
 }
 
-// usageReporter is the duty that reports this host's usage to the coordinator:
-// the first host in rank order that responds, and this host itself if no host
-// ranked before it does.
+// usageReporter is the duty that reports this host's usage of a shard of the
+// limits to the shard's coordinator: the first host in the shard's order that
+// responds, and this host itself if no host before it does.
 type usageReporter struct {
 	self      string
-	members   *ring.Ring[map[string]string]
+	shard     int
+	hosts     Hosts
 	local     *ledger
 	admission Admission
 	moves     *ring.Ring[moves.Message]
 	client    *http.Client
 	log       *zap.Logger
 
-	addresses   map[string]string // by host
-	ranked      []string
+	order       []fleet.Host
 	retryAt     map[string]time.Time // by host, until when it is skipped
-	nextReport  time.Time
-	coordinator string
+	coordinator fleet.Host
 	deathListID string
 	knownDeaths int
 }
 
-func newUsageReporter(c Config, local *ledger) *usageReporter {
-	r := &usageReporter{
-		self: c.Host.Name, local: local, admission: c.Admission, moves: c.Moves, log: c.Log,
-		members: ring.New[map[string]string]("fleet_members", membersCapacity),
-		client:  &http.Client{Transport: codec.NewTransport(0)},
-		retryAt: map[string]time.Time{},
+func newUsageReporter(c Config, shard int, hosts Hosts, local *ledger, client *http.Client) *usageReporter {
+	return &usageReporter{
+		self: c.Host.Name, shard: shard, hosts: hosts, local: local, admission: c.Admission, moves: c.Moves.Inbox(), log: c.Log,
+		client: client, retryAt: map[string]time.Time{},
 	}
-	r.setMembers(map[string]string{r.self: ""})
-	return r
 }
 
-// Serve implements supervisor.Duty.
+// Serve implements supervisor.Duty. While the fleet is too small to have the
+// shard, the duty waits for more hosts.
 func (r *usageReporter) Serve(ctx context.Context) error {
-	r.nextReport = time.Now()
-	return ring.LoopUntil(ctx, r.members, func(addresses map[string]string) error {
-		r.setMembers(addresses)
-		return nil
-	}, func() time.Time { return r.nextReport }, func() error { return r.tick(ctx) })
+	for {
+		hosts, changed := r.hosts.TryTake()
+		if !changed && r.shard >= limitShards(len(r.order)) {
+			var err error
+			if hosts, err = r.hosts.Take(ctx); err != nil {
+				return err
+			}
+			changed = true
+		}
+		if changed {
+			r.order = fleet.NewRing(hosts).Order(limitsKey, r.shard)
+			continue
+		}
+		next := time.Now().Add(reportPeriod(len(r.order)))
+		if err := r.tick(ctx); err != nil {
+			return err
+		}
+		if err := ring.Pause(ctx, time.Until(next)); err != nil {
+			return err
+		}
+	}
 }
 
-func (r *usageReporter) setMembers(addresses map[string]string) {
-	r.addresses = addresses
-	r.ranked = fleet.SortByHash(addresses)
-	r.local.hosts.Publish(r.ranked)
+// reportPeriod returns the time between two reports of a host.
+func reportPeriod(hosts int) time.Duration {
+	return max(minReportPeriod, time.Duration(hosts)*time.Second/maxReportsPerSecond)
 }
 
 // tick sends one report and passes the result to the admission duty.
 func (r *usageReporter) tick(ctx context.Context) error {
-	period := max(minReportPeriod, time.Duration(len(r.ranked))*time.Second/maxReportsPerSecond)
-	r.nextReport = time.Now().Add(period)
-	usage, err := r.admission.CollectUsage(ctx)
+	shards := limitShards(len(r.order))
+	usage, err := r.admission.CollectUsage(ctx, r.shard, shards)
 	if err != nil {
 		return err
 	}
-	report := Report{Host: r.self, Uses: usage.Uses, Deaths: usage.Deaths, KnownDeaths: r.knownDeaths, DeathListID: r.deathListID}
+	report := Report{Host: r.self, Shard: r.shard, Uses: usage.Uses, Deaths: usage.Deaths, KnownDeaths: r.knownDeaths, DeathListID: r.deathListID}
+	if report.Outcomes, err = r.takeOutcomes(ctx); err != nil {
+		return err
+	}
 	response, err := r.report(ctx, report)
 	if err != nil {
 		return err
 	}
 	r.deathListID, r.knownDeaths = response.DeathListID, response.KnownDeaths
-	return r.admission.ApplyReport(ctx, ReportResult{Grants: response.Grants, Deaths: response.Deaths, Hosts: len(r.ranked),
-		Coordinator: r.coordinatorAddress()})
+	if err := r.applyMoves(ctx, response.Moves); err != nil {
+		return err
+	}
+	return r.admission.ApplyReport(ctx, ReportResult{Shard: r.shard, Shards: shards, Grants: response.Grants, Deaths: response.Deaths,
+		Hosts: len(r.order), Coordinator: r.coordinatorAddress()})
 }
 
-// report sends a report to the hosts in rank order until one responds.
+// takeOutcomes returns the outcomes for the holder of the moves, the coordinator
+// of shard 0.
+func (r *usageReporter) takeOutcomes(ctx context.Context) ([]moves.Outcome, error) {
+	if r.shard != 0 {
+		return nil, nil
+	}
+	m := moves.TakeOutcomes{Reply: ring.NewReply[[]moves.Outcome]()}
+	if err := r.moves.Put(ctx, m); err != nil {
+		return nil, err
+	}
+	return m.Wait(ctx)
+}
+
+// applyMoves hands the constraints of the coordinator's moves to the moves duty.
+func (r *usageReporter) applyMoves(ctx context.Context, held map[string]moves.Constraints) error {
+	if r.shard != 0 || r.coordinator.Name == r.self {
+		return nil
+	}
+	return r.moves.Put(ctx, moves.HeldElsewhere{Constraints: held})
+}
+
+// report sends a report to the hosts of the shard's order until one responds.
 func (r *usageReporter) report(ctx context.Context, report Report) (ReportResponse, error) {
-	for _, name := range r.ranked {
-		if name == r.self {
+	for _, host := range r.order {
+		if host.Name == r.self {
 			break
 		}
-		if time.Now().Before(r.retryAt[name]) {
+		if time.Now().Before(r.retryAt[host.Name]) {
 			continue
 		}
 		response := ReportResponse{}
-		err := r.send(ctx, r.addresses[name], &report, &response)
+		err := r.send(ctx, host.Address, &report, &response)
 		if err == nil {
-			return response, r.setCoordinator(ctx, name)
+			return response, r.setCoordinator(ctx, host)
 		}
-		r.retryAt[name] = time.Now().Add(unresponsiveBackoff)
-		r.log.Warn("usage report failed", zap.String("peer", name), zap.String("error", err.Error()))
+		r.retryAt[host.Name] = time.Now().Add(unresponsiveBackoff)
+		r.log.Warn("usage report failed", zap.Int("shard", r.shard), zap.String("peer", host.Name), zap.String("error", err.Error()))
 	}
-	if err := r.setCoordinator(ctx, r.self); err != nil {
+	if err := r.setCoordinator(ctx, fleet.Host{Name: r.self}); err != nil {
 		return ReportResponse{}, err
 	}
 	m := reportMessage{Reply: ring.NewReply[ReportResponse](), report: report}
@@ -138,20 +175,23 @@
 // coordinatorAddress returns the address that the last report went to, empty for
 // this host.
 func (r *usageReporter) coordinatorAddress() string {
-	if r.coordinator == r.self {
+	if r.coordinator.Name == r.self {
 		return ""
 	}
-	return r.addresses[r.coordinator]
+	return r.coordinator.Address
 }
 
-// setCoordinator records the coordinator. If it has changed, it tells the moves
-// duty whether this host is the coordinator.
-func (r *usageReporter) setCoordinator(ctx context.Context, name string) error {
-	if r.coordinator == name {
+// setCoordinator records the coordinator. If that of shard 0 has changed, it tells
+// the moves duty whether this host is it.
+func (r *usageReporter) setCoordinator(ctx context.Context, host fleet.Host) error {
+	if r.coordinator == host {
+		return nil
+	}
+	r.log.Info("keeper of the ledger", zap.Int("shard", r.shard), zap.String("keeper", host.Name),
+		zap.String("before", r.coordinator.Name), zap.Int("hosts", len(r.order)))
+	r.coordinator = host
+	if r.shard != 0 {
 		return nil
 	}
-	r.log.Info("keeper of the ledger", zap.String("keeper", name), zap.String("before", r.coordinator),
-		zap.Int("hosts", len(r.ranked)))
-	r.coordinator = name
-	return r.moves.Put(ctx, moves.CoordinatorChange{Self: name == r.self})
+	return r.moves.Put(ctx, moves.CoordinatorChange{Self: host.Name == r.self})
 }
--- a/internal/gateway/fleet/supervisor.go
+++ b/internal/gateway/fleet/supervisor.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
 	"kingcupcourse/internal/codec"
 	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/fleet"
 	"kingcupcourse/internal/gateway/catalog"
 	"kingcupcourse/internal/gateway/moves"
 	"kingcupcourse/internal/platform"
@@ -20,22 +22,25 @@
 type Config struct {
 	Host core.Host
 	// Address is the address at which other hosts reach the peer listener.
-	Address   string
+	Address string
+	// Processor is the processor time that this host may use, in cores.
+	Processor float64
 	Store     *platform.Client
 	Snapshots catalog.Subscription
 	Admission Admission
 	Tolerance Tolerance
-	// Moves is the inbox of the moves duty, which is told whether this host is the
-	// coordinator.
-	Moves *ring.Ring[moves.Message]
+	// Moves is told whether this host is the coordinator of shard 0, and exchanges
+	// outcomes and constraints with the coordinator.
+	Moves *moves.Moves
 	Log   *zap.Logger
 }
 
 // Fleet is the supervisor of the duties that coordinate the hosts.
 type Fleet struct {
 	*supervisor.Supervisor
-	ledger *ledger
-	client *http.Client
+	members *membership
+	ledger  *ledger
+	client  *http.Client
 }
 
 // acquireTimeout bounds a quota request, as the caller's request waits for it.
@@ -44,21 +49,29 @@
 // New returns the supervisor, not yet running.
 //
 // Children, in start order: the ledger, which processes the reports of other
-// hosts; the usage reporter, which sends those of this host; the watcher of the
-// hosts' entries; and the registrar of this host, which ends once it has
-// succeeded.
+// hosts; the usage reporters, one for each shard of the limits, which send those
+// of this host; the watcher of the hosts' entries; and the registrar of this host,
+// which ends once it has succeeded.
 func New(c Config) *Fleet {
-	localLedger := newLedger(c.Snapshots, c.Tolerance)
-	reporter := newUsageReporter(c, localLedger)
-	members := &membership{self: c.Host.Name, addresses: map[string]string{}, out: reporter.members, log: c.Log}
-	return &Fleet{ledger: localLedger, client: reporter.client, Supervisor: supervisor.New(supervisor.Spec{Name: "fleet", Children: []supervisor.Child{
-		{Name: "ledger", Duty: localLedger},
-		{Name: "exchange", Duty: reporter},
-		{Name: "follow-hosts", Duty: platform.NewWatcher(c.Store, HostsPrefix, membersWatchTimeout, members.deliver)},
-		{Name: "register", Duty: &registrar{store: c.Store, name: c.Host.Name, address: c.Address, log: c.Log}},
-	}}, c.Log)}
+	members := newMembership(fleet.Host{Name: c.Host.Name, Address: c.Address, Processor: c.Processor}, c.Log)
+	f := &Fleet{members: members, ledger: newLedger(c, members.subscribe()), client: &http.Client{Transport: codec.NewTransport(0)}}
+	children := []supervisor.Child{{Name: "ledger", Duty: f.ledger}}
+	for shard := range maxLimitShards {
+		children = append(children, supervisor.Child{Name: "exchange-" + strconv.Itoa(shard),
+			Duty: newUsageReporter(c, shard, members.subscribe(), f.ledger, f.client)})
+	}
+	entry := hostEntry{Address: c.Address, Processor: c.Processor}
+	children = append(children,
+		supervisor.Child{Name: "follow-hosts", Duty: platform.NewWatcher(c.Store, HostsPrefix, membersWatchTimeout, members.deliver)},
+		supervisor.Child{Name: "register", Duty: &registrar{store: c.Store, name: c.Host.Name, entry: entry, log: c.Log}})
+	f.Supervisor = supervisor.New(supervisor.Spec{Name: "fleet", Children: children}, c.Log)
+	return f
 }
 
+// Hosts returns a ring that holds only the latest list of the hosts. It must be
+// called before the supervisor runs.
+func (f *Fleet) Hosts() Hosts { return f.members.subscribe() }
+
 // RegisterHandlers adds the handlers for reports and quota requests of other
 // hosts.
 func (f *Fleet) RegisterHandlers(mux *http.ServeMux) {
--- a/internal/gateway/moves/duty.go
+++ b/internal/gateway/moves/duty.go
@@ -21,6 +21,8 @@
 	inboxCapacity = 8192
 	// tickPeriod is the interval at which unfinished moves are advanced.
 	tickPeriod = 200 * time.Millisecond
+	// maxUnsentOutcomes bounds the outcomes that are kept for the coordinator.
+	maxUnsentOutcomes = 4096
 )
 
 // Exposure bounds the requests that an unproved version may get.
@@ -47,11 +49,15 @@
 type Duty struct {
 	Config
 	inbox       *ring.Ring[Message]
-	constraints *ring.Latest[map[string]Constraints]
+	subscribers []Subscription
 
 	isCoordinator bool
 	moves         map[string]*move // by service
 	nextTick      time.Time
+	// unsent holds outcomes for the coordinator, heldElsewhere the constraints of
+	// the moves that it holds, by service.
+	unsent        []Outcome
+	heldElsewhere map[string]Constraints
 }
 
 // Moves is the supervisor of the duties.
@@ -73,15 +79,19 @@
 }
 
 func newDuty(c Config) *Duty {
-	return &Duty{Config: c, inbox: ring.New[Message]("gateway_moves", inboxCapacity),
-		constraints: ring.NewLatest[map[string]Constraints](), moves: map[string]*move{}}
+	return &Duty{Config: c, inbox: ring.New[Message]("gateway_moves", inboxCapacity), moves: map[string]*move{}}
 }
 
 // Inbox returns the ring for outcomes and coordinator changes.
 func (m *Moves) Inbox() *ring.Ring[Message] { return m.duty.inbox }
 
-// Constraints returns a ring that holds only the latest constraints, by service.
-func (m *Moves) Constraints() *ring.Latest[map[string]Constraints] { return m.duty.constraints }
+// Subscribe returns a ring that holds only the latest constraints. It must be
+// called before the supervisor runs.
+func (m *Moves) Subscribe() Subscription {
+	subscription := ring.NewLatest[map[string]Constraints]()
+	m.duty.subscribers = append(m.duty.subscribers, subscription)
+	return subscription
+}
 
 // snapshotForwarder is the duty that forwards the catalog's snapshots.
 type snapshotForwarder struct {
@@ -152,23 +162,29 @@
 	return ctx.Err()
 }
 
-// publish publishes the constraints of the moves to the placement duty.
+// publish publishes the constraints of the moves.
 func (d *Duty) publish() {
 	constraints := make(map[string]Constraints, len(d.moves))
 	for service, m := range d.moves {
-		constraints[service] = m.constraints()
+		constraints[service] = m.constraints(d.heldElsewhere[service])
+	}
+	for _, subscriber := range d.subscribers {
+		subscriber.Publish(constraints)
 	}
-	d.constraints.Publish(constraints)
 }
 
 // constraints returns the placement constraints of a move. A host that does not
-// hold the move gives the target no traffic until the move has succeeded.
-func (m *move) constraints() Constraints {
+// hold the move gives the target the traffic that its holder allows, and none if
+// that is unknown, until the move has succeeded.
+func (m *move) constraints(heldElsewhere Constraints) Constraints {
 	c := Constraints{Target: m.order.Target, FreeRequests: m.exposure.FreeRequests}
 	switch {
 	case m.order.State == catalog.OrderSucceeded:
 		c.MaxShare, c.Done = 1, true
-	case m.order.State == catalog.OrderRolledBack || !m.held || m.badVersion != nil:
+	case m.order.State == catalog.OrderRolledBack || m.badVersion != nil:
+	case !m.held && heldElsewhere.Target == m.order.Target:
+		c.MaxShare, c.Done = heldElsewhere.MaxShare, heldElsewhere.Done
+	case !m.held:
 	case m.status.Stage == message.StageDone:
 		c.MaxShare, c.Done = 1, true
 	default:
--- a/internal/gateway/moves/messages.go
+++ b/internal/gateway/moves/messages.go
@@ -1,6 +1,6 @@
 // Package moves executes the operator's orders to move a service to another
 // version. The coordinator of the fleet holds a move: it receives the outcomes
-// of all hosts' requests, raises the new version's traffic share step by step,
+// from the hosts that placed the requests, raises the new version's traffic share step by step,
 // and reverts the move if the version proves bad or is not proved in time.
 //
 // The stage of a move is persisted in the platform's store with conditional
@@ -11,11 +11,13 @@
 package moves
 
 import (
+	"maps"
 	"time"
 
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/catalog"
 	"kingcupcourse/internal/message"
+	"kingcupcourse/internal/ring"
 )
 
 // recordsPrefix is the key prefix of the moves' records in the platform's store.
@@ -41,28 +43,57 @@
 
 // Constraints holds the placement constraints of a move.
 type Constraints struct {
-	Target core.Version
+	Target core.Version `json:"target"`
 	// MaxShare is the largest share of the service's requests that the target may
 	// get, from 0 to 1. Unless it is zero, it does not apply to the target's
 	// first FreeRequests requests.
-	MaxShare     float64
-	FreeRequests int
+	MaxShare     float64 `json:"share"`
+	FreeRequests int     `json:"free"`
 	// Done reports that the other versions get no more traffic.
-	Done bool
+	Done bool `json:"done,omitempty"`
 }
 
+// Subscription is a ring that holds only the latest constraints, by service.
+type Subscription = *ring.Latest[map[string]Constraints]
+
 // Outcome is the outcome of an attempt for a service that is being moved.
 type Outcome struct {
 	core.Outcome
 	// Running is the number of attempts on the endpoint, including this one.
-	Running, Slots int
-	IsModel        bool
+	Running int  `json:"running"`
+	Slots   int  `json:"slots"`
+	IsModel bool `json:"model,omitempty"`
 }
 
 // Message is a message to the duty.
 type Message interface{ handle(d *Duty, now time.Time) }
 
-func (m Outcome) handle(d *Duty, now time.Time) { d.observe(m, now) }
+func (m Outcome) handle(d *Duty, now time.Time) {
+	if d.isCoordinator {
+		d.observe(m, now)
+	} else if len(d.unsent) < maxUnsentOutcomes {
+		d.unsent = append(d.unsent, m)
+	}
+}
+
+// TakeOutcomes asks for the outcomes that the coordinator must get.
+type TakeOutcomes struct{ ring.Reply[[]Outcome] }
+
+func (m TakeOutcomes) handle(d *Duty, _ time.Time) {
+	m.Send(d.unsent)
+	d.unsent = nil
+}
+
+// HeldElsewhere delivers the constraints of the moves that the coordinator holds,
+// by service.
+type HeldElsewhere struct{ Constraints map[string]Constraints }
+
+func (m HeldElsewhere) handle(d *Duty, _ time.Time) {
+	if !maps.Equal(d.heldElsewhere, m.Constraints) {
+		d.heldElsewhere = m.Constraints
+		d.publish()
+	}
+}
 
 // catalogUpdate carries the latest snapshot of the catalog.
 type catalogUpdate struct{ snapshot *catalog.Snapshot }
@@ -70,4 +101,7 @@
 // CoordinatorChange reports whether this host is the coordinator of the fleet.
 type CoordinatorChange struct{ Self bool }
 
-func (m CoordinatorChange) handle(d *Duty, _ time.Time) { d.isCoordinator = m.Self }
+func (m CoordinatorChange) handle(d *Duty, _ time.Time) {
+	d.isCoordinator, d.heldElsewhere = m.Self, nil
+	d.publish()
+}
--- a/internal/gateway/placement/candidates.go
+++ b/internal/gateway/placement/candidates.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"kingcupcourse/internal/decision/engine"
@@ -9,8 +10,8 @@
 	"kingcupcourse/internal/decision/placement"
 )
 
-// candidates returns the service's endpoints with their load and predicted
-// times.
+// candidates returns the endpoints of the service's shard with their load and
+// predicted times.
 func (d *Duty) candidates(req Request, now time.Time) []placement.Candidate {
 	all := d.services[req.Service]
 	ejected := 0
@@ -22,6 +23,9 @@
 	ignoreEjections := health.IgnoreEjections(ejected, len(all))
 	candidates := make([]placement.Candidate, 0, len(all))
 	for _, e := range all {
+		if !d.directory.inShard(req.Service, e.Endpoint.Name, req.Shard) {
+			continue
+		}
 		c := placement.Candidate{
 			Endpoint: e.Endpoint.Endpoint, Version: e.Version, Draining: e.Draining,
 			NotReady: !ignoreEjections && e.health.Ejected(now), SameZone: e.AvailabilityZone == d.host.AvailabilityZone,
@@ -32,10 +36,24 @@
 	if req.PromptTokens == 0 {
 		d.assumeFastest(candidates, now)
 	}
-	d.traffic.apply(req.Service, candidates)
+	d.applyTrafficLimits(req, candidates)
 	return candidates
 }
 
+// applyTrafficLimits applies the limits of the service's move. They are divided
+// among the coordinators of its shards; a host that places a request alone, which
+// it may do beside the coordinators, gets no part of them.
+func (d *Duty) applyTrafficLimits(req Request, candidates []placement.Candidate) {
+	limits := d.traffic.services[req.Service]
+	if limits == nil {
+		return
+	}
+	targetListed := slices.ContainsFunc(d.services[req.Service], func(e *endpoint) bool {
+		return e.Version == limits.Target && !e.Draining
+	})
+	limits.apply(candidates, targetListed, d.directory.shardCount(req.Service), req.Shard == 0)
+}
+
 // assumeFastest assumes that plain services of unknown speed are as fast as the
 // fastest one, so that a new endpoint, or one that was slow once, is tried.
 func (d *Duty) assumeFastest(candidates []placement.Candidate, now time.Time) {
--- a/internal/gateway/placement/client.go
+++ b/internal/gateway/placement/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -24,21 +25,10 @@
 	chooseTimeout = 40 * time.Millisecond
 	// noEndpointRetryAfter is the retry delay for a request without an endpoint.
 	noEndpointRetryAfter = 500 * time.Millisecond
-	// flushPeriod is how long updates are batched into one message to the
-	// coordinator.
-	flushPeriod = 40 * time.Millisecond
-	// listPeriod is the time between two full lists, from which a new coordinator
-	// learns the running attempts.
-	listPeriod = 500 * time.Millisecond
-	// updatesTimeout bounds the call that sends one message of updates.
-	updatesTimeout = 150 * time.Millisecond
-	// updatesCapacity bounds the queued updates. The next full list makes up for
-	// a dropped one.
-	updatesCapacity = 4096
 )
 
-// Client requests endpoints from the coordinator, and from this host's own duty
-// if the coordinator does not respond.
+// Client requests endpoints from the coordinators of the service's shards, and
+// from this host's own duty if none of them responds.
 type Client struct {
 	local  *ring.Ring[Message]
 	client *http.Client
@@ -51,32 +41,80 @@
 }
 
 // Place chooses an endpoint for an attempt of this host. An update with a result
-// releases the placement.
+// releases the placement. A shard without room passes the request on to another
+// one.
 func (c *Client) Place(ctx context.Context, req Request) Placed {
-	if req.Coordinator != "" {
-		if placed, ok := c.askCoordinator(ctx, req); ok {
+	var refused *Placed
+	for _, target := range c.findTargets(ctx, req.Service) {
+		placed, answered := c.placeAt(ctx, req, target)
+		switch {
+		case answered && placed.Refusal == nil:
 			return placed
+		case answered:
+			refused = &placed
 		}
 	}
-	return c.placeLocally(ctx, req)
+	if refused != nil {
+		return *refused
+	}
+	return c.placeAlone(ctx, req)
 }
 
-func (c *Client) askCoordinator(ctx context.Context, req Request) (Placed, bool) {
-	ctx, cancel := context.WithTimeout(ctx, chooseTimeout)
-	defer cancel()
-	var choice Choice
-	if err := codec.Call(ctx, c.client, req.Coordinator, choosePath, &req, &choice); err != nil {
-		c.log.Warn("placement request to the coordinator failed", zap.String("attempt", req.Attempt), zap.String("keeper", req.Coordinator),
-			zap.String("error", err.Error()))
-		return Placed{}, false
+// findTargets returns the coordinators to ask, none if the request has ended.
+func (c *Client) findTargets(ctx context.Context, service string) []target {
+	m := findTargets{Reply: ring.NewReply[[]target](), service: service}
+	if c.local.Put(ctx, m) != nil {
+		return nil
 	}
-	if choice.Overload {
-		return overloaded(choice, true), true
+	targets, err := m.Wait(ctx)
+	if err != nil {
+		return nil
 	}
-	if choice.Endpoint == "" {
+	return targets
+}
+
+// placeAt asks a coordinator. It returns false if that gave no endpoint that this
+// host may use, and no refusal either.
+func (c *Client) placeAt(ctx context.Context, req Request, target target) (Placed, bool) {
+	req.Shard = target.shard
+	choice, err := c.choose(ctx, req, target.address)
+	switch {
+	case err != nil:
+		return Placed{}, false
+	case choice.Overload:
+		return overloaded(choice, target.address != ""), true
+	case choice.Endpoint == "":
 		return Placed{}, false
 	}
-	return c.confirm(ctx, req, choice)
+	placed, ok := c.confirm(ctx, req, choice)
+	placed.ByCoordinator = target.address != ""
+	return placed, ok
+}
+
+// choose asks the coordinator at the address, or this host's own duty if that is
+// empty, for a choice.
+func (c *Client) choose(ctx context.Context, req Request, address string) (Choice, error) {
+	if address == "" {
+		return c.chooseLocally(ctx, req)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, chooseTimeout)
+	defer cancel()
+	var choice Choice
+	err := codec.Call(callCtx, c.client, address, choosePath, &req, &choice)
+	if err != nil && ctx.Err() == nil {
+		c.log.Warn("placement request to the coordinator failed", zap.String("attempt", req.Attempt), zap.Int("shard", req.Shard),
+			zap.String("keeper", address), zap.String("error", err.Error()))
+		return choice, errors.Join(err, c.local.Put(ctx, unresponsive{address}))
+	}
+	return choice, err
+}
+
+func (c *Client) chooseLocally(ctx context.Context, req Request) (Choice, error) {
+	m := Choose{Reply: ring.NewReply[Choice](), Request: req}
+	if err := c.local.Put(ctx, m); err != nil {
+		return Choice{}, err
+	}
+	return m.Wait(context.WithoutCancel(ctx))
 }
 
 // confirm also counts the attempt in this host's duty.
@@ -86,23 +124,22 @@
 		return Placed{}, false
 	}
 	confirmed, err := m.Wait(context.WithoutCancel(ctx))
-	return Placed{Endpoint: confirmed.Endpoint, Choice: choice, ByCoordinator: true}, err == nil && confirmed.OK
+	return Placed{Endpoint: confirmed.Endpoint, Choice: choice}, err == nil && confirmed.OK
 }
 
-func (c *Client) placeLocally(ctx context.Context, req Request) Placed {
-	m := Choose{Reply: ring.NewReply[Choice](), Request: req}
-	if c.local.Put(ctx, m) != nil {
+// placeAlone places the request by the attempts that this host knows.
+func (c *Client) placeAlone(ctx context.Context, req Request) Placed {
+	req.Shard = 0
+	choice, err := c.chooseLocally(ctx, req)
+	switch {
+	case ctx.Err() != nil:
 		return Placed{Refusal: core.RefuseWithRetry(core.ReasonDeadlinePassed, "the request ended before it was placed", noEndpointRetryAfter)}
-	}
-	choice, err := m.Wait(context.WithoutCancel(ctx))
-	if err != nil {
+	case err != nil:
 		return Placed{Refusal: core.RefuseWithRetry(core.ReasonNotReady, err.Error(), noEndpointRetryAfter)}
-	}
-	if choice.Overload {
+	case choice.Overload:
 		return overloaded(choice, false)
 	}
 	if placed, ok := c.confirm(ctx, req, choice); ok {
-		placed.ByCoordinator = false
 		return placed
 	}
 	return Placed{Refusal: core.RefuseWithRetry(core.ReasonNoEndpoint, "no endpoint of the service: "+choice.BlockedReason, noEndpointRetryAfter)}
--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -11,6 +11,7 @@
 	"kingcupcourse/internal/decision/catalog"
 	"kingcupcourse/internal/decision/engine"
 	"kingcupcourse/internal/decision/estimate"
+	"kingcupcourse/internal/decision/fleet"
 	"kingcupcourse/internal/decision/health"
 	"kingcupcourse/internal/decision/outstanding"
 	"kingcupcourse/internal/decision/placement"
@@ -45,6 +46,7 @@
 	host        core.Host
 	inbox       *ring.Ring[Message]
 	snapshots   gatewaycatalog.Subscription
+	hosts       *ring.Latest[[]fleet.Host]
 	modelPolicy *placement.Policy
 	plainPolicy *placement.Policy
 	attempts    *outstanding.Tracker
@@ -57,6 +59,8 @@
 	traffic        *trafficLimits
 	requests       map[string]Request // of the counted attempts, by attempt
 	nextExpiry     time.Time
+	directory      *directory
+	outgoing       outgoing
 	jobBuffer      []engine.Job // reused
 	load           load
 	log            *zap.Logger
@@ -68,27 +72,36 @@
 	health health.Endpoint
 }
 
+// Config holds the dependencies of the duty.
+type Config struct {
+	Host      core.Host
+	Snapshots gatewaycatalog.Subscription
+	// Hosts holds the hosts of the fleet.
+	Hosts *ring.Latest[[]fleet.Host]
+	// Constraints holds the placement constraints of the services that are being
+	// moved. Outcomes takes the outcomes of these services' attempts.
+	Constraints moves.Subscription
+	Outcomes    *ring.Ring[moves.Message]
+	Log         *zap.Logger
+}
+
 // New returns the duty of a host.
-//
-// The duty takes the placement constraints of the services that are being moved
-// from constraints, and puts the outcomes of these services' attempts into
-// outcomes.
-func New(host core.Host, snapshots gatewaycatalog.Subscription, constraints *ring.Latest[map[string]moves.Constraints],
-	outcomes *ring.Ring[moves.Message], log *zap.Logger) *Duty {
+func New(c Config) *Duty {
 	policy := func(scorer placement.Scorer) *placement.Policy {
 		return &placement.Policy{
 			Filters: []placement.Filter{placement.NotDraining{}, placement.NotExcluded{}, placement.Ready{},
 				placement.VersionInForce{}, placement.BelowVersionShare{}},
 			Scorer: scorer,
-			Picker: &placement.RotatingLowestScore{Offset: int(xxhash.Sum64String(host.Name) % maxInitialOffset)},
+			Picker: &placement.RotatingLowestScore{Offset: int(xxhash.Sum64String(c.Host.Name) % maxInitialOffset)},
 		}
 	}
 	return &Duty{
-		host: host, inbox: ring.New[Message]("gateway_placement", inboxCapacity), snapshots: snapshots,
+		host: c.Host, inbox: ring.New[Message]("gateway_placement", inboxCapacity), snapshots: c.Snapshots, hosts: c.Hosts,
 		modelPolicy: policy(placement.FirstToken{}), plainPolicy: policy(placement.LeastBusy{}),
 		attempts: outstanding.NewTracker(), speeds: estimate.NewSpeeds(),
 		endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, requests: map[string]Request{},
-		tokensPerEvent: map[string]int{}, traffic: newTrafficLimits(constraints, outcomes), log: log,
+		tokensPerEvent: map[string]int{}, traffic: newTrafficLimits(c.Constraints, c.Outcomes),
+		directory: newDirectory(c.Host.Name), outgoing: outgoing{}, log: c.Log,
 	}
 }
 
@@ -102,6 +115,10 @@
 		if snapshot, ok := d.snapshots.TryTake(); ok {
 			d.updateEndpoints(snapshot)
 		}
+		if hosts, ok := d.hosts.TryTake(); ok {
+			d.directory.setHosts(hosts)
+			d.directory.setEndpoints(d.services)
+		}
 		d.traffic.refresh()
 		began := time.Now()
 		m.handle(d, began)
@@ -144,6 +161,7 @@
 		d.endpoints[listed.Name] = e
 		d.services[listed.Service] = append(d.services[listed.Service], e)
 	}
+	d.directory.setEndpoints(d.services)
 }
 
 func (m Choose) handle(d *Duty, now time.Time) {
@@ -220,13 +238,3 @@
 	}
 	m.Send(Confirmed{Endpoint: e.Endpoint, OK: true})
 }
-
-func (m ListRunning) handle(d *Duty, _ time.Time) {
-	var running []Running
-	for id, req := range d.requests {
-		if a := d.attempts.Get(id); a != nil && a.Host == d.host.Name {
-			running = append(running, Running{Request: req, Endpoint: a.Endpoint, Started: a.OutputReceived > 0})
-		}
-	}
-	m.Send(running)
-}
--- a/internal/gateway/placement/duty_test.go
+++ b/internal/gateway/placement/duty_test.go
@@ -10,6 +10,7 @@
 
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/catalog"
+	"kingcupcourse/internal/decision/fleet"
 	"kingcupcourse/internal/decision/outstanding"
 	"kingcupcourse/internal/gateway/moves"
 	"kingcupcourse/internal/ring"
@@ -18,8 +19,9 @@
 // newDuty returns a duty with the given number of endpoints, with four slots
 // each.
 func newDuty(endpoints int) *Duty {
-	d := New(core.Host{Name: "h", AvailabilityZone: "a"}, ring.NewLatest[*catalog.Snapshot](),
-		ring.NewLatest[map[string]moves.Constraints](), ring.New[moves.Message]("test_moves", 100), zap.NewNop())
+	d := New(Config{Host: core.Host{Name: "h", AvailabilityZone: "a"}, Snapshots: ring.NewLatest[*catalog.Snapshot](),
+		Hosts: ring.NewLatest[[]fleet.Host](), Constraints: ring.NewLatest[map[string]moves.Constraints](),
+		Outcomes: ring.New[moves.Message]("test_moves", 100), Log: zap.NewNop()})
 	snapshot := &catalog.Snapshot{}
 	for i := range endpoints {
 		snapshot.Endpoints = append(snapshot.Endpoints, catalog.Endpoint{Service: "s",
--- a/internal/gateway/placement/messages.go
+++ b/internal/gateway/placement/messages.go
@@ -1,8 +1,9 @@
 // Package placement implements the duty that chooses endpoints. On every host it
-// counts the host's own running attempts. On the coordinator, to which the hosts
-// send their placement requests, it counts the attempts of all hosts, so that
-// placement is consistent across the fleet. A host that cannot reach the
-// coordinator chooses by its own count.
+// counts the host's own running attempts. The endpoints of a service are divided
+// into shards, each with a host as its coordinator, which counts the attempts of
+// all hosts on them. A host asks the coordinator of its home shard for an endpoint,
+// and that of another shard if the first has no room. A host that reaches neither
+// chooses by its own count.
 package placement
 
 import (
@@ -33,8 +34,9 @@
 	Exclude []string `json:"exclude,omitempty"`
 	// RemainingMS is the time to the deadline, in milliseconds.
 	RemainingMS int64 `json:"left_ms"`
-	// Coordinator is the address of the coordinator, empty for this host.
-	Coordinator string `json:"-"`
+	// Shard is the shard of the service in which to place the attempt, from 1, or
+	// 0 for the whole service.
+	Shard int `json:"shard,omitempty"`
 }
 
 // outputMarginFactor is the safety factor for estimated output lengths: 19 of 20
@@ -143,6 +145,3 @@
 
 // ApplyUpdates delivers the updates on a host's attempts.
 type ApplyUpdates struct{ Updates Updates }
-
-// ListRunning asks for the running attempts of this host.
-type ListRunning struct{ ring.Reply[[]Running] }
--- a/internal/gateway/placement/reporter.go
+++ b/internal/gateway/placement/reporter.go
@@ -11,98 +11,87 @@
 	"kingcupcourse/internal/ring"
 )
 
-// Report is an update on an attempt of this host, with the address of the
-// coordinator at that time.
-type Report struct {
-	Update      Update
-	Coordinator string
-}
+const (
+	// flushPeriod is how long updates are batched into one message to a
+	// coordinator.
+	flushPeriod = 40 * time.Millisecond
+	// updatesTimeout bounds the call that sends one message of updates.
+	updatesTimeout = 150 * time.Millisecond
+	// updatesCapacity bounds the queued updates. The next full list makes up for
+	// a dropped one.
+	updatesCapacity = 4096
+)
 
 // Reporter is the duty that reports the updates on this host's attempts to its
-// own placement duty and to the coordinator.
+// own placement duty, and to the coordinators of their endpoints.
 type Reporter struct {
 	host   string
-	inbox  *ring.Ring[Report]
+	inbox  *ring.Ring[Update]
 	local  *ring.Ring[Message]
 	client *http.Client
 	log    *zap.Logger
 
-	coordinator string
-	pending     []Update
-	nextFlush   time.Time // time of the next message, zero while nothing is pending
-	lastList    time.Time // time of the last full list
+	nextFlush time.Time // time of the next messages, zero while nothing is pending
 }
 
-// NewReporter returns the duty. It also reports to the host's own placement
-// duty.
+// NewReporter returns the duty.
 func NewReporter(host string, local *Duty, client *Client, log *zap.Logger) *Reporter {
 	return &Reporter{
-		host: host, inbox: ring.New[Report]("gateway_reporter", updatesCapacity), local: local.inbox,
+		host: host, inbox: ring.New[Update]("gateway_reporter", updatesCapacity), local: local.inbox,
 		client: client.client, log: log,
 	}
 }
 
-// Inbox returns the ring of reports to the duty.
-func (r *Reporter) Inbox() *ring.Ring[Report] { return r.inbox }
+// Inbox returns the ring of updates to the duty.
+func (r *Reporter) Inbox() *ring.Ring[Update] { return r.inbox }
 
 // Serve implements supervisor.Duty.
 func (r *Reporter) Serve(ctx context.Context) error {
-	return ring.LoopUntil(ctx, r.inbox, func(report Report) error { return r.add(ctx, report) },
+	return ring.LoopUntil(ctx, r.inbox, func(update Update) error { return r.add(ctx, update) },
 		func() time.Time { return r.nextFlush }, func() error { return r.flush(ctx) })
 }
 
-func (r *Reporter) add(ctx context.Context, report Report) error {
-	update := Updates{Host: r.host, Updates: []Update{report.Update}}
-	if err := r.local.Put(ctx, ApplyUpdates{Updates: update}); err != nil {
-		return err
-	}
-	if report.Coordinator != r.coordinator {
-		r.coordinator, r.lastList = report.Coordinator, time.Time{}
+func (r *Reporter) add(ctx context.Context, update Update) error {
+	if flushAt := time.Now().Add(flushPeriod); r.nextFlush.IsZero() || flushAt.Before(r.nextFlush) {
+		r.nextFlush = flushAt
 	}
-	if r.coordinator == "" {
-		return nil
-	}
-	r.pending = append(r.pending, report.Update)
-	if r.nextFlush.IsZero() {
-		r.nextFlush = time.Now().Add(flushPeriod)
-	}
-	return nil
+	return r.local.Put(ctx, ApplyUpdates{Updates: Updates{Host: r.host, Updates: []Update{update}}})
 }
 
-// flush sends the pending updates, with the full list if that is due. Updates
-// that the coordinator does not accept are not sent again, as the next full list
-// makes up for them.
+// flush sends the updates that are due. Updates that a coordinator does not accept
+// are not sent again, as the next full list makes up for them.
 func (r *Reporter) flush(ctx context.Context) error {
-	now := time.Now()
-	updates := Updates{Host: r.host, Updates: r.pending}
-	r.pending, r.nextFlush = nil, time.Time{}
-	if now.Sub(r.lastList) >= listPeriod {
-		req := ListRunning{Reply: ring.NewReply[[]Running]()}
-		if err := r.local.Put(ctx, req); err != nil {
-			return err
-		}
-		running, err := req.Wait(ctx)
-		if err != nil {
+	take := takeOutgoing{Reply: ring.NewReply[takenUpdates]()}
+	if err := r.local.Put(ctx, take); err != nil {
+		return err
+	}
+	taken, err := take.Wait(ctx)
+	if err != nil {
+		return err
+	}
+	r.nextFlush = time.Time{}
+	if taken.running {
+		r.nextFlush = time.Now().Add(listPeriod)
+	}
+	for _, message := range taken.messages {
+		if err := r.send(ctx, message); err != nil {
 			return err
 		}
-		updates.Running, updates.Full, r.lastList = running, true, now
 	}
-	if len(updates.Running) > 0 {
-		r.nextFlush = now.Add(listPeriod)
-	}
-	r.send(ctx, updates)
 	return nil
 }
 
-func (r *Reporter) send(ctx context.Context, updates Updates) {
-	if r.coordinator == "" || (len(updates.Updates) == 0 && !updates.Full) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, updatesTimeout)
+// send sends a message to a coordinator, and tells the placement duty if that does
+// not respond.
+func (r *Reporter) send(ctx context.Context, message outgoingUpdates) error {
+	callCtx, cancel := context.WithTimeout(ctx, updatesTimeout)
 	defer cancel()
 	var response struct{}
-	if err := codec.Call(ctx, r.client, r.coordinator, updatesPath, &updates, &response); err != nil {
-		r.log.Warn("sending updates to the coordinator failed", zap.String("keeper", r.coordinator), zap.Int("updates", len(updates.Updates)),
-			zap.String("error", err.Error()))
+	err := codec.Call(callCtx, r.client, message.address, updatesPath, &message.updates, &response)
+	if err == nil || ctx.Err() != nil {
+		return ctx.Err()
 	}
+	r.log.Warn("sending updates to the coordinator failed", zap.String("keeper", message.address),
+		zap.Int("updates", len(message.updates.Updates)), zap.String("error", err.Error()))
+	return r.local.Put(ctx, unresponsive{message.address})
 }
--- a/internal/gateway/placement/traffic.go
+++ b/internal/gateway/placement/traffic.go
@@ -11,7 +11,7 @@
 
 // trafficLimits enforces the traffic shares of versions while services are moved.
 type trafficLimits struct {
-	constraints *ring.Latest[map[string]moves.Constraints]
+	constraints moves.Subscription
 	outcomes    *ring.Ring[moves.Message]
 	services    map[string]*serviceTraffic
 }
@@ -23,7 +23,7 @@
 	targetRequests int
 }
 
-func newTrafficLimits(constraints *ring.Latest[map[string]moves.Constraints], outcomes *ring.Ring[moves.Message]) *trafficLimits {
+func newTrafficLimits(constraints moves.Subscription, outcomes *ring.Ring[moves.Message]) *trafficLimits {
 	return &trafficLimits{constraints: constraints, outcomes: outcomes, services: map[string]*serviceTraffic{}}
 }
 
@@ -46,26 +46,23 @@
 }
 
 // apply marks the candidates that may get no request, or none at present. The
-// old versions keep serving while the target has no endpoint.
-func (t *trafficLimits) apply(service string, candidates []placement.Candidate) {
-	s := t.services[service]
-	if s == nil {
-		return
-	}
-	running, hasTarget := share.Traffic{}, false
+// free requests are divided among the service's shards. The old versions keep
+// serving while the target is not listed. A host that chooses alone places nothing
+// on the target before the move is done.
+func (s *serviceTraffic) apply(candidates []placement.Candidate, targetListed bool, shards int, alone bool) {
+	running := share.Traffic{}
 	for i := range candidates {
 		c := &candidates[i]
 		running.Total += c.Running
 		if c.Version == s.Target {
 			running.Version += c.Running
-			hasTarget = hasTarget || !c.Draining
 		}
 	}
-	shareReached := s.targetRequests >= s.FreeRequests && !share.Allows(s.MaxShare, s.recent.Traffic(s.Target), running)
+	shareReached := s.targetRequests >= s.FreeRequests/shards && !share.Allows(s.MaxShare, s.recent.Traffic(s.Target), running)
 	for i := range candidates {
 		c := &candidates[i]
 		isTarget := c.Version == s.Target
-		c.NoTraffic = (isTarget && s.MaxShare <= 0) || (!isTarget && s.Done && hasTarget)
+		c.NoTraffic = (isTarget && (s.MaxShare <= 0 || (alone && !s.Done))) || (!isTarget && s.Done && targetListed)
 		c.AtVersionShare = isTarget && shareReached
 		if isTarget && !s.Done && 2*c.Running < c.Endpoint.Slots {
 			// The target needs its share of requests as evidence, even if
--- a/internal/gateway/placement/updates.go
+++ b/internal/gateway/placement/updates.go
@@ -14,6 +14,7 @@
 		d.load.updates++
 	}
 	for _, update := range m.Updates.Updates {
+		d.queueUpdate(update, now)
 		d.applyUpdate(update, now)
 	}
 	if m.Updates.Full {
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -63,10 +63,13 @@
 	})
 	host := core.Host{Name: s.Host, AvailabilityZone: s.AvailabilityZone}
 	fleetTree := fleet.New(fleet.Config{
-		Host: host, Address: s.Peers, Store: store, Snapshots: catalogTree.Subscribe(), Admission: admissionDuty,
-		Tolerance: tolerance, Moves: movesTree.Inbox(), Log: env.Log,
+		Host: host, Address: s.Peers, Processor: s.ProcessorShare * s.ProcessorSpeed, Store: store,
+		Snapshots: catalogTree.Subscribe(), Admission: admissionDuty, Tolerance: tolerance, Moves: movesTree, Log: env.Log,
+	})
+	placementDuty := placement.New(placement.Config{
+		Host: host, Snapshots: catalogTree.Subscribe(), Hosts: fleetTree.Hosts(), Constraints: movesTree.Subscribe(),
+		Outcomes: movesTree.Inbox(), Log: env.Log,
 	})
-	placementDuty := placement.New(host, catalogTree.Subscribe(), movesTree.Constraints(), movesTree.Inbox(), env.Log)
 	placementClient := placement.NewClient(placementDuty, env.Log)
 	reporter := placement.NewReporter(s.Host, placementDuty, placementClient, env.Log)
 	handler := callers.NewHandler(callers.Config{
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -22,6 +22,7 @@
 	DefaultWatchMS             = 1_500 // milliseconds
 	DefaultStoreTimeoutMS      = 1_000 // milliseconds
 	DefaultGatewayDrainDelayMS = 2_500 // milliseconds
+	DefaultProcessor           = 1.0   // cores
 )
 
 func (c *Common) setDefaults() {
@@ -47,6 +48,8 @@
 }
 
 func (g *Gateway) setDefaults() {
+	setDefault(&g.ProcessorShare, DefaultProcessor)
+	setDefault(&g.ProcessorSpeed, DefaultProcessor)
 	setDefault(&g.WatchMS, DefaultWatchMS)
 	setDefault(&g.StoreTimeoutMS, DefaultStoreTimeoutMS)
 	setDefault(&g.DrainDelayMS, DefaultGatewayDrainDelayMS)
@@ -64,6 +67,9 @@
 	checkDistinct(report, "callers", g.Callers, "readiness", g.Readiness)
 	checkDistinct(report, "callers", g.Callers, "peers", g.Peers)
 	checkBaseURL(report, "store", g.Store)
+	if g.ProcessorShare < 0 || g.ProcessorSpeed < 0 {
+		report.Add("processor_share", "must not be negative, and neither may processor_speed")
+	}
 	checkNotNegative(report, "watch_ms", g.WatchMS)
 	checkNotNegative(report, "store_timeout_ms", g.StoreTimeoutMS)
 	checkNotNegative(report, "drain_delay_ms", g.DrainDelayMS)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -94,6 +94,11 @@
 	// Peers is the listen address for other hosts and for metrics; other hosts
 	// connect to the same address.
 	Peers string `json:"peers"`
+	// ProcessorShare is the share of a core that the process may use, and
+	// ProcessorSpeed the speed of that core. Hosts with more processor time
+	// coordinate the others. Default 1.
+	ProcessorShare float64 `json:"processor_share,omitempty"`
+	ProcessorSpeed float64 `json:"processor_speed,omitempty"`
 	// Store is the base URL of the platform's store.
 	Store string `json:"store"`
 	// WatchMS is how long a watch call to the store waits for a change, in
