Placement: overload is judged by the endpoints that are free, not by the preferred one

Cause: an endpoint was chosen by the expected first token, and only then its queue judged; a long prompt prefers a fast endpoint with a long queue to a slow one that is idle, and was refused at the first. The same class as the limits: a request's own size decided whether it passes. Now the endpoints where the request would wait too long come last.

TestLongPromptsUseIdleSlowEngineUnderOverload failed before ('BlockedReason: overload'), passes after.

--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -61,9 +61,11 @@
 	nextExpiry     time.Time
 	directory      *directory
 	outgoing       outgoing
-	jobBuffer      []engine.Job // reused
-	load           load
-	log            *zap.Logger
+	// jobBuffer and candidateBuffer are reused.
+	jobBuffer       []engine.Job
+	candidateBuffer []placement.Candidate
+	load            load
+	log             *zap.Logger
 }
 
 // endpoint is the state of one endpoint.
@@ -180,7 +182,11 @@
 	if req.PromptTokens > 0 {
 		policy = d.modelPolicy
 	}
-	decision := policy.Place(candidates, &placement.Query{Request: request, Now: now})
+	query := &placement.Query{Request: request, Now: now}
+	decision := policy.Place(d.withoutOverload(req, candidates), query)
+	if decision.Chosen == nil {
+		decision = policy.Place(candidates, query)
+	}
 	if decision.Chosen == nil {
 		return Choice{BlockedReason: policy.TopRejectingFilter(decision)}
 	}
@@ -197,6 +203,19 @@
 	return Choice{Endpoint: c.Endpoint.Name, Running: c.Running, ExpectedMS: toMilliseconds(firstToken)}
 }
 
+// withoutOverload returns the candidates at which the request would not wait too
+// long for its first token. The choice is made among them first: a long prompt
+// prefers a fast engine with a long queue to a slow one that is idle.
+func (d *Duty) withoutOverload(req Request, candidates []placement.Candidate) []placement.Candidate {
+	d.candidateBuffer = d.candidateBuffer[:0]
+	for i := range candidates {
+		if _, overloaded := overload(req, &candidates[i]); !overloaded {
+			d.candidateBuffer = append(d.candidateBuffer, candidates[i])
+		}
+	}
+	return d.candidateBuffer
+}
+
 func toMilliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
 // overload reports whether a request to a model would wait too long for its
