Fallback: a host's part below one slot is one slot on some endpoints

Without a scheduler an entry host may use its part of an endpoint's slots, rounded up to one, so 61 hosts together used 61 of nine slots of each endpoint, and 380 hosts 380. Now a part below one slot is one slot on that share of the endpoints, by the hash of host and endpoint, and at least one endpoint a pool.

--- a/internal/decision/fallback/candidates.go
+++ b/internal/decision/fallback/candidates.go
@@ -1,6 +1,9 @@
 package fallback
 
 import (
+	"cmp"
+	"slices"
+
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/share"
 	"kingcupcourse/internal/manifest"
@@ -18,9 +21,9 @@
 // requests without a scheduler. It leaves out draining endpoints, versions
 // judged bad, versions replaced by a finished move, and the target version of
 // an unfinished or reverted move, because nothing limits its share of the
-// traffic without a scheduler. Fraction is this host's part of each endpoint's
-// slots.
-func EligibleEndpoints(m *manifest.Manifest, state ClusterState, fraction float64) map[string][]Endpoint {
+// traffic without a scheduler. Fraction is the host's part of each endpoint's
+// slots. A host has at least one slot in each pool.
+func EligibleEndpoints(m *manifest.Manifest, state ClusterState, host string, fraction float64) map[string][]Endpoint {
 	byPool := map[string][]Endpoint{}
 	if m == nil {
 		return byPool
@@ -33,19 +36,36 @@
 			if bad || capped || state.Draining[e.Name] {
 				continue
 			}
-			byPool[pool.Name] = append(byPool[pool.Name], newEndpoint(pool.Name, e, fraction))
+			byPool[pool.Name] = append(byPool[pool.Name], newEndpoint(pool.Name, e, host, fraction))
 		}
+		byPool[pool.Name] = withQuota(byPool[pool.Name], host)
 	}
 	return byPool
 }
 
-func newEndpoint(pool string, e manifest.Endpoint, fraction float64) Endpoint {
+// withQuota returns the endpoints of which the host may use a slot. If there is
+// none, it is the one with the lowest hash.
+func withQuota(endpoints []Endpoint, host string) []Endpoint {
+	if len(endpoints) == 0 {
+		return nil
+	}
+	if !slices.ContainsFunc(endpoints, func(e Endpoint) bool { return e.Quota > 0 }) {
+		lowest := slices.MinFunc(endpoints, func(a, b Endpoint) int {
+			return cmp.Compare(hashFraction(host, a.Name), hashFraction(host, b.Name))
+		})
+		lowest.Quota = 1
+		return []Endpoint{lowest}
+	}
+	return slices.DeleteFunc(endpoints, func(e Endpoint) bool { return e.Quota == 0 })
+}
+
+func newEndpoint(pool string, e manifest.Endpoint, host string, fraction float64) Endpoint {
 	return Endpoint{
 		Endpoint: core.Endpoint{
 			Name: e.Name, Pool: pool, Address: e.Address,
 			AvailabilityZone: e.AvailabilityZone, Version: e.Version, Slots: e.Slots,
 		},
-		Quota: SlotQuota(e.Slots, fraction),
+		Quota: SlotQuota(e.Slots, fraction, host, e.Name),
 	}
 }
 
--- a/internal/decision/fallback/fallback.go
+++ b/internal/decision/fallback/fallback.go
@@ -10,6 +10,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"kingcupcourse/internal/core"
 )
 
@@ -46,10 +48,25 @@
 	Refusal *core.Refusal
 }
 
-// SlotQuota returns the number of an endpoint's slots that one host may use.
-// It is at least one, so that every host can use every endpoint.
-func SlotQuota(slots int, fraction float64) int {
-	return max(1, int(math.Floor(float64(slots)*fraction)))
+// SlotQuota returns the number of an endpoint's slots that a host may use, given
+// its part of them. A part below one slot is one slot on some of the endpoints, by
+// the hash of host and endpoint, so that the hosts of a large fleet use about the
+// endpoint's slots together and not one each.
+func SlotQuota(slots int, fraction float64, host, endpoint string) int {
+	part := float64(slots) * fraction
+	if part >= 1 {
+		return int(math.Floor(part))
+	}
+	if hashFraction(host, endpoint) < part {
+		return 1
+	}
+	return 0
+}
+
+// hashFraction maps a host and an endpoint evenly onto [0, 1).
+func hashFraction(host, endpoint string) float64 {
+	const bits = 53
+	return float64(xxhash.Sum64String(host+"/"+endpoint)>>(64-bits)) / (1 << bits)
 }
 
 // Placer tracks the requests that one host has placed locally and those that
--- a/internal/entry/fallback/duty.go
+++ b/internal/entry/fallback/duty.go
@@ -42,6 +42,8 @@
 
 // Config configures the duty.
 type Config struct {
+	// Host is the name of this host.
+	Host string
 	// Fraction is this host's part of each endpoint's slots. Default: 1
 	// divided by the number of known entry hosts.
 	Fraction float64
@@ -87,7 +89,7 @@
 	if view, ok := d.config.Views.TryTake(); ok {
 		fraction := decision.HostFraction(d.config.Fraction, view.Members)
 		state := decision.ClusterState{Draining: view.Draining, BadVersions: view.BadVersions, Moves: view.Moves}
-		d.placer.SetEndpoints(decision.EligibleEndpoints(view.Manifest, state, fraction))
+		d.placer.SetEndpoints(decision.EligibleEndpoints(view.Manifest, state, d.config.Host, fraction))
 	}
 }
 
--- a/internal/entry/supervisor.go
+++ b/internal/entry/supervisor.go
@@ -53,7 +53,7 @@
 func New(s settings.Entry, c Control, log *zap.Logger) (*Entry, error) {
 	peers := peer.NewClient()
 	reporting := reports.New(reports.Config{Host: s.Host, Views: c.Subscribe()}, peers, log)
-	fallbackDuty := fallback.New(fallback.Config{Fraction: s.FallbackFraction, Views: c.Subscribe()})
+	fallbackDuty := fallback.New(fallback.Config{Host: s.Host, Fraction: s.FallbackFraction, Views: c.Subscribe()})
 	admissionDuty := admission.New(admission.Config{Region: s.Region, MaxRequests: s.MaxRequests, Views: c.Subscribe()})
 	handler := callers.NewHandler(callers.Config{
 		Host: s.Host, Admission: admissionDuty.Inbox(), Reports: reporting.Inbox, Fallback: fallbackDuty.Inbox(),
