Limits: near a limit the coordinator decides about requests of all sizes

Now hosts do not overdraw. A host admits what fits into its part while half of the burst or more is left, else it asks; the coordinator admits requests of all sizes if an average one fits. A debt is handed to the hosts as a negative part, and repaid before they admit again.

--- a/internal/decision/quota/allocation.go
+++ b/internal/decision/quota/allocation.go
@@ -1,9 +1,6 @@
 package quota
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "time"
 
 const (
 	// grantGrowthPeriod is how long a grant keeps growing without a new one.
@@ -12,6 +9,9 @@
 	// plentifulShare is the share of the burst that must be left of a limit for
 	// a host to admit requests beyond its part without the coordinator.
 	plentifulShare = 0.5
+	// maxRequiredBurst is the largest share of the burst that must be left for a
+	// request to be admitted. Larger requests would otherwise never be.
+	maxRequiredBurst = 0.5
 	// sizeWeight is the weight of a request in the average size of requests.
 	sizeWeight = 0.1
 	// minRetryAfter and maxRetryAfter bound the delay after which a refused
@@ -24,12 +24,11 @@
 //
 // Whether a request is admitted does not depend on its size: a part may be
 // smaller than one large request, which would otherwise never pass while small
-// ones use up the limit. A host admits a request if its part has more left than a
-// random share of an average request, and overdraws the part if need be. On
-// average over the hosts they admit as much as their parts.
+// ones use up the limit. So a host admits what fits into its part only while
+// plenty is left of the limit, when the coordinator would admit the others too.
+// Near the limit the coordinator decides about all requests.
 type Allocation struct {
 	accounts map[string]*allowance
-	rng      *rand.Rand
 }
 
 type allowance struct {
@@ -41,17 +40,11 @@
 	admitted, requested                 float64
 	reportedAdmitted, reportedRequested float64
 	hasGrant                            bool
-	// averageSize is the average size of the account's requests, in units.
-	averageSize float64
-	// reserveShare is the share of an average request that must be left to admit
-	// another one, drawn anew with each grant.
-	reserveShare float64
+	size                                averageSize // of the account's requests
 }
 
 // NewAllocation returns an allocation without grants.
-func NewAllocation(rng *rand.Rand) *Allocation {
-	return &Allocation{accounts: map[string]*allowance{}, rng: rng}
-}
+func NewAllocation() *Allocation { return &Allocation{accounts: map[string]*allowance{}} }
 
 // Decision is the outcome of a request for units.
 type Decision int
@@ -73,28 +66,34 @@
 func (alloc *Allocation) Admit(account string, limit Limit, units float64, now time.Time) (decision Decision, retry time.Duration) {
 	a := alloc.allowance(account)
 	a.requested += units
-	a.addSize(units)
-	switch level := a.globalLevel(limit, now); {
-	case !a.hasGrant || a.available(now) > a.reserveShare*a.averageSize:
+	a.size.add(units)
+	switch level, required := a.globalLevel(limit, now), a.size.required(limit); {
+	case !a.hasGrant || (a.plentiful(limit) && a.available(now) >= units):
 		a.admitted += units
 		return Admitted, 0
-	case level <= 0:
-		return OverLimit, retryAfter(-level, limit)
+	case level < required:
+		return OverLimit, retryAfter(required-level, limit)
 	}
 	return AskCoordinator, 0
 }
 
 // AdmitAlone decides about a request for which the coordinator was asked but has
-// not answered. It is admitted if, by the last grant, plenty is left of the limit.
-func (alloc *Allocation) AdmitAlone(account string, limit Limit, units float64) bool {
+// not answered. It is admitted if, by the last grant, plenty is left of the limit,
+// or if the host's part has room for an average request.
+func (alloc *Allocation) AdmitAlone(account string, limit Limit, units float64, now time.Time) bool {
 	a := alloc.allowance(account)
-	if a.grant.Level-a.admitted < plentifulShare*limit.Burst {
+	if !a.plentiful(limit) && a.available(now) < a.size.required(limit) {
 		return false
 	}
 	a.admitted += units
 	return true
 }
 
+// plentiful reports whether plenty was left of the limit at the last grant.
+func (a *allowance) plentiful(limit Limit) bool {
+	return a.grant.Level-a.admitted >= plentifulShare*limit.Burst
+}
+
 func (alloc *Allocation) allowance(account string) *allowance {
 	a := alloc.accounts[account]
 	if a == nil {
@@ -104,11 +103,20 @@
 	return a
 }
 
-func (a *allowance) addSize(units float64) {
-	if a.averageSize == 0 {
-		a.averageSize = units
+// averageSize is the average size of requests, in units.
+type averageSize float64
+
+func (s *averageSize) add(units float64) {
+	if *s == 0 {
+		*s = averageSize(units)
 	}
-	a.averageSize += sizeWeight * (units - a.averageSize)
+	*s += sizeWeight * (averageSize(units) - *s)
+}
+
+// required returns how many units must be left of a limit to admit a request,
+// whatever its size.
+func (s *averageSize) required(limit Limit) float64 {
+	return min(float64(*s), maxRequiredBurst*limit.Burst)
 }
 
 func retryAfter(missing float64, limit Limit) time.Duration {
@@ -146,7 +154,6 @@
 	for name, grant := range grants {
 		a := alloc.allowance(name)
 		a.grant, a.grantedAt, a.hasGrant = grant, now, true
-		a.reserveShare = alloc.rng.Float64()
 		a.admitted -= a.reportedAdmitted
 		a.requested -= a.reportedRequested
 		a.reportedAdmitted, a.reportedRequested = 0, 0
--- a/internal/decision/quota/ledger.go
+++ b/internal/decision/quota/ledger.go
@@ -38,7 +38,8 @@
 }
 
 // Grant is what a host may admit until its next report. Level is what all
-// hosts together have left.
+// hosts together have left, negative if they have overdrawn the limit; Units is
+// the host's part of it.
 type Grant struct {
 	Units float64 `json:"units"`
 	Level float64 `json:"level"`
@@ -57,6 +58,7 @@
 // balance is what is left of one account's limit.
 type balance struct {
 	level      float64
+	size       averageSize // of the requests that hosts have asked about
 	refilledAt time.Time
 	demand     map[string]float64 // units per second by host
 	joined     map[string]bool    // hosts that have reported to this ledger
@@ -102,14 +104,15 @@
 		b.level -= usage.Admitted
 		b.recordDemand(host, usage.Requested, since)
 		share := b.hostShare(host, reporting)
-		grants[name] = Grant{Units: max(0, b.level) * share, Level: b.level, Inflow: limit.Rate * fraction * share}
+		grants[name] = Grant{Units: b.level * share, Level: b.level, Inflow: limit.Rate * fraction * share}
 	}
 	return grants
 }
 
-// Acquire takes the units of one request from the remaining units. The request
-// may overdraw them, so that one of any size passes as long as something is left.
-// If nothing is, it returns after what time the request may be retried.
+// Acquire takes the units of one request from the remaining units, which must be
+// enough for an average request. A larger one overdraws them, so that requests of
+// all sizes pass alike. If there are too few, it returns after what time the
+// request may be retried.
 func (l *Ledger) Acquire(account string, units float64, now time.Time) (ok bool, retry time.Duration) {
 	limit, limited := l.limits[account]
 	if !limited {
@@ -117,8 +120,9 @@
 	}
 	b := l.balance(account, now)
 	b.refill(limit, float64(l.reporting(now))/float64(max(1, len(l.hosts))), now)
-	if b.level <= 0 {
-		return false, retryAfter(-b.level, limit)
+	b.size.add(units)
+	if required := b.size.required(limit); b.level < required {
+		return false, retryAfter(required-b.level, limit)
 	}
 	b.level -= units
 	return true, 0
--- a/internal/decision/quota/quota_test.go
+++ b/internal/decision/quota/quota_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -30,7 +29,7 @@
 		ledger := NewLedger()
 		ledger.SetLimits(map[string]Limit{"a": limit})
 		ledger.SetHosts(f.names)
-		f.ledgers, f.allocations = append(f.ledgers, ledger), append(f.allocations, NewAllocation(rand.New(rand.NewPCG(1, 2))))
+		f.ledgers, f.allocations = append(f.ledgers, ledger), append(f.allocations, NewAllocation())
 	}
 	return f
 }
@@ -185,7 +184,7 @@
 	}
 	// A host that restarts does not contribute a second part.
 	f.step([]int{0, 80, 0, 0}, 100, make([]int, 4))
-	f.allocations[2] = NewAllocation(rand.New(rand.NewPCG(1, 2)))
+	f.allocations[2] = NewAllocation()
 	before := f.ledgers[0].accounts["a"].level
 	f.step(make([]int, 4), 100, make([]int, 4))
 	if got := f.ledgers[0].accounts["a"].level; got > before+100 {
--- a/internal/decision/quota/sizes_test.go
+++ b/internal/decision/quota/sizes_test.go
@@ -39,7 +39,7 @@
 	var names []string
 	for i := range fleetHosts {
 		names = append(names, hostName(i))
-		f.allocations = append(f.allocations, NewAllocation(rand.New(rand.NewPCG(uint64(i), 3))))
+		f.allocations = append(f.allocations, NewAllocation())
 	}
 	f.ledger.SetHosts(names)
 	return f
@@ -70,7 +70,7 @@
 	case decision == OverLimit:
 		return false
 	case !f.answered:
-		return a.AdmitAlone("a", f.limit, units)
+		return a.AdmitAlone("a", f.limit, units, now)
 	}
 	ok, _ := f.ledger.Acquire("a", units, now)
 	return ok
--- a/internal/gateway/admission/duty.go
+++ b/internal/gateway/admission/duty.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -101,7 +100,7 @@
 func New(config Config) *Duty {
 	return &Duty{
 		Config: config, inbox: ring.New[Message]("gateway_admission", inboxCapacity),
-		snapshot: &catalog.Snapshot{}, share: quota.NewAllocation(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), poisonMarks: poison.NewTracker(),
+		snapshot: &catalog.Snapshot{}, share: quota.NewAllocation(), poisonMarks: poison.NewTracker(),
 		coordinators: map[int]string{}, retries: newRetryBudgets(config.RetryShare, config.RetryBurst),
 	}
 }
--- a/internal/gateway/admission/fleet.go
+++ b/internal/gateway/admission/fleet.go
@@ -45,9 +45,9 @@
 	Units   float64
 }
 
-func (m AdmitAlone) handle(d *Duty, _ time.Time) {
+func (m AdmitAlone) handle(d *Duty, now time.Time) {
 	limit, limited := d.limits[m.Account]
-	m.Send(!limited || d.share.AdmitAlone(m.Account, limit, m.Units))
+	m.Send(!limited || d.share.AdmitAlone(m.Account, limit, m.Units, now))
 }
 
 // collectUsage asks for what to report to the coordinator of a shard of the
