--- a/internal/decision/quota/allocation.go
+++ b/internal/decision/quota/allocation.go
@@ -7,7 +7,7 @@
 	// After that time the host's own ledger has taken over.
 	grantGrowthPeriod = time.Second
 	// plentifulShare is the share of the burst that must be left of a limit for
-	// a host to admit requests beyond its part without the coordinator.
+	// a host to admit requests without the coordinator.
 	plentifulShare = 0.5
 	// maxRequiredBurst is the largest share of the burst that must be left for a
 	// request to be admitted. Larger requests would otherwise never be.
@@ -40,7 +40,8 @@
 	admitted, requested                 float64
 	reportedAdmitted, reportedRequested float64
 	hasGrant                            bool
-	size                                averageSize // of the account's requests
+	// size is that of the account's requests.
+	size averageSize
 }
 
 // NewAllocation returns an allocation without grants.
@@ -54,8 +55,8 @@
 	// Admitted admits the request.
 	Admitted Decision = iota
 	// AskCoordinator leaves the decision to the coordinator, which keeps the
-	// ledger: this host's part is too small, but what all hosts have left may
-	// be enough.
+	// ledger: this host's part is too small, or the limit is nearly reached, but
+	// what all hosts have left may be enough.
 	AskCoordinator
 	// OverLimit refuses the request.
 	OverLimit
--- a/internal/gateway/moves/messages.go
+++ b/internal/gateway/moves/messages.go
@@ -1,7 +1,8 @@
 // Package moves executes the operator's orders to move a service to another
 // version. The coordinator of the fleet holds a move: it receives the outcomes
-// from the hosts that placed the requests, raises the new version's traffic share step by step,
-// and reverts the move if the version proves bad or is not proved in time.
+// from the hosts that placed the requests, raises the new version's traffic share
+// step by step, and reverts the move if the version proves bad or is not proved in
+// time.
 //
 // The stage of a move is persisted in the platform's store with conditional
 // writes only, so a holder that was paused or replaced cannot change it. A stage
