--- a/internal/gateway/placement/directory.go
+++ b/internal/gateway/placement/directory.go
@@ -43,11 +43,8 @@
 		retryAt: map[string]time.Time{}}
 }
 
-// setHosts replaces the hosts of the fleet.
-func (d *directory) setHosts(hosts []fleet.Host) {
-	d.ring = fleet.NewRing(hosts)
-	clear(d.services)
-}
+// setHosts replaces the hosts of the fleet. The endpoints must be set again.
+func (d *directory) setHosts(hosts []fleet.Host) { d.ring = fleet.NewRing(hosts) }
 
 // setEndpoints replaces the endpoints by service.
 func (d *directory) setEndpoints(services map[string][]*endpoint) {
