Hosts of a large fleet learn the store's changes from one of their zone

Cause: each host kept four watches of the store, and each host that registered and each endpoint that changed woke all of them. Change: internal/gateway/mirror keeps the host's copies of the four prefixes and hands changes on. In a fleet of more than 15 hosts the first host of each availability zone, by processor time, reads the store; the others ask it, or the second, with a request that is held for 300 ms. An answer tells how old its state is: a host whose upstreams are older than a second, do not answer, or lack a change that it has, reads the store itself, after a cheap probe. While the store does not answer, only probes are sent. Copies never go back (decision/mirror, a property test). Registration takes one call in place of two; a host then reads one page of the hosts' list and learns the rest. Measured: the test of store calls, before 501 calls of 32 hosts, after 12.

--- a/internal/decision/fleet/fleet.go
+++ b/internal/decision/fleet/fleet.go
@@ -11,6 +11,8 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+
+	"kingcupcourse/internal/core"
 )
 
 const (
@@ -26,7 +28,8 @@
 
 // Host is a host of the fleet.
 type Host struct {
-	Name, Address string
+	Name, Address    string
+	AvailabilityZone core.AvailabilityZone
 	// Processor is the processor time that the host may use, in cores.
 	Processor float64
 }
--- a/internal/gateway/catalog/updater.go
+++ b/internal/gateway/catalog/updater.go
@@ -15,8 +15,7 @@
 	"kingcupcourse/internal/ring"
 )
 
-// inboxCapacity bounds the queued responses of the store. A full ring blocks
-// the watchers.
+// inboxCapacity bounds the queued updates. A full ring blocks their sender.
 const inboxCapacity = 64
 
 // Decoder decodes the objects of the platform's store.
@@ -93,9 +92,12 @@
 	failed := update.Err != nil
 	storeCalls.WithLabelValues(update.Prefix, callResult(failed)).Inc()
 	if update.Prefix == u.decoder.EndpointsPrefix() {
-		if failed {
+		switch {
+		case failed && !update.FailingSince.IsZero():
+			u.registry.StoreFailed(update.FailingSince)
+		case failed:
 			u.registry.StoreFailed(now)
-		} else {
+		default:
 			u.registry.StoreResponded(now)
 		}
 	}
--- a/internal/gateway/fleet/members.go
+++ b/internal/gateway/fleet/members.go
@@ -20,55 +20,107 @@
 )
 
 const (
-	// maxRegisterBackoff bounds the delay between two attempts to register.
-	maxRegisterBackoff = 2 * time.Second
-	// membersWatchTimeout is how long one watch call for the hosts waits. A watch
-	// returns a new host at once; the timeout only bounds how long a dead
-	// connection goes unnoticed.
-	membersWatchTimeout = 5 * time.Second
+	// maxRegisterBackoff bounds the delay between two attempts to register, or to
+	// discover hosts.
+	maxRegisterBackoff = time.Second
+	// settleTime is how long a host that registers for the first time waits for
+	// others that start at the same time.
+	settleTime = 500 * time.Millisecond
 )
 
-// registrar is the duty that writes this host's entry to the store.
+// registrar is the duty that writes this host's entry to the store, and discovers
+// some hosts of the fleet.
 type registrar struct {
 	store *platform.Client
 	name  string
 	entry hostEntry
-	log   *zap.Logger
+	// discovered takes the discovered hosts.
+	discovered func(context.Context, []fleet.Host) error
+	log        *zap.Logger
+
+	registered, hasDiscovered bool
 }
 
-// Serve implements supervisor.Duty. It ends once the entry is written.
+// Serve implements supervisor.Duty. It ends once the entry is written and hosts
+// were discovered.
 func (r *registrar) Serve(ctx context.Context) error {
 	for failures := 1; ; failures++ {
-		err := r.write(ctx)
-		if err == nil {
-			r.log.Info("host registered", zap.String("address", r.entry.Address))
+		if err := r.register(ctx); err != nil {
+			r.log.Warn("host registration failed", zap.String("error", err.Error()))
+		}
+		if err := r.discover(ctx); err != nil {
+			r.log.Warn("discovery of hosts failed", zap.String("error", err.Error()))
+		}
+		if r.registered && r.hasDiscovered {
 			return supervisor.ErrDone
 		}
-		r.log.Warn("host registration failed", zap.String("error", err.Error()))
 		if err := ring.Pause(ctx, backoff.Delay(failures, maxRegisterBackoff, rand.Float64())); err != nil {
 			return err
 		}
 	}
 }
 
-// write writes the entry unless it exists already, as it does if the response
-// to an earlier write was lost.
-func (r *registrar) write(ctx context.Context) error {
+// register writes the entry unless it exists already, as it does after a restart,
+// or if the response to an earlier write was lost.
+func (r *registrar) register(ctx context.Context) error {
+	if r.registered {
+		return nil
+	}
 	key := HostsPrefix + "/" + r.name
+	_, err := r.store.Put(ctx, key, 0, r.entry)
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		r.registered = true
+		r.log.Info("host registered", zap.String("address", r.entry.Address))
+		return ring.Pause(ctx, settleTime)
+	case !errors.As(err, &conflict):
+		return err
+	}
 	found, err := r.store.Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil {
 		return err
 	}
 	var entry hostEntry
-	if err == nil && json.Unmarshal(found.Value, &entry) == nil && entry == r.entry {
-		return nil
+	if json.Unmarshal(found.Value, &entry) != nil || entry != r.entry {
+		_, err = r.store.Put(ctx, key, found.Version, r.entry)
+	}
+	if r.registered = err == nil; r.registered {
+		r.log.Info("host registered", zap.String("address", r.entry.Address), zap.Uint64("revision", found.Version))
 	}
-	_, err = r.store.Put(ctx, key, found.Version, r.entry)
 	return err
 }
 
+// discover reads the first page of the hosts. It shows hosts from which this host
+// can learn the others.
+func (r *registrar) discover(ctx context.Context) error {
+	if r.hasDiscovered {
+		return nil
+	}
+	page, err := r.store.ListFirst(ctx, HostsPrefix)
+	if err != nil {
+		return err
+	}
+	hosts := []fleet.Host{r.entry.host(r.name)}
+	for _, object := range page {
+		if host, ok := decodeHost(object); ok && host.Name != r.name {
+			hosts = append(hosts, host)
+		}
+	}
+	r.hasDiscovered = true
+	return r.discovered(ctx, hosts)
+}
+
+// decodeHost decodes a host's entry. It returns false for an entry that describes
+// no host.
+func decodeHost(object platform.Object) (fleet.Host, bool) {
+	var entry hostEntry
+	err := json.Unmarshal(object.Value, &entry)
+	return entry.host(strings.TrimPrefix(object.Key, HostsPrefix+"/")), err == nil && entry.Address != ""
+}
+
 // membership turns the store's changes into host lists, and publishes them. Its
-// state is owned by the watcher duty.
+// state is owned by the duty that delivers the changes.
 type membership struct {
 	self        string
 	hosts       map[string]fleet.Host
@@ -114,15 +166,14 @@
 }
 
 func (m *membership) apply(object platform.Object) {
-	name := strings.TrimPrefix(object.Key, HostsPrefix+"/")
-	var entry hostEntry
-	switch err := json.Unmarshal(object.Value, &entry); {
-	case name == m.self:
+	host, valid := decodeHost(object)
+	switch {
+	case host.Name == m.self:
 	case object.Deleted:
-		delete(m.hosts, name)
-	case err != nil || entry.Address == "":
+		delete(m.hosts, host.Name)
+	case !valid:
 		m.log.Warn("invalid host entry ignored", zap.String("key", object.Key))
 	default:
-		m.hosts[name] = fleet.Host{Name: name, Address: entry.Address, Processor: entry.Processor}
+		m.hosts[host.Name] = host
 	}
 }
--- a/internal/gateway/fleet/messages.go
+++ b/internal/gateway/fleet/messages.go
@@ -10,6 +10,7 @@
 	"math"
 	"time"
 
+	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/catalog"
 	"kingcupcourse/internal/decision/fleet"
 	"kingcupcourse/internal/decision/poison"
@@ -32,7 +33,12 @@
 	// Address is the address of the peer listener.
 	Address string `json:"address"`
 	// Processor is the processor time that the host may use, in cores.
-	Processor float64 `json:"processor,omitempty"`
+	Processor        float64               `json:"processor,omitempty"`
+	AvailabilityZone core.AvailabilityZone `json:"availability_zone,omitempty"`
+}
+
+func (e hostEntry) host(name string) fleet.Host {
+	return fleet.Host{Name: name, Address: e.Address, Processor: e.Processor, AvailabilityZone: e.AvailabilityZone}
 }
 
 // Report is a host's usage report to the coordinator of a shard of the limits.
--- a/internal/gateway/fleet/supervisor.go
+++ b/internal/gateway/fleet/supervisor.go
@@ -38,9 +38,10 @@
 // Fleet is the supervisor of the duties that coordinate the hosts.
 type Fleet struct {
 	*supervisor.Supervisor
-	members *membership
-	ledger  *ledger
-	client  *http.Client
+	registrar *registrar
+	members   *membership
+	ledger    *ledger
+	client    *http.Client
 }
 
 // acquireTimeout bounds a quota request, as the caller's request waits for it.
@@ -50,20 +51,17 @@
 //
 // Children, in start order: the ledger, which processes the reports of other
 // hosts; the usage reporters, one for each shard of the limits, which send those
-// of this host; the watcher of the hosts' entries; and the registrar of this host,
-// which ends once it has succeeded.
+// of this host; and the registrar of this host, which ends once it has succeeded.
 func New(c Config) *Fleet {
-	members := newMembership(fleet.Host{Name: c.Host.Name, Address: c.Address, Processor: c.Processor}, c.Log)
-	f := &Fleet{members: members, ledger: newLedger(c, members.subscribe()), client: &http.Client{Transport: codec.NewTransport(0)}}
+	entry := hostEntry{Address: c.Address, Processor: c.Processor, AvailabilityZone: c.Host.AvailabilityZone}
+	members := newMembership(entry.host(c.Host.Name), c.Log)
+	f := &Fleet{registrar: &registrar{store: c.Store, name: c.Host.Name, entry: entry, log: c.Log}, members: members, ledger: newLedger(c, members.subscribe()), client: &http.Client{Transport: codec.NewTransport(0)}}
 	children := []supervisor.Child{{Name: "ledger", Duty: f.ledger}}
 	for shard := range maxLimitShards {
 		children = append(children, supervisor.Child{Name: "exchange-" + strconv.Itoa(shard),
 			Duty: newUsageReporter(c, shard, members.subscribe(), f.ledger, f.client)})
 	}
-	entry := hostEntry{Address: c.Address, Processor: c.Processor}
-	children = append(children,
-		supervisor.Child{Name: "follow-hosts", Duty: platform.NewWatcher(c.Store, HostsPrefix, membersWatchTimeout, members.deliver)},
-		supervisor.Child{Name: "register", Duty: &registrar{store: c.Store, name: c.Host.Name, entry: entry, log: c.Log}})
+	children = append(children, supervisor.Child{Name: "register", Duty: f.registrar})
 	f.Supervisor = supervisor.New(supervisor.Spec{Name: "fleet", Children: children}, c.Log)
 	return f
 }
@@ -72,6 +70,17 @@
 // called before the supervisor runs.
 func (f *Fleet) Hosts() Hosts { return f.members.subscribe() }
 
+// Deliver applies an update of the hosts' entries.
+func (f *Fleet) Deliver(ctx context.Context, update platform.Update) error {
+	return f.members.deliver(ctx, update)
+}
+
+// OnDiscovery makes the registrar pass the hosts that it discovers to discovered. It
+// must be called before the supervisor runs.
+func (f *Fleet) OnDiscovery(discovered func(context.Context, []fleet.Host) error) {
+	f.registrar.discovered = discovered
+}
+
 // RegisterHandlers adds the handlers for reports and quota requests of other
 // hosts.
 func (f *Fleet) RegisterHandlers(mux *http.ServeMux) {
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -18,6 +18,7 @@
 	"kingcupcourse/internal/gateway/catalog"
 	"kingcupcourse/internal/gateway/fleet"
 	"kingcupcourse/internal/gateway/frontend"
+	"kingcupcourse/internal/gateway/mirror"
 	"kingcupcourse/internal/gateway/moves"
 	"kingcupcourse/internal/gateway/placement"
 	"kingcupcourse/internal/platform"
@@ -34,6 +35,10 @@
 	// listenerStopGrace is how long calls in progress from the load balancer and
 	// from other hosts may take when the process stops.
 	listenerStopGrace = 200 * time.Millisecond
+	// longWatch is how long one watch call waits for changes of the hosts or of the
+	// orders to move services, which are rare. A watch returns a change at once; the
+	// time only bounds how long a dead connection goes unnoticed.
+	longWatch = 5 * time.Second
 )
 
 // Adapter holds the platform-specific parts of the gateway.
@@ -52,7 +57,7 @@
 // fails is restarted alone; too many restarts end the process.
 func Build(adapter Adapter, env process.ProgramEnvironment, s *settings.Gateway) ([]supervisor.Child, error) {
 	store := adapter.Store(s.Store).WithTimeout(milliseconds(s.StoreTimeoutMS))
-	catalogTree := catalog.New(store, adapter.Decoder, milliseconds(s.WatchMS), env.Log)
+	catalogTree := catalog.New(adapter.Decoder, env.Log)
 	tolerance := fleet.Tolerance{Share: s.LimitOverage, Units: s.LimitSlack, Window: milliseconds(s.LimitWindowMS)}
 	admissionDuty := admission.New(admission.Config{
 		Snapshots: catalogTree.Subscribe(), Tolerance: tolerance, RetryShare: s.RepeatShare / 2, RetryBurst: s.RepeatBurst / 2,
@@ -66,6 +71,12 @@
 		Host: host, Address: s.Peers, Processor: s.ProcessorShare * s.ProcessorSpeed, Store: store,
 		Snapshots: catalogTree.Subscribe(), Admission: admissionDuty, Tolerance: tolerance, Moves: movesTree, Log: env.Log,
 	})
+	mirrorDuties := mirror.New(mirror.Config{Host: s.Host, Store: store, Hosts: fleetTree.Hosts(), HostsPrefix: fleet.HostsPrefix, Log: env.Log})
+	mirrorDuties.Follow(adapter.Decoder.ConfigurationPrefix(), milliseconds(s.WatchMS), catalogTree.Deliver)
+	mirrorDuties.Follow(adapter.Decoder.EndpointsPrefix(), milliseconds(s.WatchMS), catalogTree.Deliver)
+	mirrorDuties.Follow(adapter.Decoder.OrdersPrefix(), longWatch, catalogTree.Deliver)
+	mirrorDuties.Follow(fleet.HostsPrefix, longWatch, fleetTree.Deliver)
+	fleetTree.OnDiscovery(mirrorDuties.Discovered)
 	placementDuty := placement.New(placement.Config{
 		Host: host, Snapshots: catalogTree.Subscribe(), Hosts: fleetTree.Hosts(), Constraints: movesTree.Subscribe(),
 		Outcomes: movesTree.Inbox(), Log: env.Log,
@@ -76,7 +87,7 @@
 		Host: s.Host, Protocol: adapter.Protocol, Admission: admissionDuty.Inbox(), Place: placementClient.Place, Reports: reporter.Inbox(),
 		AcquireQuota: fleetTree.Acquire, Draining: env.Draining, Log: env.Log,
 	})
-	peerListener, err := supervisor.Listen(s.Peers, newPeerMux(fleetTree, placementClient), listenerStopGrace)
+	peerListener, err := supervisor.Listen(s.Peers, newPeerMux(fleetTree, placementClient, mirrorDuties), listenerStopGrace)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for peers")
 	}
@@ -99,6 +110,7 @@
 			{Name: "placement", Duty: placementDuty},
 			{Name: "reporter", Duty: reporter},
 			{Name: "fleet", Duty: fleetTree.Supervisor},
+			{Name: "mirror", Duty: mirrorDuties.Supervisor()},
 			{Name: "peers", Duty: peerListener},
 			{Name: "balancer", Duty: balancerListener},
 			{Name: "callers", Duty: callerListener, StopTimeout: drain + stopMargin},
@@ -107,7 +119,7 @@
 
 // newPeerMux returns the handler for requests and reports of other hosts, and
 // for the metrics.
-func newPeerMux(fleetTree *fleet.Fleet, placementClient *placement.Client) *http.ServeMux {
+func newPeerMux(fleetTree *fleet.Fleet, placementClient *placement.Client, mirrorDuties *mirror.Mirror) *http.ServeMux {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(ring.Collector{}, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -117,6 +129,7 @@
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	fleetTree.RegisterHandlers(mux)
 	placementClient.RegisterHandlers(mux)
+	mirrorDuties.RegisterHandlers(mux)
 	return mux
 }
 
--- a/internal/platform/dialect.go
+++ b/internal/platform/dialect.go
@@ -28,6 +28,9 @@
 type Dialect interface {
 	// Get reads one object.
 	Get(key string) Call
+	// GetStale reads one object and accepts an answer that is out of date, in
+	// stores where that is cheaper.
+	GetStale(key string) Call
 	// List reads objects by prefix; after is the last key of the previous
 	// page, empty for the first page.
 	List(prefix, after string) Call
@@ -61,6 +64,8 @@
 
 func (nativeDialect) Get(key string) Call { return Call{Method: http.MethodGet, Path: objectPath(key)} }
 
+func (n nativeDialect) GetStale(key string) Call { return n.Get(key) }
+
 // List reads all objects in one call; the API has no pages.
 func (n nativeDialect) List(prefix, _ string) Call { return n.Watch(prefix, 0, 0) }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -103,6 +104,27 @@
 	return object, eris.Wrapf(err, "get %s", key)
 }
 
+// Probe reports whether the store answers. The call is cheap, as its answer may be
+// out of date. It fails with the errors of Get except ErrNotFound.
+func (c *Client) Probe(ctx context.Context, key string) error {
+	_, err := c.callWithTimeout(ctx, c.timeout, c.dialect.GetStale(key))
+	if errors.Is(err, ErrNotFound) {
+		return nil
+	}
+	return eris.Wrapf(err, "probe %s", key)
+}
+
+// ListFirst reads the first page of the objects under the prefix. It fails with
+// the errors of Get.
+func (c *Client) ListFirst(ctx context.Context, prefix string) ([]Object, error) {
+	body, err := c.callWithTimeout(ctx, c.timeout, c.dialect.List(prefix, ""))
+	if err != nil {
+		return nil, eris.Wrapf(err, "list %s", prefix)
+	}
+	page, err := c.dialect.DecodeList(prefix, body)
+	return page.Objects, eris.Wrapf(err, "list %s", prefix)
+}
+
 // List reads all objects under the prefix, page by page. It fails with the
 // errors of Get.
 func (c *Client) List(ctx context.Context, prefix string) (Changes, error) {
--- a/internal/platform/watcher.go
+++ b/internal/platform/watcher.go
@@ -25,8 +25,21 @@
 	// Objects are the changed objects, or all objects if Full.
 	Objects []Object
 	Full    bool
+	// After and Revision are the revisions of the store before and after the
+	// changes. After is zero if Full.
+	After, Revision uint64
 	// Err is the error of the call; Objects is empty if it is set.
 	Err error
+	// FailingSince is since when the state is unknown, zero for the time of the
+	// update. It accompanies Err.
+	FailingSince time.Time
+}
+
+// Cursor is where a Watcher continues: with the changes after the revision, or
+// with a list of all objects.
+type Cursor struct {
+	Listed   bool
+	Revision uint64
 }
 
 // Watcher is a duty that lists the objects under a prefix, then watches them
@@ -37,9 +50,11 @@
 	prefix    string
 	watchWait time.Duration
 	deliver   func(context.Context, Update) error
+	// next returns where to continue; nil for a Watcher that always continues
+	// where it ended.
+	next func(context.Context) (Cursor, error)
 
-	listed   bool
-	revision uint64
+	Cursor
 	failures int
 }
 
@@ -49,9 +64,23 @@
 	return &Watcher{client: client, prefix: prefix, watchWait: watchWait, deliver: deliver}
 }
 
+// WithCursor makes the Watcher ask before each call where to continue. The call is
+// delayed until next returns; an error of next ends the duty.
+func (w *Watcher) WithCursor(next func(context.Context) (Cursor, error)) *Watcher {
+	w.next = next
+	return w
+}
+
 // Serve implements supervisor.Duty.
 func (w *Watcher) Serve(ctx context.Context) error {
 	for {
+		if w.next != nil {
+			cursor, err := w.next(ctx)
+			if err != nil {
+				return err
+			}
+			w.Cursor = cursor
+		}
 		update := w.poll(ctx)
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -66,22 +95,23 @@
 }
 
 func (w *Watcher) poll(ctx context.Context) Update {
-	if !w.listed {
+	if !w.Listed {
 		list, err := w.client.List(ctx, w.prefix)
 		if err == nil {
-			w.listed, w.revision = true, list.Revision
+			w.Listed, w.Revision = true, list.Revision
 		}
-		return Update{Prefix: w.prefix, Objects: list.Objects, Full: err == nil, Err: err}
+		return Update{Prefix: w.prefix, Objects: list.Objects, Full: err == nil, Revision: list.Revision, Err: err}
 	}
-	changes, err := w.client.Watch(ctx, w.prefix, w.revision, w.watchWait)
+	after := w.Revision
+	changes, err := w.client.Watch(ctx, w.prefix, after, w.watchWait)
 	switch {
 	case errors.Is(err, ErrHistoryGone):
-		w.listed = false
+		w.Listed = false
 		return w.poll(ctx)
 	case err == nil:
-		w.revision = max(w.revision, changes.Revision)
+		w.Revision = max(w.Revision, changes.Revision)
 	}
-	return Update{Prefix: w.prefix, Objects: changes.Objects, Err: err}
+	return Update{Prefix: w.prefix, Objects: changes.Objects, After: after, Revision: changes.Revision, Err: err}
 }
 
 func (w *Watcher) delay(update Update) time.Duration {
