An anonymous refusal on a kept connection is not believed

Cause: a refusal without an id was taken for the answer to the request in progress. On a pooled connection it may be an earlier refusal that a faulty endpoint wrote once more; the caller was then told that its request had not run while the endpoint ran it (report of other operators). Change: the response says whether it names a request; one that does not counts only on a connection that carried no earlier request. Else the attempt counts as lost: it may have run. Ruled out: requests that may run once have connections of their own, so no such request ran twice (the test's cases on /file/ pass before, too). Measured: TestEarlierRefusalOnKeptConnectionIsNotBelieved, before: status 503 in two of six cases; after: passed.

--- a/internal/gateway/callers/connections.go
+++ b/internal/gateway/callers/connections.go
@@ -72,6 +72,8 @@
 type writeTracker struct {
 	connection    *countingConn
 	writtenBefore int64
+	// reused reports that the connection carried an earlier request.
+	reused bool
 }
 
 // trace returns a context that makes net/http report the connection it uses.
@@ -79,7 +81,7 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if connection, ok := info.Conn.(*countingConn); ok {
-				t.connection, t.writtenBefore = connection, connection.written.Load()
+				t.connection, t.writtenBefore, t.reused = connection, connection.written.Load(), info.Reused
 			}
 		},
 	})
--- a/internal/gateway/callers/dispatch.go
+++ b/internal/gateway/callers/dispatch.go
@@ -31,7 +31,11 @@
 		return attemptOutcome{result: core.ResultLost, reason: core.ReasonEndpointFailed, detail: err.Error()}
 	}
 	defer response.Body.Close()
-	outcome := c.receive(ctx, response)
+	info := c.h.Protocol.InterpretResponse(c.request, response)
+	if info.Anonymous && tracker.reused {
+		info.MatchesRequest = false
+	}
+	outcome := c.receive(ctx, response, info)
 	outcome.status = response.StatusCode
 	return outcome
 }
@@ -44,8 +48,7 @@
 }
 
 // receive handles a response after its header has arrived.
-func (c *call) receive(ctx context.Context, response *http.Response) attemptOutcome {
-	info := c.h.Protocol.InterpretResponse(c.request, response)
+func (c *call) receive(ctx context.Context, response *http.Response, info frontend.ResponseInfo) attemptOutcome {
 	switch {
 	case !info.MatchesRequest:
 		return attemptOutcome{result: core.ResultLost, reason: core.ReasonResponseIncomplete,
--- a/internal/gateway/frontend/frontend.go
+++ b/internal/gateway/frontend/frontend.go
@@ -53,6 +53,9 @@
 	NotRun bool
 	// MatchesRequest reports that the response belongs to the request.
 	MatchesRequest bool
+	// Anonymous reports that the response names no request. On a connection that
+	// carried an earlier request it may be a second response to that one.
+	Anonymous bool
 	// Misleading reports that the status would tell the caller that its request
 	// has not run, although the endpoint did not state that.
 	Misleading bool
