An error of the endpoint that resumes a stream is no part of it

Cause: a response of type event stream was relayed whatever its status. When a stream had broken off and the next endpoint answered with an error of that type, an empty one ended the caller's stream as if it were complete (report of other operators); a redirect did the same. Change: only a success is relayed as a stream. An error after the stream has begun breaks the caller's response off. Ruled out: plain errors, heads in a body, unsigned and unreadable answers did no harm before (cases of the test).

--- a/internal/gateway/callers/dispatch.go
+++ b/internal/gateway/callers/dispatch.go
@@ -47,8 +47,10 @@
 	return c.h.transports.unpooled
 }
 
-// receive handles a response after its header has arrived.
+// receive handles a response after its header has arrived. An error of an endpoint
+// that was to resume a stream is not passed on, whatever its form.
 func (c *call) receive(ctx context.Context, response *http.Response, info frontend.ResponseInfo) attemptOutcome {
+	isSuccess := info.Status < http.StatusMultipleChoices
 	switch {
 	case !info.MatchesRequest:
 		return attemptOutcome{result: core.ResultLost, reason: core.ReasonResponseIncomplete,
@@ -63,7 +65,7 @@
 			detail: "the endpoint failed without saying that it did not run the request"}
 	case info.Status >= http.StatusInternalServerError && c.canRunAgain():
 		return attemptOutcome{result: core.ResultFailed, reason: core.ReasonEndpointFailed, detail: "the endpoint failed"}
-	case info.EventStream:
+	case info.EventStream && isSuccess:
 		return c.relayStream(ctx, response)
 	case c.responseStarted:
 		return attemptOutcome{result: core.ResultFailed, reason: core.ReasonEndpointFailed, detail: "the stream was not resumed"}
