Endpoints say in their answers that they leave, or want to rest

Cause: nothing read the headers by which an endpoint says that it is leaving, and for how long it wants no requests after it turned one away. Change: decision/withdrawal remembers both for one incarnation of an endpoint. The host that hears it believes it at once: it confirms no placement there, whatever the list of the store or a coordinator says. The coordinator hears of a leaving endpoint with the next update of the attempt. A rest holds for this host only: its placement requests exclude the endpoint. If all endpoints rest, the caller returns after the shortest rest. Ruled out: treating a rest as the fleet's (the endpoint speaks of this host).

--- a/internal/gateway/callers/admit.go
+++ b/internal/gateway/callers/admit.go
@@ -42,6 +42,9 @@
 	attempt         string
 	attemptStarted  time.Time
 	timeToFirstPart time.Duration
+	// leavingIncarnation is the start time, in Unix milliseconds, of the endpoint of
+	// the attempt if it says that it is leaving.
+	leavingIncarnation int64
 	// triedEndpoints lists the endpoints of all attempts so far.
 	triedEndpoints []string
 	// possibleRuns counts the endpoints that may have run the request.
--- a/internal/gateway/callers/dispatch.go
+++ b/internal/gateway/callers/dispatch.go
@@ -8,6 +8,7 @@
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/catalog"
 	"kingcupcourse/internal/gateway/frontend"
+	"kingcupcourse/internal/gateway/placement"
 )
 
 // dispatch sends the request to the endpoint at most once and relays the
@@ -32,6 +33,9 @@
 	}
 	defer response.Body.Close()
 	info := c.h.Protocol.InterpretResponse(c.request, response)
+	if info.MatchesRequest {
+		c.reportEndpointSaid(endpoint, info)
+	}
 	if info.Anonymous && tracker.reused {
 		info.MatchesRequest = false
 	}
@@ -47,6 +51,20 @@
 	return c.h.transports.unpooled
 }
 
+// reportEndpointSaid tells the placement duty what the endpoint says about itself,
+// before another request can be placed there for this caller.
+func (c *call) reportEndpointSaid(endpoint catalog.Endpoint, info frontend.ResponseInfo) {
+	c.leavingIncarnation = 0
+	if info.Leaving {
+		c.leavingIncarnation = endpoint.StartedAt.UnixMilli()
+	}
+	if info.Leaving || info.Rest > 0 || info.Unreadable != "" {
+		c.h.EndpointSaid(context.WithoutCancel(c.r.Context()), placement.EndpointSaid{
+			Endpoint: endpoint, Leaving: info.Leaving, Rest: info.Rest, Unreadable: info.Unreadable,
+		})
+	}
+}
+
 // receive handles a response after its header has arrived. An error of an endpoint
 // that was to resume a stream is not passed on, whatever its form.
 func (c *call) receive(ctx context.Context, response *http.Response, info frontend.ResponseInfo) attemptOutcome {
--- a/internal/gateway/callers/handler.go
+++ b/internal/gateway/callers/handler.go
@@ -29,6 +29,8 @@
 	Place func(context.Context, placement.Request) placement.Placed
 	// Reports receives the updates on attempts.
 	Reports *ring.Ring[placement.Update]
+	// EndpointSaid takes what an endpoint says about itself in a response.
+	EndpointSaid func(context.Context, placement.EndpointSaid)
 	// AcquireQuota asks the coordinator for quota for a request.
 	AcquireQuota func(context.Context, fleet.AcquireRequest) (fleet.AcquireResponse, error)
 	// Draining reports whether the process is shutting down.
--- a/internal/gateway/callers/response.go
+++ b/internal/gateway/callers/response.go
@@ -127,7 +127,7 @@
 	}
 	c.timeToFirstPart = time.Since(c.attemptStarted)
 	firstPartSeconds.WithLabelValues(strconv.Itoa(c.ticket.Priority)).Observe(time.Since(c.received).Seconds())
-	c.report(placement.Update{Attempt: c.attempt})
+	c.report(placement.Update{Attempt: c.attempt, LeavingIncarnation: c.leavingIncarnation})
 }
 
 // writeHeader relays the response header before the first byte of the body.
--- a/internal/gateway/callers/run.go
+++ b/internal/gateway/callers/run.go
@@ -43,7 +43,7 @@
 			c.refuse(c.correctDisposition(refusal))
 			return
 		}
-		c.attemptStarted, c.timeToFirstPart, c.eventCount = time.Now(), 0, sse.Counter{}
+		c.attemptStarted, c.timeToFirstPart, c.eventCount, c.leavingIncarnation = time.Now(), 0, sse.Counter{}, 0
 		outcome := c.dispatch(ctx, placed.Endpoint)
 		c.finishAttempt(placed, outcome, time.Since(c.attemptStarted))
 		if outcome.delivered {
@@ -117,7 +117,7 @@
 	}
 	c.report(placement.Update{
 		Attempt: c.attempt, Result: outcome.result, FirstPartMS: toMilliseconds(c.timeToFirstPart), TotalMS: toMilliseconds(elapsed),
-		Events: c.eventCount.Events,
+		Events: c.eventCount.Events, LeavingIncarnation: c.leavingIncarnation,
 	})
 	c.logAttempt(placed, outcome, elapsed)
 }
--- a/internal/gateway/frontend/frontend.go
+++ b/internal/gateway/frontend/frontend.go
@@ -56,6 +56,13 @@
 	// Anonymous reports that the response names no request. On a connection that
 	// carried an earlier request it may be a second response to that one.
 	Anonymous bool
+	// Leaving reports that the endpoint takes no new requests until it restarts.
+	Leaving bool
+	// Rest is how long the endpoint wants no requests of this host, zero if it did
+	// not say so.
+	Rest time.Duration
+	// Unreadable describes a header that could not be read, empty if there is none.
+	Unreadable string
 	// Misleading reports that the status would tell the caller that its request
 	// has not run, although the endpoint did not state that.
 	Misleading bool
--- a/internal/gateway/placement/candidates.go
+++ b/internal/gateway/placement/candidates.go
@@ -27,7 +27,7 @@
 			continue
 		}
 		c := placement.Candidate{
-			Endpoint: e.Endpoint.Endpoint, Version: e.Version, Draining: e.Draining,
+			Endpoint: e.Endpoint.Endpoint, Version: e.Version, Draining: d.isDraining(e),
 			NotReady: !ignoreEjections && e.health.Ejected(now), SameZone: e.AvailabilityZone == d.host.AvailabilityZone,
 		}
 		d.predictTimes(&c, e, req, now)
@@ -49,7 +49,7 @@
 		return
 	}
 	targetListed := slices.ContainsFunc(d.services[req.Service], func(e *endpoint) bool {
-		return e.Version == limits.Target && !e.Draining
+		return e.Version == limits.Target && !d.isDraining(e)
 	})
 	limits.apply(candidates, targetListed, d.directory.shardCount(req.Service), req.Shard == 0)
 }
--- a/internal/gateway/placement/client.go
+++ b/internal/gateway/placement/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -44,8 +45,13 @@
 // releases the placement. A shard without room passes the request on to another
 // one.
 func (c *Client) Place(ctx context.Context, req Request) Placed {
+	found := c.findTargets(ctx, req.Service)
+	if found.wait > 0 {
+		return Placed{Refusal: core.RefuseWithRetry(core.ReasonShed, "all endpoints want no requests for some time", found.wait)}
+	}
+	req.Exclude = slices.Concat(req.Exclude, found.resting)
 	var refused *Placed
-	for _, target := range c.findTargets(ctx, req.Service) {
+	for _, target := range found.coordinators {
 		placed, answered := c.placeAt(ctx, req, target)
 		switch {
 		case answered && placed.Refusal == nil:
@@ -60,17 +66,20 @@
 	return c.placeAlone(ctx, req)
 }
 
+// EndpointSaid tells this host's own duty what an endpoint says about itself.
+func (c *Client) EndpointSaid(ctx context.Context, said EndpointSaid) { _ = c.local.Put(ctx, said) }
+
 // findTargets returns the coordinators to ask, none if the request has ended.
-func (c *Client) findTargets(ctx context.Context, service string) []target {
-	m := findTargets{Reply: ring.NewReply[[]target](), service: service}
+func (c *Client) findTargets(ctx context.Context, service string) targets {
+	m := findTargets{Reply: ring.NewReply[targets](), service: service}
 	if c.local.Put(ctx, m) != nil {
-		return nil
+		return targets{}
 	}
-	targets, err := m.Wait(ctx)
+	found, err := m.Wait(ctx)
 	if err != nil {
-		return nil
+		return targets{}
 	}
-	return targets
+	return found
 }
 
 // placeAt asks a coordinator. It returns false if that gave no endpoint that this
--- a/internal/gateway/placement/directory.go
+++ b/internal/gateway/placement/directory.go
@@ -131,11 +131,24 @@
 
 // findTargets asks which coordinators may place a request of the service.
 type findTargets struct {
-	ring.Reply[[]target]
+	ring.Reply[targets]
 	service string
 }
 
-func (m findTargets) handle(d *Duty, now time.Time) { m.Send(d.directory.targets(m.service, now)) }
+// targets is the response to findTargets.
+type targets struct {
+	coordinators []target
+	// resting are the endpoints that want no requests of this host. If there are no
+	// others, the first takes requests again after wait.
+	resting []string
+	wait    time.Duration
+}
+
+func (m findTargets) handle(d *Duty, now time.Time) {
+	found := targets{coordinators: d.directory.targets(m.service, now)}
+	found.resting, found.wait = d.resting(m.service, now)
+	m.Send(found)
+}
 
 // unresponsive reports that a coordinator did not respond.
 type unresponsive struct{ address string }
--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -15,6 +15,7 @@
 	"kingcupcourse/internal/decision/health"
 	"kingcupcourse/internal/decision/outstanding"
 	"kingcupcourse/internal/decision/placement"
+	"kingcupcourse/internal/decision/withdrawal"
 	gatewaycatalog "kingcupcourse/internal/gateway/catalog"
 	"kingcupcourse/internal/gateway/moves"
 	"kingcupcourse/internal/ring"
@@ -65,6 +66,8 @@
 	jobBuffer       []engine.Job
 	candidateBuffer []placement.Candidate
 	load            load
+	withdrawals     *withdrawal.Tracker
+	headerLoggedAt  time.Time
 	log             *zap.Logger
 }
 
@@ -103,7 +106,7 @@
 		attempts: outstanding.NewTracker(), speeds: estimate.NewSpeeds(),
 		endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, requests: map[string]Request{},
 		tokensPerEvent: map[string]int{}, traffic: newTrafficLimits(c.Constraints, c.Outcomes),
-		directory: newDirectory(c.Host.Name), outgoing: outgoing{}, log: c.Log,
+		directory: newDirectory(c.Host.Name), outgoing: outgoing{}, withdrawals: withdrawal.New(), log: c.Log,
 	}
 }
 
@@ -246,7 +249,7 @@
 
 func (m Confirm) handle(d *Duty, now time.Time) {
 	e := d.endpoints[m.Endpoint]
-	if e == nil || e.Draining || e.Service != m.Request.Service {
+	if e == nil || d.isDraining(e) || e.Service != m.Request.Service || d.withdrawals.RestLeft(incarnation(e.Endpoint), now) > 0 {
 		m.Send(Confirmed{})
 		return
 	}
--- a/internal/gateway/placement/messages.go
+++ b/internal/gateway/placement/messages.go
@@ -79,6 +79,9 @@
 	TotalMS     float64 `json:"total_ms,omitempty"`
 	// Events is the number of events in the response.
 	Events int `json:"events,omitempty"`
+	// LeavingIncarnation is the start time, in Unix milliseconds, of the endpoint's
+	// incarnation if that has said that it is leaving.
+	LeavingIncarnation int64 `json:"leaving_incarnation,omitempty"`
 }
 
 // betweenTokensMS returns the mean time between two tokens after the first event,
--- a/internal/gateway/placement/updates.go
+++ b/internal/gateway/placement/updates.go
@@ -6,6 +6,7 @@
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/estimate"
 	"kingcupcourse/internal/decision/outstanding"
+	"kingcupcourse/internal/decision/withdrawal"
 )
 
 func (m ApplyUpdates) handle(d *Duty, now time.Time) {
@@ -24,6 +25,9 @@
 
 // applyUpdate records the first part or the end of an attempt's response.
 func (d *Duty) applyUpdate(u Update, now time.Time) {
+	if a := d.attempts.Get(u.Attempt); a != nil && u.LeavingIncarnation != 0 {
+		d.withdrawals.Leave(withdrawal.Incarnation{Endpoint: a.Endpoint, StartedUnixMS: u.LeavingIncarnation}, now)
+	}
 	if u.Result == "" {
 		if a := d.attempts.Get(u.Attempt); a != nil && a.FirstTokenAt.IsZero() {
 			a.OutputReceived, a.FirstTokenAt = 1, now
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -85,6 +85,7 @@
 	reporter := placement.NewReporter(s.Host, placementDuty, placementClient, env.Log)
 	handler := callers.NewHandler(callers.Config{
 		Host: s.Host, Protocol: adapter.Protocol, Admission: admissionDuty.Inbox(), Place: placementClient.Place, Reports: reporter.Inbox(),
+		EndpointSaid: placementClient.EndpointSaid,
 		AcquireQuota: fleetTree.Acquire, Draining: env.Draining, Log: env.Log,
 	})
 	peerListener, err := supervisor.Listen(s.Peers, newPeerMux(fleetTree, placementClient, mirrorDuties), listenerStopGrace)
