Changes of hosts and endpoints cost what they move

Cause: each change of a host or endpoint divided all endpoints and hosts into shards anew, with a string and a hash for each member and shard; 18 duties copied the list of hosts, and 16 of them made a ring of it. Change: the membership makes one ring and shares it. A service is divided anew only if its endpoints or the number of shards changed; a host that drains divides nothing. The rank of a member in a shard mixes two hashes in place of hashing a new string. Ruled out: dividing by position in the order of hashes; it is cheaper still but moves a member from each shard on every change, and a coordinator loses what it learned of it.

--- a/internal/decision/fleet/fleet.go
+++ b/internal/decision/fleet/fleet.go
@@ -8,7 +8,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -22,8 +21,8 @@
 	// needs a choice of endpoints.
 	minMembersPerShard = 5
 	// hostsPerCandidate is how many hosts there are, at the most, for each host
-	// that is preferred as a coordinator.
-	hostsPerCandidate = 12
+	// that is preferred as a coordinator. Such a host coordinates a few shards.
+	hostsPerCandidate = 24
 )
 
 // Host is a host of the fleet.
@@ -49,35 +48,72 @@
 // member goes to the shard that ranks highest for it and has room. A member that
 // comes or goes moves few others.
 func Partition(members []string, shards int) map[string]int {
-	byHash := slices.SortedFunc(slices.Values(members), func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
-	})
+	sorted := make([]hashed, 0, len(members))
+	for _, member := range members {
+		sorted = append(sorted, hashed{member, xxhash.Sum64String(member)})
+	}
+	slices.SortFunc(sorted, hashed.compare)
 	capacity := (len(members) + shards - 1) / shards
+	shardHashes := make([]uint64, shards)
+	for shard := range shardHashes {
+		shardHashes[shard] = mix(uint64(shard) + 1)
+	}
 	size, shardOf := make([]int, shards), make(map[string]int, len(members))
-	for _, member := range byHash {
+	for _, member := range sorted {
 		best, highest := -1, uint64(0)
-		for shard := range shards {
-			rank := xxhash.Sum64String(member + "/" + strconv.Itoa(shard))
-			if size[shard] < capacity && (best < 0 || rank > highest) {
+		for shard, hash := range shardHashes {
+			if size[shard] == capacity {
+				continue
+			}
+			if rank := mix(member.hash ^ hash); best < 0 || rank > highest {
 				best, highest = shard, rank
 			}
 		}
 		size[best]++
-		shardOf[member] = best
+		shardOf[member.name] = best
 	}
 	return shardOf
 }
 
+// hashed is a name with its hash.
+type hashed struct {
+	name string
+	hash uint64
+}
+
+func (h hashed) compare(other hashed) int {
+	return cmp.Or(cmp.Compare(h.hash, other.hash), cmp.Compare(h.name, other.name))
+}
+
+// mix spreads the bits of a number. It is the finalizer of MurmurHash3.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
 // Ring orders hosts by their hash. The hosts with the most processor time are
-// candidates, which come before all others in each order.
+// candidates, which come before all others in each order. A Ring does not change
+// and may be shared.
 type Ring struct {
-	candidates, others []Host
+	candidates, others []ringHost
+}
+
+type ringHost struct {
+	Host
+	hash uint64
 }
 
 // NewRing returns the ring of the hosts.
 func NewRing(hosts []Host) *Ring {
-	sorted := slices.SortedFunc(slices.Values(hosts), func(a, b Host) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
+	sorted := make([]ringHost, 0, len(hosts))
+	for _, host := range hosts {
+		sorted = append(sorted, ringHost{host, xxhash.Sum64String(host.Name)})
+	}
+	slices.SortFunc(sorted, func(a, b ringHost) int {
+		return hashed{a.Name, a.hash}.compare(hashed{b.Name, b.hash})
 	})
 	least := candidateProcessor(hosts)
 	r := &Ring{}
@@ -107,10 +143,22 @@
 // Len returns the number of hosts.
 func (r *Ring) Len() int { return len(r.candidates) + len(r.others) }
 
+// Hosts returns the hosts.
+func (r *Ring) Hosts() []Host {
+	hosts := make([]Host, 0, r.Len())
+	for _, host := range r.candidates {
+		hosts = append(hosts, host.Host)
+	}
+	for _, host := range r.others {
+		hosts = append(hosts, host.Host)
+	}
+	return hosts
+}
+
 // Names returns the names of the hosts.
 func (r *Ring) Names() []string {
 	names := make([]string, 0, r.Len())
-	for _, host := range slices.Concat(r.candidates, r.others) {
+	for _, host := range r.Hosts() {
 		names = append(names, host.Name)
 	}
 	return names
@@ -120,18 +168,18 @@
 // Consecutive shards begin at consecutive candidates, so that each candidate
 // coordinates about the same number of them.
 func (r *Ring) Order(key string, shard int) []Host {
-	return append(rotate(r.candidates, key, shard), rotate(r.others, key, shard)...)
+	order := make([]Host, 0, r.Len())
+	hash := xxhash.Sum64String(key)
+	return appendRotated(appendRotated(order, r.candidates, hash, shard), r.others, hash, shard)
 }
 
-// rotate returns the hosts beginning at the shard-th one after the hash of key.
-func rotate(hosts []Host, key string, shard int) []Host {
-	if len(hosts) == 0 {
-		return nil
-	}
-	hash := xxhash.Sum64String(key)
-	first, _ := slices.BinarySearchFunc(hosts, hash, func(host Host, hash uint64) int {
-		return cmp.Compare(xxhash.Sum64String(host.Name), hash)
+// appendRotated appends the hosts beginning at the shard-th one after the hash.
+func appendRotated(order []Host, hosts []ringHost, hash uint64, shard int) []Host {
+	first, _ := slices.BinarySearchFunc(hosts, hash, func(host ringHost, hash uint64) int {
+		return cmp.Compare(host.hash, hash)
 	})
-	at := (first + shard) % len(hosts)
-	return slices.Concat(hosts[at:], hosts[:at])
+	for i := range hosts {
+		order = append(order, hosts[(first+shard+i)%len(hosts)].Host)
+	}
+	return order
 }
--- a/internal/gateway/fleet/ledger.go
+++ b/internal/gateway/fleet/ledger.go
@@ -63,10 +63,7 @@
 	}
 	hosts, changedHosts := l.hosts.TryTake()
 	if changedHosts {
-		l.names = l.names[:0]
-		for _, host := range hosts {
-			l.names = append(l.names, host.Name)
-		}
+		l.names = hosts.Names()
 	}
 	if changedLimits || changedHosts {
 		for shard, quotas := range l.shards {
--- a/internal/gateway/fleet/members.go
+++ b/internal/gateway/fleet/members.go
@@ -128,23 +128,23 @@
 	log         *zap.Logger
 }
 
-// Hosts is a ring that holds only the latest list of the hosts.
-type Hosts = *ring.Latest[[]fleet.Host]
+// Hosts is a ring that holds only the latest hosts.
+type Hosts = *ring.Latest[*fleet.Ring]
 
 // newMembership returns a membership that contains only the host itself.
 func newMembership(self fleet.Host, log *zap.Logger) *membership {
 	return &membership{self: self.Name, hosts: map[string]fleet.Host{self.Name: self}, log: log}
 }
 
-// subscribe returns a ring that holds only the latest list.
+// subscribe returns a ring that holds only the latest hosts.
 func (m *membership) subscribe() Hosts {
-	subscriber := ring.NewLatest[[]fleet.Host]()
-	subscriber.Publish(m.list())
+	subscriber := ring.NewLatest[*fleet.Ring]()
+	subscriber.Publish(m.ring())
 	m.subscribers = append(m.subscribers, subscriber)
 	return subscriber
 }
 
-func (m *membership) list() []fleet.Host { return slices.Collect(maps.Values(m.hosts)) }
+func (m *membership) ring() *fleet.Ring { return fleet.NewRing(slices.Collect(maps.Values(m.hosts))) }
 
 func (m *membership) deliver(_ context.Context, update platform.Update) error {
 	if update.Err != nil {
@@ -159,8 +159,9 @@
 	if len(update.Objects) == 0 && !update.Full {
 		return nil
 	}
+	hosts := m.ring()
 	for _, subscriber := range m.subscribers {
-		subscriber.Publish(m.list())
+		subscriber.Publish(hosts)
 	}
 	return nil
 }
--- a/internal/gateway/fleet/reporter.go
+++ b/internal/gateway/fleet/reporter.go
@@ -77,7 +77,7 @@
 			changed = true
 		}
 		if changed {
-			r.order = fleet.NewRing(hosts).Order(limitsKey, r.shard)
+			r.order = hosts.Order(limitsKey, r.shard)
 			continue
 		}
 		next := time.Now().Add(reportPeriod(len(r.order)))
--- a/internal/gateway/fleet/supervisor.go
+++ b/internal/gateway/fleet/supervisor.go
@@ -66,8 +66,8 @@
 	return f
 }
 
-// Hosts returns a ring that holds only the latest list of the hosts. It must be
-// called before the supervisor runs.
+// Hosts returns a ring that holds only the latest hosts. It must be called before
+// the supervisor runs.
 func (f *Fleet) Hosts() Hosts { return f.members.subscribe() }
 
 // Deliver applies an update of the hosts' entries.
--- a/internal/gateway/mirror/keeper.go
+++ b/internal/gateway/mirror/keeper.go
@@ -106,7 +106,7 @@
 		return nil
 	}
 	if hosts, ok := k.Hosts.TryTake(); ok && k.prefixes[k.HostsPrefix].replica.Listed() {
-		k.source.SetUpstreams(mirror.Upstreams(hosts, k.Config.Host), now)
+		k.source.SetUpstreams(mirror.Upstreams(hosts.Hosts(), k.Config.Host), now)
 	}
 	k.logSource(now)
 	k.tickAt(k.source.StaleAt(now))
--- a/internal/gateway/mirror/supervisor.go
+++ b/internal/gateway/mirror/supervisor.go
@@ -38,7 +38,7 @@
 	Store *platform.Client
 	// Hosts holds the hosts of the fleet. HostsPrefix is the prefix of their
 	// entries, which must be followed.
-	Hosts       *ring.Latest[[]fleet.Host]
+	Hosts       *ring.Latest[*fleet.Ring]
 	HostsPrefix string
 	Log         *zap.Logger
 }
--- a/internal/gateway/placement/directory.go
+++ b/internal/gateway/placement/directory.go
@@ -23,6 +23,7 @@
 type directory struct {
 	self     string
 	ring     *fleet.Ring
+	homes    map[int]int // home shard of this host, by number of shards
 	services map[string]*shards
 	retryAt  map[string]time.Time // by address, until when a coordinator is passed over
 }
@@ -39,36 +40,70 @@
 }
 
 func newDirectory(self string) *directory {
-	return &directory{self: self, ring: fleet.NewRing([]fleet.Host{{Name: self}}), services: map[string]*shards{},
+	return &directory{self: self, ring: fleet.NewRing([]fleet.Host{{Name: self}}), homes: map[int]int{}, services: map[string]*shards{},
 		retryAt: map[string]time.Time{}}
 }
 
-// setHosts replaces the hosts of the fleet. The endpoints must be set again.
-func (d *directory) setHosts(hosts []fleet.Host) { d.ring = fleet.NewRing(hosts) }
+// setHosts replaces the hosts of the fleet. Endpoints move only if the number of
+// shards changes.
+func (d *directory) setHosts(hosts *fleet.Ring, services map[string][]*endpoint) {
+	d.ring = hosts
+	clear(d.homes)
+	d.setEndpoints(services)
+	for _, s := range d.services {
+		s.home, s.orders = d.home(s.count), map[int][]fleet.Host{}
+	}
+}
 
-// setEndpoints replaces the endpoints by service.
+// setEndpoints replaces the endpoints by service. It divides only the services
+// whose endpoints, or number of shards, have changed.
 func (d *directory) setEndpoints(services map[string][]*endpoint) {
-	turns := map[string]int{}
-	for service, s := range d.services {
-		turns[service] = s.turn
+	for service := range d.services {
+		if services[service] == nil {
+			delete(d.services, service)
+		}
 	}
-	clear(d.services)
 	for service, endpoints := range services {
-		d.divide(service, endpoints).turn = turns[service]
+		count := fleet.ShardCount(d.ring.Len(), len(endpoints))
+		known := d.services[service]
+		if known != nil && known.count == count && known.contains(endpoints) {
+			continue
+		}
+		divided := d.divide(endpoints, count)
+		if known != nil {
+			divided.turn = known.turn
+		}
+		d.services[service] = divided
 	}
 }
 
-// divide divides the endpoints of a service into shards.
-func (d *directory) divide(service string, endpoints []*endpoint) *shards {
+// contains reports whether these endpoints have been divided.
+func (s *shards) contains(endpoints []*endpoint) bool {
+	for _, e := range endpoints {
+		if _, ok := s.shardOf[e.Endpoint.Name]; !ok {
+			return false
+		}
+	}
+	return len(endpoints) == len(s.shardOf)
+}
+
+// divide divides endpoints into shards.
+func (d *directory) divide(endpoints []*endpoint, count int) *shards {
 	names := make([]string, 0, len(endpoints))
 	for _, e := range endpoints {
 		names = append(names, e.Endpoint.Name)
 	}
-	s := &shards{count: fleet.ShardCount(d.ring.Len(), len(endpoints)), orders: map[int][]fleet.Host{}}
-	s.shardOf = fleet.Partition(names, s.count)
-	s.home = fleet.Partition(d.ring.Names(), s.count)[d.self]
-	d.services[service] = s
-	return s
+	return &shards{count: count, shardOf: fleet.Partition(names, count), home: d.home(count), orders: map[int][]fleet.Host{}}
+}
+
+// home returns this host's home among a number of shards.
+func (d *directory) home(count int) int {
+	home, known := d.homes[count]
+	if !known {
+		home = fleet.Partition(d.ring.Names(), count)[d.self]
+		d.homes[count] = home
+	}
+	return home
 }
 
 // targets returns the coordinators to ask for a request of the service: that of
--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -47,7 +47,7 @@
 	host        core.Host
 	inbox       *ring.Ring[Message]
 	snapshots   gatewaycatalog.Subscription
-	hosts       *ring.Latest[[]fleet.Host]
+	hosts       *ring.Latest[*fleet.Ring]
 	modelPolicy *placement.Policy
 	plainPolicy *placement.Policy
 	attempts    *outstanding.Tracker
@@ -82,7 +82,7 @@
 	Host      core.Host
 	Snapshots gatewaycatalog.Subscription
 	// Hosts holds the hosts of the fleet.
-	Hosts *ring.Latest[[]fleet.Host]
+	Hosts *ring.Latest[*fleet.Ring]
 	// Constraints holds the placement constraints of the services that are being
 	// moved. Outcomes takes the outcomes of these services' attempts.
 	Constraints moves.Subscription
@@ -121,8 +121,7 @@
 			d.updateEndpoints(snapshot)
 		}
 		if hosts, ok := d.hosts.TryTake(); ok {
-			d.directory.setHosts(hosts)
-			d.directory.setEndpoints(d.services)
+			d.directory.setHosts(hosts, d.services)
 		}
 		d.traffic.refresh()
 		began := time.Now()
--- a/internal/gateway/placement/duty_test.go
+++ b/internal/gateway/placement/duty_test.go
@@ -21,7 +21,7 @@
 // each.
 func newDuty(endpoints int) *Duty {
 	d := New(Config{Host: core.Host{Name: "h", AvailabilityZone: "a"}, Snapshots: ring.NewLatest[*catalog.Snapshot](),
-		Hosts: ring.NewLatest[[]fleet.Host](), Constraints: ring.NewLatest[map[string]moves.Constraints](),
+		Hosts: ring.NewLatest[*fleet.Ring](), Constraints: ring.NewLatest[map[string]moves.Constraints](),
 		Outcomes: ring.New[moves.Message]("test_moves", 100), Log: zap.NewNop()})
 	snapshot := &catalog.Snapshot{}
 	for i := range endpoints {
