Placements of callers that have gone are given back

Cause: when the caller left while its request was being placed, the host's own duty could still choose an endpoint and count the attempt. Nothing ended that attempt, so it stayed counted, and listed to the coordinators, for as long as the host lived. Change: a choice of this host that is not used is released; a request whose caller has gone is not placed by the host alone. Ruled out: the lists of other hosts (the attempts were in them, as running).

--- a/internal/gateway/placement/client.go
+++ b/internal/gateway/placement/client.go
@@ -31,6 +31,7 @@
 // Client requests endpoints from the coordinators of the service's shards, and
 // from this host's own duty if none of them responds.
 type Client struct {
+	host   string
 	local  *ring.Ring[Message]
 	client *http.Client
 	log    *zap.Logger
@@ -38,7 +39,7 @@
 
 // NewClient returns a client that falls back to the host's own duty.
 func NewClient(local *Duty, log *zap.Logger) *Client {
-	return &Client{local: local.inbox, client: &http.Client{Transport: codec.NewTransport(0)}, log: log}
+	return &Client{host: local.host.Name, local: local.inbox, client: &http.Client{Transport: codec.NewTransport(0)}, log: log}
 }
 
 // Place chooses an endpoint for an attempt of this host. An update with a result
@@ -60,8 +61,11 @@
 			refused = &placed
 		}
 	}
-	if refused != nil {
+	switch {
+	case refused != nil:
 		return *refused
+	case ctx.Err() != nil:
+		return endedBeforePlacement()
 	}
 	return c.placeAlone(ctx, req)
 }
@@ -97,6 +101,9 @@
 	}
 	placed, ok := c.confirm(ctx, req, choice)
 	placed.ByCoordinator = target.address != ""
+	if !ok && target.address == "" {
+		c.release(ctx, req.Attempt)
+	}
 	return placed, ok
 }
 
@@ -118,6 +125,12 @@
 	return choice, err
 }
 
+// release removes an attempt that is not made from the count of this host's duty.
+func (c *Client) release(ctx context.Context, attempt string) {
+	released := Updates{Host: c.host, Updates: []Update{{Attempt: attempt, Result: core.ResultCancelled}}}
+	_ = c.local.Put(context.WithoutCancel(ctx), ApplyUpdates{Updates: released})
+}
+
 func (c *Client) chooseLocally(ctx context.Context, req Request) (Choice, error) {
 	m := Choose{Reply: ring.NewReply[Choice](), Request: req}
 	if err := c.local.Put(ctx, m); err != nil {
@@ -142,7 +155,8 @@
 	choice, err := c.chooseLocally(ctx, req)
 	switch {
 	case ctx.Err() != nil:
-		return Placed{Refusal: core.RefuseWithRetry(core.ReasonDeadlinePassed, "the request ended before it was placed", noEndpointRetryAfter)}
+		c.release(ctx, req.Attempt)
+		return endedBeforePlacement()
 	case err != nil:
 		return Placed{Refusal: core.RefuseWithRetry(core.ReasonNotReady, err.Error(), noEndpointRetryAfter)}
 	case choice.Overload:
@@ -151,9 +165,14 @@
 	if placed, ok := c.confirm(ctx, req, choice); ok {
 		return placed
 	}
+	c.release(ctx, req.Attempt)
 	return Placed{Refusal: core.RefuseWithRetry(core.ReasonNoEndpoint, "no endpoint of the service: "+choice.BlockedReason, noEndpointRetryAfter)}
 }
 
+func endedBeforePlacement() Placed {
+	return Placed{Refusal: core.RefuseWithRetry(core.ReasonDeadlinePassed, "the request ended before it was placed", noEndpointRetryAfter)}
+}
+
 func overloaded(choice Choice, byCoordinator bool) Placed {
 	return Placed{Choice: choice, ByCoordinator: byCoordinator, Refusal: core.RefuseWithRetry(core.ReasonShed,
 		"the endpoints have too much work", time.Duration(choice.RetryAfterMS)*time.Millisecond)}
