Slow requests of a version count once for each endpoint, not once for all

Cause: callers were moved to a version of a model several times slower, which was completed and kept (EXPOSURE, 90 hosts). Times between tokens counted as slow at most once in 250 ms for a route, as one pause of a host may delay all requests. Change: times between tokens count once in 250 ms for each endpoint.

--- a/internal/decision/canary/monitor.go
+++ b/internal/decision/canary/monitor.go
@@ -38,6 +38,8 @@
 	// are compared only with those of the baseline under at least the same
 	// load, since a full batch is slower on any version.
 	Load int
+	// Endpoint is where the attempt ran.
+	Endpoint string
 }
 
 // LoadClasses is the number of load classes.
@@ -68,8 +70,10 @@
 	// the clock are not compared by their ratio alone.
 	SlowSlack time.Duration
 	// MinSlowInterval is the shortest time between two slow observations of a
-	// route that both count. One pause of a host or the network delays all
-	// requests in progress; that is one observation.
+	// route that both count: to the first token on all endpoints, and between
+	// tokens on one endpoint. A pause of a host or the network delays the first
+	// token of all requests in progress, and a pause of an endpoint all tokens of
+	// its requests; each is one observation.
 	MinSlowInterval time.Duration
 	// BaselineWindow is how long observations of the baseline count.
 	BaselineWindow time.Duration
@@ -104,7 +108,14 @@
 	sprt     [kindCount]float64
 	faults   [kindCount]int
 	// lastSlow is when the last slow observation that counted was made.
-	lastSlow [kindCount]time.Time
+	lastSlow map[slowKey]time.Time
+}
+
+// slowKey identifies the slow observations that one pause may cause. The endpoint is
+// empty for a pause of all of them.
+type slowKey struct {
+	kind     Kind
+	endpoint string
 }
 
 // New returns a monitor without evidence.
@@ -115,7 +126,7 @@
 func (m *Monitor) route(name string) *route {
 	r := m.routes[name]
 	if r == nil {
-		r = &route{}
+		r = &route{lastSlow: map[slowKey]time.Time{}}
 		m.routes[name] = r
 	}
 	return r
@@ -140,8 +151,8 @@
 	if o.Failed {
 		return
 	}
-	m.updateTimes(now, r, KindFirstToken, o.FirstToken, o.Load)
-	m.updateTimes(now, r, KindBetweenTokens, o.BetweenTokens, o.Load)
+	m.updateTimes(now, r, slowKey{kind: KindFirstToken}, o.FirstToken, o.Load)
+	m.updateTimes(now, r, slowKey{KindBetweenTokens, o.Endpoint}, o.BetweenTokens, o.Load)
 }
 
 // FreezeBaseline keeps the observations of the baseline version for good. It is
@@ -161,18 +172,18 @@
 
 // updateTimes compares a time with the baseline's. Without enough baseline
 // observations the time is evidence neither way.
-func (m *Monitor) updateTimes(now time.Time, r *route, kind Kind, took time.Duration, load int) {
-	slow, ok := m.isSlow(r, kind, took, load)
+func (m *Monitor) updateTimes(now time.Time, r *route, key slowKey, took time.Duration, load int) {
+	slow, ok := m.isSlow(r, key.kind, took, load)
 	if !ok {
 		return
 	}
-	if slow && now.Sub(r.lastSlow[kind]) < m.settings.MinSlowInterval {
+	if slow && now.Sub(r.lastSlow[key]) < m.settings.MinSlowInterval {
 		return
 	}
 	if slow {
-		r.lastSlow[kind] = now
+		r.lastSlow[key] = now
 	}
-	r.update(kind, slow, m.baselineSlow[kind].rate(m.settings.BaseSlowRate), m.settings.SlowRateIncrease)
+	r.update(key.kind, slow, m.baselineSlow[key.kind].rate(m.settings.BaseSlowRate), m.settings.SlowRateIncrease)
 }
 
 // recordBaselineTime updates the slow rate with an observation of the baseline.
--- a/internal/decision/trial/observation.go
+++ b/internal/decision/trial/observation.go
@@ -37,7 +37,7 @@
 	case core.ResultOK:
 		return latencies(o, endpoint), !callerError(o.Status)
 	case core.ResultCancelled:
-		observed := canary.Observation{FirstToken: milliseconds(o.FirstTokenMS), Load: endpoint.loadClass()}
+		observed := canary.Observation{FirstToken: milliseconds(o.FirstTokenMS), Load: endpoint.loadClass(), Endpoint: o.Endpoint}
 		if o.OutputTokens >= minTokensForRate {
 			observed.BetweenTokens = milliseconds(o.BetweenTokensMS)
 		}
@@ -47,7 +47,7 @@
 }
 
 func latencies(o *core.Outcome, endpoint EndpointState) canary.Observation {
-	observed := canary.Observation{FirstToken: milliseconds(o.TotalMS), Load: endpoint.loadClass()}
+	observed := canary.Observation{FirstToken: milliseconds(o.TotalMS), Load: endpoint.loadClass(), Endpoint: o.Endpoint}
 	if endpoint.Kind == core.KindModel {
 		observed.FirstToken, observed.BetweenTokens = milliseconds(o.FirstTokenMS), milliseconds(o.BetweenTokensMS)
 	}
