Typical times of endpoints are compared before a version gets more traffic

Cause: a slow version was proved by its errors alone and reached the ramp, since times counted as slow only beyond the baseline's 95th percentile. Where endpoints differ in speed several times over, and those of the baseline are busier, a version several times slower rarely exceeds that. Change: each endpoint of the version counts once, by whether its time between tokens is long for the baseline's median, and the shares of such endpoints are compared until the ramp begins. A version is not proved while its times speak against it.

--- a/internal/decision/canary/baseline.go
+++ b/internal/decision/canary/baseline.go
@@ -39,6 +39,8 @@
 	addedSinceRefresh int
 	// slowLimitByLoad holds the slow quantile by minimum load class.
 	slowLimitByLoad [LoadClasses][kindCount]time.Duration
+	// typicalBetweenTokens is the median time between tokens.
+	typicalBetweenTokens time.Duration
 }
 
 func (b *baseline) add(now time.Time, o Observation) {
@@ -93,19 +95,35 @@
 		return 0, false
 	}
 	if b.addedSinceRefresh >= limitRefreshInterval || b.slowLimitByLoad[0][kind] == 0 {
-		b.addedSinceRefresh = 0
-		for minLoad := range LoadClasses {
-			b.slowLimitByLoad[minLoad][KindFirstToken] = b.slowQuantileAt(minLoad, func(o *Observation) time.Duration { return o.FirstToken })
-			b.slowLimitByLoad[minLoad][KindBetweenTokens] = b.slowQuantileAt(minLoad, func(o *Observation) time.Duration { return o.BetweenTokens })
-		}
+		b.refreshLimits()
 	}
 	limit := b.slowLimitByLoad[load][kind]
 	return time.Duration(factor * float64(limit)), limit > 0
 }
 
-// slowQuantileAt returns the slow quantile of the known times under at least the
-// given load, zero if there are too few.
-func (b *baseline) slowQuantileAt(minLoad int, latencyOf func(*Observation) time.Duration) time.Duration {
+// typicalTime returns the median time between tokens, and whether there are enough
+// observations to tell.
+func (b *baseline) typicalTime() (time.Duration, bool) {
+	if len(b.window) >= minBaselineObservations && (b.addedSinceRefresh >= limitRefreshInterval || b.typicalBetweenTokens == 0) {
+		b.refreshLimits()
+	}
+	return b.typicalBetweenTokens, b.typicalBetweenTokens > 0
+}
+
+func (b *baseline) refreshLimits() {
+	b.addedSinceRefresh = 0
+	firstToken := func(o *Observation) time.Duration { return o.FirstToken }
+	betweenTokens := func(o *Observation) time.Duration { return o.BetweenTokens }
+	for minLoad := range LoadClasses {
+		b.slowLimitByLoad[minLoad][KindFirstToken] = b.quantileAt(slowQuantile, minLoad, firstToken)
+		b.slowLimitByLoad[minLoad][KindBetweenTokens] = b.quantileAt(slowQuantile, minLoad, betweenTokens)
+	}
+	b.typicalBetweenTokens = b.quantileAt(typicalQuantile, 0, betweenTokens)
+}
+
+// quantileAt returns a quantile of the known times under at least the given load,
+// zero if there are too few.
+func (b *baseline) quantileAt(quantile float64, minLoad int, latencyOf func(*Observation) time.Duration) time.Duration {
 	times := make([]time.Duration, 0, len(b.window))
 	for i := range b.window {
 		if took := latencyOf(&b.window[i].Observation); took > 0 && b.window[i].Load >= minLoad {
@@ -116,5 +134,5 @@
 		return 0
 	}
 	slices.Sort(times)
-	return times[int(slowQuantile*float64(len(times)-1))]
+	return times[int(quantile*float64(len(times)-1))]
 }
--- a/internal/decision/canary/monitor.go
+++ b/internal/decision/canary/monitor.go
@@ -96,6 +96,10 @@
 	combined route
 	// baselineSlow is the current slow rate of the baseline by kind.
 	baselineSlow [kindCount]slowRate
+	// typical compares the endpoints of the versions until the ramp begins. Later
+	// the versions' endpoints differ in load.
+	typical *typicalTimes
+	ramping bool
 	// baselineFrozen is set if baseline observations no longer expire.
 	baselineFrozen bool
 }
@@ -120,7 +124,7 @@
 
 // New returns a monitor without evidence.
 func New(settings Settings) *Monitor {
-	return &Monitor{settings: settings, routes: map[string]*route{}}
+	return &Monitor{settings: settings, routes: map[string]*route{}, typical: newTypicalTimes()}
 }
 
 func (m *Monitor) route(name string) *route {
@@ -139,6 +143,7 @@
 	m.recordBaselineTime(r, KindBetweenTokens, o.BetweenTokens, o.Load)
 	r.baseline.add(now, o)
 	m.combined.baseline.add(now, o)
+	m.observeTypical(r, o, false)
 }
 
 // ObserveCandidate adds an observation of the candidate version.
@@ -153,8 +158,12 @@
 	}
 	m.updateTimes(now, r, slowKey{kind: KindFirstToken}, o.FirstToken, o.Load)
 	m.updateTimes(now, r, slowKey{KindBetweenTokens, o.Endpoint}, o.BetweenTokens, o.Load)
+	m.observeTypical(r, o, true)
 }
 
+// StartRamp ends the comparison of typical times.
+func (m *Monitor) StartRamp() { m.ramping = true }
+
 // FreezeBaseline keeps the observations of the baseline version for good. It is
 // for when the baseline version gets no more traffic and no new ones follow.
 func (m *Monitor) FreezeBaseline() { m.baselineFrozen = true }
@@ -206,10 +215,8 @@
 // update adds the log likelihood ratio of one observation: the hypothesis of the
 // increased rate against that of the base rate.
 func (r *route) update(kind Kind, bad bool, base, increase float64) {
-	alternative := min(base+increase, maxAlternativeRate)
-	ratio := math.Log((1 - alternative) / (1 - base))
+	ratio := logRatio(bad, base, increase)
 	if bad {
-		ratio = math.Log(alternative / base)
 		r.faults[kind]++
 	}
 	// The sum restarts at zero, so that a long time without faults does not
@@ -218,6 +225,16 @@
 	r.sprt[kind] += ratio
 }
 
+// logRatio returns the log likelihood ratio of one observation: the hypothesis of the
+// increased rate against that of the base rate.
+func logRatio(bad bool, base, increase float64) float64 {
+	alternative := min(base+increase, maxAlternativeRate)
+	if bad {
+		return math.Log(alternative / base)
+	}
+	return math.Log((1 - alternative) / (1 - base))
+}
+
 // maxAlternativeRate limits the rate of the alternative hypothesis.
 const maxAlternativeRate = 0.95
 
@@ -228,7 +245,10 @@
 			return name, reason, true
 		}
 	}
-	reason, bad = m.alarmReason(&m.combined)
+	if reason, bad = m.alarmReason(&m.combined); bad || m.ramping {
+		return AllRoutes, reason, bad
+	}
+	reason, bad = m.typical.alarmReason()
 	return AllRoutes, reason, bad
 }
 
@@ -261,11 +281,12 @@
 const MinBaselineRequests = 5
 
 // Proved reports whether the version has been shown to be no worse on the route,
-// by a sequential probability ratio test (SPRT) of the errors. There is no such
-// test of the times: a slow version is detected by its cumulative sum.
+// by a sequential probability ratio test (SPRT) of the errors, and its times do not
+// speak against it.
 func (m *Monitor) Proved(routeName string) bool {
 	r := m.routes[routeName]
-	return r != nil && r.sprt[KindError] <= math.Log(m.settings.FalseProofRate)
+	return r != nil && r.sprt[KindError] <= math.Log(m.settings.FalseProofRate) &&
+		r.sprt[KindFirstToken] <= 0 && r.sprt[KindBetweenTokens] <= 0 && m.typical.logRatio <= 0
 }
 
 // RouteEvidence summarizes the evidence about one route for operators.
--- a/internal/decision/quota/quota_test.go
+++ b/internal/decision/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -191,3 +192,53 @@
 		t.Errorf("%.0f left, %.0f before a host restarted", got, before)
 	}
 }
+
+// Guards against the hosts of a large fleet overrunning a limit when an account
+// suddenly sends many times its usual: each host reports only every two seconds, and
+// between two reports it admits its part without asking.
+func TestSuddenDemandOnALargeFleetStaysWithinTheLimit(t *testing.T) {
+	const hosts, reportTicks, windowTicks = 300, 21, 80
+	const overage, slack, usedByLedgers, rate = 0.1, 140_000, 0.4, 900_000
+	seconds := windowTicks * tick.Seconds()
+	for seed := range uint64(5) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		f := newFleet(hosts, Limit{Rate: (1+usedByLedgers*overage)*rate + usedByLedgers*slack/seconds, Burst: (1 + usedByLedgers*overage) * rate})
+		size := 2_000 + 18_000*random.Float64()
+		// usual and sudden are the demands in times of the limit.
+		usual, sudden := 0.1+0.5*random.Float64(), 1+5*random.Float64()
+		sending, suddenAt := 10+random.IntN(hosts-10), 50+random.IntN(20)
+		ledger, owed := f.ledgers[0], make([]float64, hosts)
+		for at := range 170 {
+			f.now = f.now.Add(tick)
+			demand := usual
+			if at >= suddenAt {
+				demand = sudden
+			}
+			total := 0.0
+			for i, allocation := range f.allocations {
+				if (at+i)%reportTicks == 0 || at == 0 {
+					allocation.ApplyGrants(ledger.Report(f.names[i], allocation.Report(all), f.now), f.now)
+				}
+				if i >= sending {
+					continue
+				}
+				for owed[i] += demand * rate * tick.Seconds() / float64(sending); owed[i] >= size; owed[i] -= size {
+					decision, _ := allocation.Admit("a", f.limit, size, f.now)
+					if decision == AskCoordinator {
+						if ok, _ := ledger.Acquire("a", size, f.now); ok {
+							decision = Admitted
+						}
+					}
+					if decision == Admitted {
+						total += size
+					}
+				}
+			}
+			f.admitted = append(f.admitted, total)
+		}
+		allowed := (rate*seconds+rate)*(1+overage) + slack
+		if most := f.maxInWindow(windowTicks); most > allowed {
+			t.Errorf("seed %d: %.0f units in a window, allowed %.0f", seed, most, allowed)
+		}
+	}
+}
--- a/internal/decision/trial/trial.go
+++ b/internal/decision/trial/trial.go
@@ -81,6 +81,9 @@
 		s.trials[move.ToVersion] = t
 	}
 	t.move, t.stage = move, stage
+	if stage == message.StageRamp || stage == message.StageSoak || done {
+		t.monitor.StartRamp()
+	}
 	if done && t.doneAt.IsZero() {
 		t.doneAt = now
 		t.monitor.FreezeBaseline()
