Hosts that move between ledgers earn their part of a limit once

A host also took its whole part of a level along, and left it with the hosts that stayed. An account could overrun its limit whenever coordinators changed. Change: a report says how much time it covers, and the ledger adds the host's part for that time only. So no time of a host earns twice, wherever it reports. Half of a host's part of a level goes along to another ledger.

--- a/internal/decision/quota/ledger.go
+++ b/internal/decision/quota/ledger.go
@@ -1,9 +1,10 @@
 // Package quota enforces the limit of a client account over all hosts together.
 // One host, the coordinator, keeps the ledger of what all hosts have admitted,
 // and grants each of them a part of what is left. Every host can keep a ledger,
-// and a host that reaches no other keeps its own. A ledger leaves an equal part
-// of each limit to every host that does not report to it, so that ledgers that
-// cannot see each other never grant more than the limit in total.
+// and a host that reaches no other keeps its own. A report credits the ledger with
+// the host's equal part of each limit for the time since the host's previous report
+// to any ledger. No time of a host is credited twice, so ledgers that cannot see each
+// other never grant more than the limit in total, also while hosts move between them.
 package quota
 
 import "time"
@@ -18,6 +19,10 @@
 	// demandTimeConstant is the time constant of the average of a host's
 	// demand, by which the remaining units are divided.
 	demandTimeConstant = 2 * time.Second
+	// transferredShare is the share of its part of a level that a host takes along
+	// to another ledger. The hosts that stay with the previous ledger can use up
+	// that part as well.
+	transferredShare = 0.5
 	// minHostShare is the smallest share of the remaining units that a host
 	// is granted, as a fraction of an equal part. It lets a host without
 	// recent demand admit a first request.
@@ -53,15 +58,18 @@
 	limits   map[string]Limit
 	hosts    map[string]time.Time // time of each host's last report
 	accounts map[string]*balance
+	// credited is the sum of the equal parts that were credited, as the time in
+	// which the whole fleet earns as much.
+	credited time.Duration
 }
 
 // balance is what is left of one account's limit.
 type balance struct {
-	level      float64
-	size       averageSize // of the requests that hosts have asked about
-	refilledAt time.Time
-	demand     map[string]float64 // units per second by host
-	joined     map[string]bool    // hosts that have reported to this ledger
+	level    float64
+	size     averageSize        // of the requests that hosts have asked about
+	refilled time.Duration      // the ledger's credit at the last refill
+	demand   map[string]float64 // units per second by host
+	joined   map[string]bool    // hosts that have reported to this ledger
 }
 
 // NewLedger returns a ledger without limits or hosts.
@@ -88,19 +96,20 @@
 	l.hosts = hosts
 }
 
-// Report processes a host's report of the time since its previous one and
-// returns the host's grants by account.
-func (l *Ledger) Report(host string, usages map[string]Usage, now time.Time) map[string]Grant {
+// Report processes a host's report of the time since its previous report to any
+// ledger, zero if there was none, and returns the host's grants by account.
+func (l *Ledger) Report(host string, elapsed time.Duration, usages map[string]Usage, now time.Time) map[string]Grant {
 	since := now.Sub(l.hosts[host])
 	l.hosts[host] = now
+	l.credited += max(0, min(elapsed, since)) / time.Duration(len(l.hosts))
 	reporting := l.reporting(now)
-	fraction := float64(reporting) / float64(max(1, len(l.hosts)))
+	fraction := float64(reporting) / float64(len(l.hosts))
 	grants := make(map[string]Grant, len(l.limits))
 	for name, limit := range l.limits {
 		usage := usages[name]
-		b := l.balance(name, now)
+		b := l.balance(name)
 		b.addHost(host, usage, limit, len(l.hosts))
-		b.refill(limit, fraction, now)
+		b.refill(limit, l.credited, fraction)
 		b.level -= usage.Admitted
 		b.recordDemand(host, usage.Requested, since)
 		share := b.hostShare(host, reporting)
@@ -113,13 +122,12 @@
 // enough for an average request. A larger one overdraws them, so that requests of
 // all sizes pass alike. If there are too few, it returns after what time the
 // request may be retried.
-func (l *Ledger) Acquire(account string, units float64, now time.Time) (ok bool, retry time.Duration) {
+func (l *Ledger) Acquire(account string, units float64) (ok bool, retry time.Duration) {
 	limit, limited := l.limits[account]
 	if !limited {
 		return true, 0
 	}
-	b := l.balance(account, now)
-	b.refill(limit, float64(l.reporting(now))/float64(max(1, len(l.hosts))), now)
+	b := l.balance(account)
 	b.size.add(units)
 	if required := b.size.required(limit); b.level < required {
 		return false, retryAfter(required-b.level, limit)
@@ -130,19 +138,19 @@
 
 // balance returns the balance of an account. A new balance is empty until hosts
 // join.
-func (l *Ledger) balance(name string, now time.Time) *balance {
+func (l *Ledger) balance(name string) *balance {
 	b := l.accounts[name]
 	if b == nil {
-		b = &balance{refilledAt: now, demand: map[string]float64{}, joined: map[string]bool{}}
+		b = &balance{refilled: l.credited, demand: map[string]float64{}, joined: map[string]bool{}}
 		l.accounts[name] = b
 	}
 	return b
 }
 
-// addHost adds what a host contributes with its first report: its equal part of
-// the level that the previous ledger reported to it, or of the burst if there was
-// none. A host that returns or restarts contributes nothing, since it is not
-// known what it used in the meantime.
+// addHost adds what a host contributes with its first report: a share of its equal
+// part of the level that the previous ledger reported to it, or its part of the burst
+// if there was none. A host that returns or restarts contributes nothing, since it is
+// not known what it used in the meantime.
 func (b *balance) addHost(host string, usage Usage, limit Limit, hosts int) {
 	if b.joined[host] {
 		return
@@ -150,7 +158,7 @@
 	b.joined[host] = true
 	level := limit.Burst
 	if usage.LevelKnown {
-		level = min(level, usage.Level)
+		level = min(level, usage.Level, transferredShare*usage.Level)
 	}
 	b.level += level / float64(max(1, hosts))
 }
@@ -166,12 +174,12 @@
 	return count
 }
 
-// refill adds the inflow since the last refill, for the fraction of the hosts
-// that report.
-func (b *balance) refill(limit Limit, fraction float64, now time.Time) {
-	b.level += limit.Rate * fraction * now.Sub(b.refilledAt).Seconds()
+// refill adds what the ledger was credited with since the last refill, up to the
+// burst for the fraction of the hosts that report.
+func (b *balance) refill(limit Limit, credited time.Duration, fraction float64) {
+	b.level += limit.Rate * (credited - b.refilled).Seconds()
 	b.level = min(b.level, limit.Burst*fraction)
-	b.refilledAt = now
+	b.refilled = credited
 }
 
 // recordDemand updates a host's average demand with its latest report.
--- a/internal/decision/quota/quota_test.go
+++ b/internal/decision/quota/quota_test.go
@@ -16,13 +16,14 @@
 	names       []string
 	allocations []*Allocation
 	ledgers     []*Ledger
+	reportedAt  []time.Time // by host
 	limit       Limit
 	now         time.Time
 	admitted    []float64 // units admitted per tick
 }
 
 func newFleet(hosts int, limit Limit) *fleet {
-	f := &fleet{limit: limit, now: time.Unix(1000, 0)}
+	f := &fleet{limit: limit, now: time.Unix(1000, 0), reportedAt: make([]time.Time, hosts)}
 	for i := range hosts {
 		f.names = append(f.names, fmt.Sprint("host-", i))
 	}
@@ -35,17 +36,28 @@
 	return f
 }
 
+// report lets a host report to a ledger.
+func (f *fleet) report(host int, ledger *Ledger) {
+	elapsed := time.Duration(0)
+	if !f.reportedAt[host].IsZero() {
+		elapsed = f.now.Sub(f.reportedAt[host])
+	}
+	f.reportedAt[host] = f.now
+	allocation := f.allocations[host]
+	allocation.ApplyGrants(ledger.Report(f.names[host], elapsed, allocation.Report(all), f.now), f.now)
+}
+
 // step lets each host i admit its demand of requests of the given size and report
 // to the ledger of the host with the index ledgerOf[i].
 func (f *fleet) step(demand []int, size float64, ledgerOf []int) {
 	f.now = f.now.Add(tick)
 	total := 0.0
 	for i, allocation := range f.allocations {
-		allocation.ApplyGrants(f.ledgers[ledgerOf[i]].Report(f.names[i], allocation.Report(all), f.now), f.now)
+		f.report(i, f.ledgers[ledgerOf[i]])
 		for range demand[i] {
 			decision, _ := allocation.Admit("a", f.limit, size, f.now)
 			if decision == AskCoordinator {
-				if ok, _ := f.ledgers[ledgerOf[i]].Acquire("a", size, f.now); ok {
+				if ok, _ := f.ledgers[ledgerOf[i]].Acquire("a", size); ok {
 					decision = Admitted
 				}
 			}
@@ -104,6 +116,28 @@
 	})
 }
 
+// Guards against hosts that move between ledgers earning their part of a limit at
+// both: a ledger went on counting a host for some time after its last report.
+func TestHostsThatMoveBetweenLedgersEarnTheirPartOnce(t *testing.T) {
+	const hosts, rate = 8, 10_000
+	f := newFleet(hosts, Limit{Rate: rate, Burst: rate})
+	demand, ledgerOf := make([]int, hosts), make([]int, hosts)
+	for i := range demand {
+		demand[i] = 10
+	}
+	for at := range 160 {
+		for i := range ledgerOf {
+			ledgerOf[i] = (at/4 + i) % 2
+		}
+		f.step(demand, 100, ledgerOf)
+	}
+	const windowTicks = 80
+	allowed := rate*(1+windowTicks*tick.Seconds()) + hosts*100
+	if most := f.maxInWindow(windowTicks); most > allowed {
+		t.Errorf("%.0f units in a window, allowed %.0f", most, allowed)
+	}
+}
+
 // Checks that a limit that is not reached refuses nothing, however unevenly the
 // demand is distributed.
 func TestUnevenDemandBelowTheLimitIsAdmitted(t *testing.T) {
@@ -217,7 +251,7 @@
 			total := 0.0
 			for i, allocation := range f.allocations {
 				if (at+i)%reportTicks == 0 || at == 0 {
-					allocation.ApplyGrants(ledger.Report(f.names[i], allocation.Report(all), f.now), f.now)
+					f.report(i, ledger)
 				}
 				if i >= sending {
 					continue
@@ -225,7 +259,7 @@
 				for owed[i] += demand * rate * tick.Seconds() / float64(sending); owed[i] >= size; owed[i] -= size {
 					decision, _ := allocation.Admit("a", f.limit, size, f.now)
 					if decision == AskCoordinator {
-						if ok, _ := ledger.Acquire("a", size, f.now); ok {
+						if ok, _ := ledger.Acquire("a", size); ok {
 							decision = Admitted
 						}
 					}
--- a/internal/decision/quota/sizes_test.go
+++ b/internal/decision/quota/sizes_test.go
@@ -13,6 +13,7 @@
 	limit       Limit
 	ledger      *Ledger
 	allocations []*Allocation
+	reportedAt  []time.Time // by host
 	// answered reports whether the coordinator answers requests for units.
 	answered bool
 
@@ -41,6 +42,7 @@
 		names = append(names, hostName(i))
 		f.allocations = append(f.allocations, NewAllocation())
 	}
+	f.reportedAt = make([]time.Time, fleetHosts)
 	f.ledger.SetHosts(names)
 	return f
 }
@@ -51,8 +53,12 @@
 func hostName(i int) string { return fmt.Sprint("h", i) }
 
 func (f *sizeFleet) report(host int, now time.Time) {
-	a := f.allocations[host]
-	a.ApplyGrants(f.ledger.Report(hostName(host), a.Report(all), now), now)
+	a, elapsed := f.allocations[host], time.Duration(0)
+	if !f.reportedAt[host].IsZero() {
+		elapsed = now.Sub(f.reportedAt[host])
+	}
+	f.reportedAt[host] = now
+	a.ApplyGrants(f.ledger.Report(hostName(host), elapsed, a.Report(all), now), now)
 }
 
 func (f *sizeFleet) request(host int, units float64, now time.Time) {
@@ -72,7 +78,7 @@
 	case !f.answered:
 		return a.AdmitAlone("a", f.limit, units, now)
 	}
-	ok, _ := f.ledger.Acquire("a", units, now)
+	ok, _ := f.ledger.Acquire("a", units)
 	return ok
 }
 
--- a/internal/gateway/fleet/ledger.go
+++ b/internal/gateway/fleet/ledger.go
@@ -100,13 +100,13 @@
 	return quotas
 }
 
-func (m acquireMessage) handle(l *ledger, now time.Time) {
-	allowed, retryAfter := l.shard(m.request.Shard).Acquire(m.request.Account, m.request.Units, now)
+func (m acquireMessage) handle(l *ledger, _ time.Time) {
+	allowed, retryAfter := l.shard(m.request.Shard).Acquire(m.request.Account, m.request.Units)
 	m.Send(AcquireResponse{Allowed: allowed, RetryAfterMS: retryAfter.Milliseconds()})
 }
 
 func (m reportMessage) handle(l *ledger, now time.Time) {
-	response := ReportResponse{Grants: l.shard(m.report.Shard).Report(m.report.Host, m.report.Uses, now)}
+	response := ReportResponse{Grants: l.shard(m.report.Shard).Report(m.report.Host, m.report.Elapsed, m.report.Uses, now)}
 	if m.report.Shard == 0 {
 		l.exchangeDeaths(m.report, &response)
 		l.forwardOutcomes(m.report.Outcomes)
--- a/internal/gateway/fleet/messages.go
+++ b/internal/gateway/fleet/messages.go
@@ -47,6 +47,9 @@
 	Host  string                 `json:"host"`
 	Shard int                    `json:"shard,omitempty"`
 	Uses  map[string]quota.Usage `json:"uses"`
+	// Elapsed is the time since the host's previous report of the shard to any host,
+	// zero if there was none.
+	Elapsed time.Duration `json:"elapsed_ns,omitempty"`
 	// Deaths are the endpoint deaths that this host has observed.
 	Deaths []poison.Death `json:"deaths,omitempty"`
 	// KnownDeaths is how many deaths of the coordinator's list the host has
--- a/internal/gateway/fleet/reporter.go
+++ b/internal/gateway/fleet/reporter.go
@@ -53,6 +53,8 @@
 	order       []fleet.Host
 	retryAt     map[string]time.Time // by host, until when it is skipped
 	coordinator fleet.Host
+	// reportedAt is the time of the last report that was answered.
+	reportedAt  time.Time
 	deathListID string
 	knownDeaths int
 }
@@ -102,7 +104,8 @@
 	if err != nil {
 		return err
 	}
-	report := Report{Host: r.self, Shard: r.shard, Uses: usage.Uses, Deaths: usage.Deaths, KnownDeaths: r.knownDeaths, DeathListID: r.deathListID}
+	now := time.Now()
+	report := Report{Host: r.self, Shard: r.shard, Uses: usage.Uses, Elapsed: r.elapsed(now), Deaths: usage.Deaths, KnownDeaths: r.knownDeaths, DeathListID: r.deathListID}
 	if report.Outcomes, err = r.takeOutcomes(ctx); err != nil {
 		return err
 	}
@@ -110,6 +113,7 @@
 	if err != nil {
 		return err
 	}
+	r.reportedAt = now
 	r.deathListID, r.knownDeaths = response.DeathListID, response.KnownDeaths
 	if err := r.applyMoves(ctx, response.Moves); err != nil {
 		return err
@@ -118,6 +122,15 @@
 		Hosts: len(r.order), Coordinator: r.coordinatorAddress()})
 }
 
+// elapsed returns the time since the last report that was answered, zero if there was
+// none.
+func (r *usageReporter) elapsed(now time.Time) time.Duration {
+	if r.reportedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(r.reportedAt)
+}
+
 // takeOutcomes returns the outcomes for the holder of the moves, the coordinator
 // of shard 0.
 func (r *usageReporter) takeOutcomes(ctx context.Context) ([]moves.Outcome, error) {
