A starting host takes its part of a limit only

A host that had just started knew no host but itself, so its own ledger granted it the whole of each limit; and without a grant of the coordinator it admitted all requests. Change: a host reports usage, and a ledger answers, only once the list of hosts is known. Without a grant the coordinator decides about a request; while it is not known, the request is refused with a short Retry-After. The host is ready when its first report was answered. Ruled out: sudden demand alone (TestSuddenDemandOnALargeFleetStaysWithinTheLimit), a new burst after the restart (the fleet was down for longer than it takes to earn it), changes of coordinators (none before the kill).

--- a/internal/decision/quota/allocation.go
+++ b/internal/decision/quota/allocation.go
@@ -26,7 +26,7 @@
 // smaller than one large request, which would otherwise never pass while small
 // ones use up the limit. So a host admits what fits into its part only while
 // plenty is left of the limit, when the coordinator would admit the others too.
-// Near the limit the coordinator decides about all requests.
+// Near the limit, and without a grant, the coordinator decides about all requests.
 type Allocation struct {
 	accounts map[string]*allowance
 }
@@ -69,10 +69,10 @@
 	a.requested += units
 	a.size.add(units)
 	switch level, required := a.globalLevel(limit, now), a.size.required(limit); {
-	case !a.hasGrant || (a.plentiful(limit) && a.available(now) >= units):
+	case a.hasGrant && a.plentiful(limit) && a.available(now) >= units:
 		a.admitted += units
 		return Admitted, 0
-	case level < required:
+	case a.hasGrant && level < required:
 		return OverLimit, retryAfter(required-level, limit)
 	}
 	return AskCoordinator, 0
--- a/internal/gateway/admission/duty.go
+++ b/internal/gateway/admission/duty.go
@@ -87,7 +87,8 @@
 	limits   map[string]quota.Limit
 	share    *quota.Allocation
 	// limitShards is the number of shards of the limits, coordinators the address
-	// of the host that keeps the ledger of each, empty for this host.
+	// of the host that keeps the ledger of each, empty for this host. A shard whose
+	// coordinator is not known yet is missing.
 	limitShards      int
 	coordinators     map[int]string
 	retries          *retryBudgets
@@ -119,7 +120,8 @@
 	})
 }
 
-func (m Ready) handle(d *Duty, _ time.Time) { m.Send(d.snapshot.Ready()) }
+// The number of shards is known with the first answered report of usage.
+func (m Ready) handle(d *Duty, _ time.Time) { m.Send(d.snapshot.Ready() && d.limitShards > 0) }
 
 func (m Admit) handle(d *Duty, now time.Time) { m.Send(d.admit(m, now)) }
 
@@ -177,7 +179,12 @@
 		ticket.Refusal = core.RefuseWithRetry(core.ReasonRateLimited, "the account is above its limit", retryAfter)
 	case quota.AskCoordinator:
 		shard := fleet.ShardOfAccount(account.Name, d.limitShards)
-		ticket.Acquire = &fleet.AcquireRequest{Shard: shard, Account: account.Name, Units: cost, Coordinator: d.coordinators[shard]}
+		coordinator, known := d.coordinators[shard]
+		if !known {
+			ticket.Refusal = core.RefuseWithRetry(core.ReasonNotReady, "the coordinator of the account's limit is not known yet", notReadyRetryAfter)
+			return
+		}
+		ticket.Acquire = &fleet.AcquireRequest{Shard: shard, Account: account.Name, Units: cost, Coordinator: coordinator}
 	}
 }
 
--- a/internal/gateway/fleet/ledger.go
+++ b/internal/gateway/fleet/ledger.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
 
 	"kingcupcourse/internal/decision/poison"
 	"kingcupcourse/internal/decision/quota"
@@ -21,6 +22,10 @@
 	maxListedDeaths = 1024
 )
 
+// errHostsUnknown is the error of a ledger that does not know yet between which hosts
+// it divides the limits.
+var errHostsUnknown = eris.New("the hosts of the fleet are not known yet")
+
 // ledger is the duty that accounts for the limits across all hosts that report
 // to this one.
 type ledger struct {
@@ -101,11 +106,19 @@
 }
 
 func (m acquireMessage) handle(l *ledger, _ time.Time) {
+	if len(l.names) == 0 {
+		m.Abandon(errHostsUnknown)
+		return
+	}
 	allowed, retryAfter := l.shard(m.request.Shard).Acquire(m.request.Account, m.request.Units)
 	m.Send(AcquireResponse{Allowed: allowed, RetryAfterMS: retryAfter.Milliseconds()})
 }
 
 func (m reportMessage) handle(l *ledger, now time.Time) {
+	if len(l.names) == 0 {
+		m.Abandon(errHostsUnknown)
+		return
+	}
 	response := ReportResponse{Grants: l.shard(m.report.Shard).Report(m.report.Host, m.report.Elapsed, m.report.Uses, now)}
 	if m.report.Shard == 0 {
 		l.exchangeDeaths(m.report, &response)
--- a/internal/gateway/fleet/members.go
+++ b/internal/gateway/fleet/members.go
@@ -136,10 +136,17 @@
 	return &membership{self: self.Name, hosts: map[string]fleet.Host{self.Name: self}, log: log}
 }
 
-// subscribe returns a ring that holds only the latest hosts.
+// subscribe returns a ring that holds only the latest hosts, at first this host alone.
 func (m *membership) subscribe() Hosts {
-	subscriber := ring.NewLatest[*fleet.Ring]()
+	subscriber := m.subscribeListed()
 	subscriber.Publish(m.ring())
+	return subscriber
+}
+
+// subscribeListed returns a ring that holds only the latest hosts, and nothing until
+// the store's list of them is known.
+func (m *membership) subscribeListed() Hosts {
+	subscriber := ring.NewLatest[*fleet.Ring]()
 	m.subscribers = append(m.subscribers, subscriber)
 	return subscriber
 }
--- a/internal/gateway/fleet/reporter.go
+++ b/internal/gateway/fleet/reporter.go
@@ -66,12 +66,13 @@
 	}
 }
 
-// Serve implements supervisor.Duty. While the fleet is too small to have the
-// shard, the duty waits for more hosts.
+// Serve implements supervisor.Duty. The duty waits while the hosts are not known, or
+// too few to have the shard. A host that took itself for the whole fleet would grant
+// itself the whole of each limit.
 func (r *usageReporter) Serve(ctx context.Context) error {
 	for {
 		hosts, changed := r.hosts.TryTake()
-		if !changed && r.shard >= limitShards(len(r.order)) {
+		if !changed && !r.hasShard() {
 			var err error
 			if hosts, err = r.hosts.Take(ctx); err != nil {
 				return err
@@ -92,6 +93,11 @@
 	}
 }
 
+// hasShard reports whether the known hosts have the shard.
+func (r *usageReporter) hasShard() bool {
+	return len(r.order) > 0 && r.shard < limitShards(len(r.order))
+}
+
 // reportPeriod returns the time between two reports of a host.
 func reportPeriod(hosts int) time.Duration {
 	return max(minReportPeriod, time.Duration(hosts)*time.Second/maxReportsPerSecond)
--- a/internal/gateway/fleet/supervisor.go
+++ b/internal/gateway/fleet/supervisor.go
@@ -55,11 +55,11 @@
 func New(c Config) *Fleet {
 	entry := hostEntry{Address: c.Address, Processor: c.Processor, AvailabilityZone: c.Host.AvailabilityZone}
 	members := newMembership(entry.host(c.Host.Name), c.Log)
-	f := &Fleet{registrar: &registrar{store: c.Store, name: c.Host.Name, entry: entry, log: c.Log}, members: members, ledger: newLedger(c, members.subscribe()), client: &http.Client{Transport: codec.NewTransport(0)}}
+	f := &Fleet{registrar: &registrar{store: c.Store, name: c.Host.Name, entry: entry, log: c.Log}, members: members, ledger: newLedger(c, members.subscribeListed()), client: &http.Client{Transport: codec.NewTransport(0)}}
 	children := []supervisor.Child{{Name: "ledger", Duty: f.ledger}}
 	for shard := range maxLimitShards {
 		children = append(children, supervisor.Child{Name: "exchange-" + strconv.Itoa(shard),
-			Duty: newUsageReporter(c, shard, members.subscribe(), f.ledger, f.client)})
+			Duty: newUsageReporter(c, shard, members.subscribeListed(), f.ledger, f.client)})
 	}
 	children = append(children, supervisor.Child{Name: "register", Duty: f.registrar})
 	f.Supervisor = supervisor.New(supervisor.Spec{Name: "fleet", Children: children}, c.Log)
