A planned stop answers requests on connections that it has accepted

Cause: http.Server.Shutdown closes a connection without an answer if it has read the connection's request after Shutdown was called (report of other operators: requests that had just been accepted were cut off at a planned stop). Change: a stop closes the listener, ends keep-alive and waits until all accepted connections have got their answers, in place of Shutdown.

--- a/internal/supervisor/http.go
+++ b/internal/supervisor/http.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -65,14 +65,16 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	drained := make(chan error, 1)
-	stop := context.AfterFunc(ctx, func() { drained <- h.drain(server) })
-	err := server.Serve(&wrappingListener{Listener: h.listener, wrap: h.wrap})
+	open := newOpenConnections()
+	server.ConnState = open.track
+	listener := h.listener
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	err := server.Serve(&wrappingListener{Listener: listener, wrap: h.wrap})
 	h.listener = nil
-	if errors.Is(err, http.ErrServerClosed) {
-		return <-drained
+	if ctx.Err() != nil {
+		return h.drain(server, open)
 	}
-	stop()
 	return err
 }
 
@@ -84,18 +86,67 @@
 	return err
 }
 
-func (h *HTTP) drain(server *http.Server) error {
-	grace := h.grace
+// drain closes the idle connections and waits until all others have got their answer.
+// http.Server.Shutdown would close connections whose request it has just read, without
+// an answer.
+func (h *HTTP) drain(server *http.Server, open *openConnections) error {
 	if h.closeOnStop.Load() {
-		grace = 0
+		return server.Close()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), grace)
+	server.SetKeepAlivesEnabled(false)
+	ctx, cancel := context.WithTimeout(context.Background(), h.grace)
 	defer cancel()
-	err := server.Shutdown(ctx)
-	if err != nil {
+	if err := open.awaitNone(ctx); err != nil {
 		_ = server.Close()
+		return err
 	}
-	return err
+	return nil
+}
+
+// openConnections counts the open connections of a server that has stopped to accept
+// new ones.
+type openConnections struct {
+	mu      sync.Mutex
+	count   int
+	changed chan struct{} // holds a value after a connection was closed
+}
+
+func newOpenConnections() *openConnections {
+	return &openConnections{changed: make(chan struct{}, 1)}
+}
+
+// track is a hook for http.Server.ConnState.
+func (o *openConnections) track(_ net.Conn, state http.ConnState) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		o.count++
+	case http.StateClosed, http.StateHijacked:
+		o.count--
+		select {
+		case o.changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (o *openConnections) none() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.count == 0
+}
+
+// awaitNone waits until no connection is open.
+func (o *openConnections) awaitNone(ctx context.Context) error {
+	for !o.none() {
+		select {
+		case <-o.changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
 }
 
 // wrappingListener applies wrap, if set, to each accepted connection.
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -202,3 +205,43 @@
 		t.Fatal("the request in progress got a response")
 	}
 }
+
+// Guards against a request being dropped that arrives on an accepted connection while
+// the server stops: http.Server.Shutdown closes the connection without an answer.
+func TestRequestOnAcceptedConnectionIsAnsweredDuringStop(t *testing.T) {
+	h, err := Listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+	}), 5*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted := ring.New[string]("accepted", 1)
+	h.WrapConnections(func(c net.Conn) net.Conn {
+		_ = accepted.TryPut("connection")
+		return c
+	})
+	stop := serve(t, New(Spec{Name: "root", Children: []Child{{Name: "http", Duty: h}}}, zap.NewNop()))
+	connection, err := net.Dial("tcp", h.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer connection.Close()
+	await(t, accepted, "connection")
+	stopped := ring.NewReply[error]()
+	go func() { stopped.Send(stop()) }()
+	for { // until the listener is closed
+		probe, err := net.Dial("tcp", h.Address())
+		if err != nil {
+			break
+		}
+		_ = probe.Close()
+	}
+	if _, err := io.WriteString(connection, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := io.ReadAll(connection)
+	if !strings.HasPrefix(string(answer), "HTTP/1.1 204 ") {
+		t.Errorf("answer %q, %v", answer, err)
+	}
+	_, _ = stopped.Wait(t.Context())
+}
