One host of a zone takes over the reading of the store

Cause: a host had two upstreams. Change: a host has up to four upstreams, and waits a quarter of a second longer for each after the second, so that the first one that is left has read the store by then. A host whose state is old gets its answer at once. Ruled out: a longer wait for all hosts; it delays changes in force without a reason. Measured: TestOneHostReadsTheStoreWhileTheFirstTwoAreLost, before: 57 of 57 hosts read the store; after: 1.

--- a/internal/decision/mirror/source.go
+++ b/internal/decision/mirror/source.go
@@ -16,11 +16,14 @@
 	maxDirectHosts = 15
 	// maxUpstreams is how many hosts of its zone a host tries before it reads the
 	// store itself.
-	maxUpstreams = 2
-	// MaxAge is how old the state of an upstream may be. A host whose upstreams are
-	// older reads the store itself, so MaxAge adds to the time until a change is in
-	// force if an upstream loses the store.
+	maxUpstreams = 4
+	// MaxAge is how old the state of an upstream may be. One of the first hosts of a
+	// zone whose upstreams are older reads the store itself, so MaxAge adds to the
+	// time until a change is in force if an upstream loses the store.
 	MaxAge = time.Second
+	// takeoverTime is how much longer a host waits for each of its upstreams after the
+	// second, so that one of them has read the store by then and can answer.
+	takeoverTime = 250 * time.Millisecond
 	// staleRetry is how long an upstream without fresh state is passed over.
 	staleRetry = 300 * time.Millisecond
 	// minFailureRetry and maxFailureRetry bound how long an upstream that did not
@@ -69,7 +72,7 @@
 func NewSource() *Source { return &Source{peers: map[string]*peerState{}, storeWorks: true} }
 
 // SetUpstreams replaces the upstreams. A host that gets its first upstreams gives
-// them MaxAge to answer.
+// them the time of maxAge to answer.
 func (s *Source) SetUpstreams(upstreams []fleet.Host, now time.Time) {
 	if len(s.upstreams) == 0 && len(upstreams) > 0 {
 		s.freshAt, s.storeWorks = now, false
@@ -142,7 +145,12 @@
 
 // ReadsStore reports whether the host reads the store itself.
 func (s *Source) ReadsStore(now time.Time) bool {
-	return len(s.upstreams) == 0 || now.Sub(s.freshAt) > MaxAge
+	return len(s.upstreams) == 0 || now.Sub(s.freshAt) > s.maxAge()
+}
+
+// maxAge returns how old the state of this host may be before it reads the store.
+func (s *Source) maxAge() time.Duration {
+	return MaxAge + time.Duration(max(0, len(s.upstreams)-2))*takeoverTime
 }
 
 // StaleAt returns when the host begins to read the store unless an upstream
@@ -151,7 +159,7 @@
 	if s.ReadsStore(now) {
 		return time.Time{}
 	}
-	return s.freshAt.Add(MaxAge + 1)
+	return s.freshAt.Add(s.maxAge() + 1)
 }
 
 // StoreWorks reports whether the store answered the last call. After a failure
--- a/internal/decision/mirror/source_test.go
+++ b/internal/decision/mirror/source_test.go
@@ -1,7 +1,9 @@
 package mirror
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -49,6 +51,42 @@
 	}
 }
 
+// Guards against a whole availability zone reading the store while its first two
+// hosts are cut off: each change then took four calls of each host.
+func TestOneHostReadsTheStoreWhileTheFirstTwoAreLost(t *testing.T) {
+	const lost, tick = 2, 50 * time.Millisecond
+	hosts := newHosts(59, 1)
+	order := append([]fleet.Host(nil), hosts...)
+	slices.SortFunc(order, func(a, b fleet.Host) int {
+		return cmp.Compare(len(Upstreams(hosts, a.Name)), len(Upstreams(hosts, b.Name)))
+	})
+	now := time.Unix(1000, 0)
+	sources, position := map[string]*Source{}, map[string]int{}
+	for i, host := range order {
+		position[host.Name] = i
+		sources[host.Name] = NewSource()
+		sources[host.Name].SetUpstreams(Upstreams(hosts, host.Name), now)
+	}
+	readers := map[string]bool{}
+	for begin := now; now.Sub(begin) < 6*time.Second; now = now.Add(tick) {
+		for _, host := range order[lost:] {
+			source := sources[host.Name]
+			if next, _, ok := source.NextUpstream(now); ok && position[next.Name] < lost {
+				source.UpstreamFailed(next.Address, now)
+			} else if ok {
+				source.UpstreamAnswered(next.Address, now.Sub(sources[next.Name].ConfirmedAt()), false, now)
+			}
+			if source.ReadsStore(now) {
+				source.StoreAnswered(now)
+				readers[host.Name] = true
+			}
+		}
+	}
+	if len(readers) != 1 {
+		t.Errorf("%d hosts of %d read the store, want 1", len(readers), len(order)-lost)
+	}
+}
+
 func TestAllHostsOfASmallFleetReadTheStore(t *testing.T) {
 	hosts := newHosts(maxDirectHosts, 3)
 	for _, host := range hosts {
--- a/internal/gateway/mirror/keeper.go
+++ b/internal/gateway/mirror/keeper.go
@@ -23,6 +23,9 @@
 	// servedTime is for how long after a request of another host this host proves
 	// by probes that its state is fresh.
 	servedTime = 2 * time.Second
+	// urgentAge is the age of this host's state from which it asks for an answer at
+	// once. It is more than an upstream that works takes for an answer.
+	urgentAge = holdTime + 200*time.Millisecond
 	// changesPause is the time from an answer of the store with changes to the next
 	// call, so that many changes in a short time take few calls. It applies in
 	// fleets in which other hosts wait for the changes.
@@ -173,7 +176,7 @@
 		k.tickAt(retryAt)
 		return
 	}
-	request := ChangesRequest{Host: k.Config.Host, Known: make(map[string]Position, len(k.prefixes))}
+	request := ChangesRequest{Host: k.Config.Host, Urgent: now.Sub(k.source.ConfirmedAt()) > urgentAge, Known: make(map[string]Position, len(k.prefixes))}
 	for name, p := range k.prefixes {
 		request.Known[name] = Position{Listed: p.replica.Listed(), Revision: p.replica.Revision()}
 	}
@@ -266,7 +269,11 @@
 
 func (m changesMessage) handle(k *keeper, now time.Time) {
 	k.lastServed = now
-	k.polls = append(k.polls, poll{m, now.Add(holdTime)})
+	until := now
+	if !m.request.Urgent {
+		until = now.Add(holdTime)
+	}
+	k.polls = append(k.polls, poll{m, until})
 }
 
 func (m discovered) handle(k *keeper, now time.Time) {
--- a/internal/gateway/mirror/messages.go
+++ b/internal/gateway/mirror/messages.go
@@ -28,6 +28,8 @@
 type ChangesRequest struct {
 	Host  string              `json:"host"`
 	Known map[string]Position `json:"known"`
+	// Urgent asks for an answer at once, since the host's state has become old.
+	Urgent bool `json:"urgent,omitempty"`
 }
 
 // ChangesResponse holds the changes by prefix.
