A restarted host finds the fleet with two calls to the store, one of them cheap

Cause: a restart took three calls of full price: a write that conflicts with the host's entry, a read of that entry, and a list of the hosts. Ruled out: no write at a restart; the entry has to be compared with the host's addresses, and the list shows one page only.

--- a/internal/gateway/fleet/members.go
+++ b/internal/gateway/fleet/members.go
@@ -39,6 +39,8 @@
 	log        *zap.Logger
 
 	registered, hasDiscovered bool
+	// restarted reports that the host was registered before.
+	restarted bool
 }
 
 // Serve implements supervisor.Duty. It ends once the entry is written and hosts
@@ -77,27 +79,29 @@
 	case !errors.As(err, &conflict):
 		return err
 	}
-	found, err := r.store.Get(ctx, key)
-	if err != nil {
-		return err
-	}
+	r.restarted, err = true, nil
 	var entry hostEntry
-	if json.Unmarshal(found.Value, &entry) != nil || entry != r.entry {
-		_, err = r.store.Put(ctx, key, found.Version, r.entry)
+	if json.Unmarshal(conflict.Value, &entry) != nil || entry != r.entry {
+		_, err = r.store.Put(ctx, key, conflict.Version, r.entry)
 	}
 	if r.registered = err == nil; r.registered {
-		r.log.Info("host registered", zap.String("address", r.entry.Address), zap.Uint64("revision", found.Version))
+		r.log.Info("host registered", zap.String("address", r.entry.Address), zap.Uint64("revision", conflict.Version))
 	}
 	return err
 }
 
 // discover reads the first page of the hosts. It shows hosts from which this host
-// can learn the others.
+// can learn the others. A list that is out of date will do after a restart, when the
+// others have been listed for some time.
 func (r *registrar) discover(ctx context.Context) error {
 	if r.hasDiscovered {
 		return nil
 	}
-	page, err := r.store.ListFirst(ctx, HostsPrefix)
+	list := r.store.ListFirst
+	if r.restarted {
+		list = r.store.ListFirstStale
+	}
+	page, err := list(ctx, HostsPrefix)
 	if err != nil {
 		return err
 	}
--- a/internal/platform/dialect.go
+++ b/internal/platform/dialect.go
@@ -34,6 +34,9 @@
 	// List reads objects by prefix; after is the last key of the previous
 	// page, empty for the first page.
 	List(prefix, after string) Call
+	// ListStale reads the first page of a list and accepts an answer that is out of
+	// date, in stores where that is cheaper.
+	ListStale(prefix string) Call
 	// Put writes an object under the condition of Client.Put.
 	Put(key string, ifVersion uint64, value json.RawMessage) (Call, error)
 	// PutStatus writes the status next to the value of an object, under the
@@ -46,8 +49,9 @@
 	DecodeList(prefix string, body []byte) (Page, error)
 	DecodePut(body []byte) (uint64, error)
 	DecodeChanges(prefix string, body []byte) (Changes, error)
-	// DecodeConflict returns the object's version from a conflict response.
-	DecodeConflict(body []byte) (uint64, error)
+	// DecodeConflict returns the object from a conflict response, at least its
+	// version.
+	DecodeConflict(body []byte) (Object, error)
 }
 
 // Page is one part of a list.
@@ -69,6 +73,8 @@
 // List reads all objects in one call; the API has no pages.
 func (n nativeDialect) List(prefix, _ string) Call { return n.Watch(prefix, 0, 0) }
 
+func (n nativeDialect) ListStale(prefix string) Call { return n.List(prefix, "") }
+
 func (nativeDialect) Put(key string, ifVersion uint64, value json.RawMessage) (Call, error) {
 	path := objectPath(key) + "?if_version=" + strconv.FormatUint(ifVersion, 10)
 	return Call{Method: http.MethodPut, Path: path, Body: value}, nil
@@ -109,10 +115,10 @@
 	return changes, eris.Wrap(json.Unmarshal(body, &changes), "decode changes")
 }
 
-func (nativeDialect) DecodeConflict(body []byte) (uint64, error) {
+func (nativeDialect) DecodeConflict(body []byte) (Object, error) {
 	var conflict ConflictError
 	err := json.Unmarshal(body, &conflict)
-	return conflict.Version, eris.Wrap(err, "decode conflict")
+	return Object{Version: conflict.Version}, eris.Wrap(err, "decode conflict")
 }
 
 func objectPath(key string) string {
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -42,6 +43,8 @@
 type ConflictError struct {
 	// Version is the object's current version, zero if there is no object.
 	Version uint64 `json:"version"`
+	// Value is the object's current value, in stores that send it.
+	Value json.RawMessage `json:"-"`
 }
 
 // Error implements error.
@@ -117,11 +120,11 @@
 	if err != nil {
 		return eris.Wrapf(ErrOutcomeUnknown, "read conflict response: %v", err)
 	}
-	version, err := c.dialect.DecodeConflict(body)
+	current, err := c.dialect.DecodeConflict(body)
 	if err != nil {
 		return eris.Wrapf(ErrOutcomeUnknown, "decode conflict response: %v", err)
 	}
-	return &ConflictError{Version: version}
+	return &ConflictError{Version: current.Version, Value: current.Value}
 }
 
 func retryAfter(response *http.Response) time.Duration {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -117,7 +117,17 @@
 // ListFirst reads the first page of the objects under the prefix. It fails with
 // the errors of Get.
 func (c *Client) ListFirst(ctx context.Context, prefix string) ([]Object, error) {
-	body, err := c.callWithTimeout(ctx, c.timeout, c.dialect.List(prefix, ""))
+	return c.firstPage(ctx, prefix, c.dialect.List(prefix, ""))
+}
+
+// ListFirstStale is like ListFirst. The call is cheap, as its answer may be out of
+// date.
+func (c *Client) ListFirstStale(ctx context.Context, prefix string) ([]Object, error) {
+	return c.firstPage(ctx, prefix, c.dialect.ListStale(prefix))
+}
+
+func (c *Client) firstPage(ctx context.Context, prefix string, call Call) ([]Object, error) {
+	body, err := c.callWithTimeout(ctx, c.timeout, call)
 	if err != nil {
 		return nil, eris.Wrapf(err, "list %s", prefix)
 	}
