Limits earn from the first report on, and second reports are spread

Cause: since a host's part of a limit is credited when its report arrives, and the first report of a host covered no time. After a restart of all 295 hosts nothing was credited until their second reports, 2.1 s later and all together, so accounts were refused within their limits. Change: the first report covers half a second, and the second one follows at a random time within the period. Ruled out: a first report that covers the whole period; an account could then take two seconds' worth above its limit after a restart of all hosts, more than is tolerated.

--- a/internal/decision/quota/ledger.go
+++ b/internal/decision/quota/ledger.go
@@ -96,8 +96,8 @@
 	l.hosts = hosts
 }
 
-// Report processes a host's report of the time since its previous report to any
-// ledger, zero if there was none, and returns the host's grants by account.
+// Report processes a host's report, which covers the time elapsed since its previous
+// report to any ledger, and returns the host's grants by account.
 func (l *Ledger) Report(host string, elapsed time.Duration, usages map[string]Usage, now time.Time) map[string]Grant {
 	since := now.Sub(l.hosts[host])
 	l.hosts[host] = now
--- a/internal/gateway/fleet/messages.go
+++ b/internal/gateway/fleet/messages.go
@@ -47,8 +47,8 @@
 	Host  string                 `json:"host"`
 	Shard int                    `json:"shard,omitempty"`
 	Uses  map[string]quota.Usage `json:"uses"`
-	// Elapsed is the time since the host's previous report of the shard to any host,
-	// zero if there was none.
+	// Elapsed is the time that the report covers: since the host's previous report of
+	// the shard to any host.
 	Elapsed time.Duration `json:"elapsed_ns,omitempty"`
 	// Deaths are the endpoint deaths that this host has observed.
 	Deaths []poison.Death `json:"deaths,omitempty"`
--- a/internal/gateway/fleet/reporter.go
+++ b/internal/gateway/fleet/reporter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -25,6 +26,9 @@
 	reportTimeout = 150 * time.Millisecond
 	// unresponsiveBackoff is how long a host that did not respond is skipped.
 	unresponsiveBackoff = time.Second
+	// firstElapsed is the time that the first report of a host covers. The host's next
+	// report follows up to a period later, and until then the limits must last.
+	firstElapsed = 500 * time.Millisecond
 	// limitsKey is the key of the limits in the order of coordinators.
 	limitsKey = "limits"
 )
@@ -83,7 +87,7 @@
 			r.order = hosts.Order(limitsKey, r.shard)
 			continue
 		}
-		next := time.Now().Add(reportPeriod(len(r.order)))
+		next := time.Now().Add(r.period())
 		if err := r.tick(ctx); err != nil {
 			return err
 		}
@@ -98,6 +102,16 @@
 	return len(r.order) > 0 && r.shard < limitShards(len(r.order))
 }
 
+// period returns the time to the next report. After the first report it is drawn at
+// random, so that hosts that start together do not report together.
+func (r *usageReporter) period() time.Duration {
+	period := reportPeriod(len(r.order))
+	if r.reportedAt.IsZero() {
+		return rand.N(period)
+	}
+	return period
+}
+
 // reportPeriod returns the time between two reports of a host.
 func reportPeriod(hosts int) time.Duration {
 	return max(minReportPeriod, time.Duration(hosts)*time.Second/maxReportsPerSecond)
@@ -128,11 +142,10 @@
 		Hosts: len(r.order), Coordinator: r.coordinatorAddress()})
 }
 
-// elapsed returns the time since the last report that was answered, zero if there was
-// none.
+// elapsed returns the time that a report covers: since the last one that was answered.
 func (r *usageReporter) elapsed(now time.Time) time.Duration {
 	if r.reportedAt.IsZero() {
-		return 0
+		return min(firstElapsed, reportPeriod(len(r.order)))
 	}
 	return now.Sub(r.reportedAt)
 }
