Requests wait for a host that has just started

Cause: a host refused requests until it had its configuration, and since its first grant: 0.3 s in the median after its start on the large site. After a restart of all hosts no other host is ready, and the caller's next try often meets the same. Change: within a second of its start a host holds such requests for up to 0.4 s and decides when it is ready. Later it refuses at once, since another host can serve them. Ruled out: a longer wait; clients try elsewhere after a second. Measured: TestRequestToStartingHostWaitsUntilItIsReady, before: status 503 after 1 ms; after: served, 3 of 3.

--- a/internal/gateway/admission/duty.go
+++ b/internal/gateway/admission/duty.go
@@ -91,6 +91,7 @@
 	// coordinator is not known yet is missing.
 	limitShards      int
 	coordinators     map[int]string
+	waiting          waitingRequests
 	retries          *retryBudgets
 	poisonMarks      *poison.Tracker
 	unreportedDeaths []poison.Death
@@ -111,19 +112,41 @@
 
 // Serve implements supervisor.Duty.
 func (d *Duty) Serve(ctx context.Context) error {
-	return ring.Loop(ctx, d.inbox, func(m Message) error {
-		if snapshot, ok := d.Snapshots.TryTake(); ok {
-			d.snapshot, d.limits = snapshot, fleet.Limits(snapshot.Configuration, d.Tolerance)
-		}
+	d.waiting.startedAt = time.Now()
+	return ring.LoopUntil(ctx, d.inbox, func(m Message) error {
+		d.takeSnapshot()
 		m.handle(d, time.Now())
 		return nil
+	}, d.waiting.next, func() error {
+		d.takeSnapshot()
+		d.releaseWaiting(time.Now())
+		return nil
 	})
 }
 
+func (d *Duty) takeSnapshot() {
+	if snapshot, ok := d.Snapshots.TryTake(); ok {
+		d.snapshot, d.limits = snapshot, fleet.Limits(snapshot.Configuration, d.Tolerance)
+	}
+}
+
+// releaseWaiting decides about the waiting requests again.
+func (d *Duty) releaseWaiting(now time.Time) {
+	for _, m := range d.waiting.take() {
+		m.handle(d, now)
+	}
+}
+
 // The number of shards is known with the first answered report of usage.
 func (m Ready) handle(d *Duty, _ time.Time) { m.Send(d.snapshot.Ready() && d.limitShards > 0) }
 
-func (m Admit) handle(d *Duty, now time.Time) { m.Send(d.admit(m, now)) }
+func (m Admit) handle(d *Duty, now time.Time) {
+	ticket := d.admit(m, now)
+	if ticket.Refusal != nil && ticket.Refusal.Reason == core.ReasonNotReady && d.waiting.add(m, now) {
+		return
+	}
+	m.Send(ticket)
+}
 
 func (d *Duty) admit(m Admit, now time.Time) Ticket {
 	if !d.snapshot.Ready() {
@@ -172,18 +195,18 @@
 	if !limited {
 		return
 	}
+	shard := fleet.ShardOfAccount(account.Name, d.limitShards)
+	coordinator, known := d.coordinators[shard]
+	if !known {
+		ticket.Refusal = core.RefuseWithRetry(core.ReasonNotReady, "the coordinator of the account's limit is not known yet", notReadyRetryAfter)
+		return
+	}
 	cost := quotaUnits(account, request)
 	ticket.Units = cost
 	switch decision, retryAfter := d.share.Admit(account.Name, limit, cost, now); decision {
 	case quota.OverLimit:
 		ticket.Refusal = core.RefuseWithRetry(core.ReasonRateLimited, "the account is above its limit", retryAfter)
 	case quota.AskCoordinator:
-		shard := fleet.ShardOfAccount(account.Name, d.limitShards)
-		coordinator, known := d.coordinators[shard]
-		if !known {
-			ticket.Refusal = core.RefuseWithRetry(core.ReasonNotReady, "the coordinator of the account's limit is not known yet", notReadyRetryAfter)
-			return
-		}
 		ticket.Acquire = &fleet.AcquireRequest{Shard: shard, Account: account.Name, Units: cost, Coordinator: coordinator}
 	}
 }
--- a/internal/gateway/admission/fleet.go
+++ b/internal/gateway/admission/fleet.go
@@ -74,6 +74,7 @@
 func (m applyResult) handle(d *Duty, now time.Time) {
 	d.share.ApplyGrants(m.Grants, now)
 	d.coordinators[m.Shard] = m.Coordinator
+	defer d.releaseWaiting(now)
 	if m.Shard != 0 {
 		return
 	}
