A version that is a little slower is not found bad by chance

Cause: the share of the baseline's endpoints with long times was estimated by the latest time of each. Where that came out low, a version 1.2 to 1.3 times slower was found bad by the chance of a few dozen endpoints. Change: all times of a baseline's endpoint count, and a time counts as long for a version that may be 1.05 times slower.

--- a/internal/decision/canary/typical.go
+++ b/internal/decision/canary/typical.go
@@ -13,6 +13,9 @@
 	// longRateIncrease is the increase in the share of endpoints with long times that
 	// makes a version bad.
 	longRateIncrease = 0.4
+	// likeFactor is how much slower than the baseline a version may be at the most and
+	// count as no slower.
+	likeFactor = 1.05
 	// longFalseAlarmRate limits the rate of false alarms per endpoint.
 	longFalseAlarmRate = 1e-5
 	// longPriorWeight is the weight of an even chance in the share of the baseline's
@@ -26,27 +29,42 @@
 // the baseline's median on nearly all of its endpoints. Each endpoint of the
 // candidate counts once, because its observations depend on its speed.
 type typicalTimes struct {
-	baseline  map[string]bool // by endpoint, whether its latest time was long
-	candidate map[string]bool // endpoints that have counted
-	long      int             // of the candidate's
+	baseline  map[string]*longShare // by endpoint
+	candidate map[string]bool       // endpoints that have counted
+	long      int                   // of the candidate's
 	cusum     float64
 	// logRatio is the log likelihood ratio of the candidate's endpoints.
 	logRatio float64
 }
 
+// longShare counts the times of an endpoint that would be long on a version that is
+// slower by likeFactor.
+type longShare struct{ long, times int }
+
 func newTypicalTimes() *typicalTimes {
-	return &typicalTimes{baseline: map[string]bool{}, candidate: map[string]bool{}}
+	return &typicalTimes{baseline: map[string]*longShare{}, candidate: map[string]bool{}}
 }
 
-// longRate returns the share of the baseline's endpoints with long times.
+// longRate returns the chance that a time of a version that counts as no slower than the
+// baseline is long, on an endpoint chosen at random.
 func (t *typicalTimes) longRate() float64 {
-	long := 0
-	for _, isLong := range t.baseline {
-		if isLong {
-			long++
-		}
+	sum := 0.0
+	for _, share := range t.baseline {
+		sum += float64(share.long) / float64(share.times)
+	}
+	return (sum + longPriorWeight/2) / float64(len(t.baseline)+longPriorWeight)
+}
+
+func (t *typicalTimes) observeBaseline(endpoint string, long bool) {
+	share := t.baseline[endpoint]
+	if share == nil {
+		share = &longShare{}
+		t.baseline[endpoint] = share
+	}
+	share.times++
+	if long {
+		share.long++
 	}
-	return (float64(long) + longPriorWeight/2) / float64(len(t.baseline)+longPriorWeight)
 }
 
 func (t *typicalTimes) observeCandidate(endpoint string, long bool) {
@@ -77,12 +95,16 @@
 }
 
 func (m *Monitor) observeTypical(r *route, o Observation, isCandidate bool) {
-	long, ok := m.isLong(r, o.BetweenTokens)
+	took := o.BetweenTokens
+	if !isCandidate {
+		took = time.Duration(likeFactor * float64(took))
+	}
+	long, ok := m.isLong(r, took)
 	switch {
 	case !ok || o.Endpoint == "" || m.ramping:
 	case isCandidate:
 		m.typical.observeCandidate(o.Endpoint, long)
 	default:
-		m.typical.baseline[o.Endpoint] = long
+		m.typical.observeBaseline(o.Endpoint, long)
 	}
 }
