The evidence of a move tells which slow requests did not count

Cause: a slow version of a plain service was completed and kept (EXPOSURE). Change: RouteEvidence has the slow requests that did not count, the limit of the time to the first token, and the share of slow requests it is compared with. Ruled out: nothing yet.

--- a/internal/decision/canary/monitor.go
+++ b/internal/decision/canary/monitor.go
@@ -111,6 +111,9 @@
 	cusum    [kindCount]float64
 	sprt     [kindCount]float64
 	faults   [kindCount]int
+	// uncounted is the number of slow observations that did not count, as another
+	// one was made shortly before.
+	uncounted int
 	// lastSlow is when the last slow observation that counted was made.
 	lastSlow map[slowKey]time.Time
 }
@@ -187,6 +190,7 @@
 		return
 	}
 	if slow && now.Sub(r.lastSlow[key]) < m.settings.MinSlowInterval {
+		r.uncounted++
 		return
 	}
 	if slow {
@@ -291,14 +295,21 @@
 
 // RouteEvidence summarizes the evidence about one route for operators.
 type RouteEvidence struct {
-	Route             string  `json:"route"`
-	Requests          int     `json:"requests"`
-	Errors            int     `json:"errors"`
-	SlowFirstToken    int     `json:"slow_first_token"`
-	SlowBetweenTokens int     `json:"slow_between_tokens"`
-	Proved            bool    `json:"proved"`
-	BaselineRequests  int     `json:"requests_on_proved_version"`
-	Alarm             float64 `json:"alarm"` // largest sum as a fraction of the alarm threshold
+	Route             string `json:"route"`
+	Requests          int    `json:"requests"`
+	Errors            int    `json:"errors"`
+	SlowFirstToken    int    `json:"slow_first_token"`
+	SlowBetweenTokens int    `json:"slow_between_tokens"`
+	// SlowUncounted is the number of slow requests that did not count.
+	SlowUncounted int `json:"slow_uncounted"`
+	// SlowLimitMS is the time to the first token above which a request of an idle
+	// endpoint is slow, zero if it is unknown. SlowBaseRate is the share of slow
+	// requests that the candidate is compared with.
+	SlowLimitMS      float64 `json:"slow_first_token_limit_ms"`
+	SlowBaseRate     float64 `json:"slow_first_token_base_rate"`
+	Proved           bool    `json:"proved"`
+	BaselineRequests int     `json:"requests_on_proved_version"`
+	Alarm            float64 `json:"alarm"` // largest sum as a fraction of the alarm threshold
 	// LogRatio is the log likelihood ratio of the candidate's errors, bad
 	// against no worse than the baseline. A negative value favors the
 	// candidate.
@@ -311,9 +322,12 @@
 	for _, name := range m.routeNames() {
 		r := m.routes[name]
 		m.expire(r, now)
+		limit, _ := r.baseline.slowLimit(KindFirstToken, 0, m.settings.SlowFactor)
 		out = append(out, RouteEvidence{Route: name, Requests: r.requests, Errors: r.faults[KindError],
 			SlowFirstToken: r.faults[KindFirstToken], SlowBetweenTokens: r.faults[KindBetweenTokens],
-			Proved: m.Proved(name), BaselineRequests: len(r.baseline.window), LogRatio: r.sprt[KindError],
+			SlowUncounted: r.uncounted, SlowLimitMS: float64(limit.Microseconds()) / 1000,
+			SlowBaseRate: m.baselineSlow[KindFirstToken].rate(m.settings.BaseSlowRate),
+			Proved:       m.Proved(name), BaselineRequests: len(r.baseline.window), LogRatio: r.sprt[KindError],
 			Alarm: min(1, slices.Max(r.cusum[:])/-math.Log(m.settings.FalseAlarmRate))})
 	}
 	return out
