Slow requests of a busy service are not taken for one pause

Change: a slow request counts if another one was fast throughout its time, which no pause explains; of the others one in 250 ms counts. All routes are summed up as well. The limit is taken from the 90th percentile, the share that makes a version bad is 0.3 above the baseline's. Models, whose requests share batches, keep one in 250 ms for each kind of time.

--- a/internal/decision/canary/baseline.go
+++ b/internal/decision/canary/baseline.go
@@ -13,7 +13,7 @@
 	minBaselineObservations = 20
 	// slowQuantile is the quantile of the baseline that times are compared
 	// with.
-	slowQuantile = 0.95
+	slowQuantile = 0.9
 	// errorPriorWeight is the weight of the base rate in the estimated error
 	// rate, in observations.
 	errorPriorWeight = 20
--- a/internal/decision/canary/monitor.go
+++ b/internal/decision/canary/monitor.go
@@ -34,12 +34,17 @@
 	Failed bool
 	// FirstToken and BetweenTokens are zero if the attempt had none.
 	FirstToken, BetweenTokens time.Duration
+	// Elapsed is the time from the start of the attempt to its end.
+	Elapsed time.Duration
 	// Load is the load class of the endpoint, from 0 to LoadClasses-1. Times
 	// are compared only with those of the baseline under at least the same
 	// load, since a full batch is slower on any version.
 	Load int
 	// Endpoint is where the attempt ran.
 	Endpoint string
+	// Batched reports that the endpoint runs requests in batches, so that a request
+	// also waits for what others have sent there.
+	Batched bool
 }
 
 // LoadClasses is the number of load classes.
@@ -69,12 +74,11 @@
 	// SlowSlack is added to that limit, so that times close to the noise of
 	// the clock are not compared by their ratio alone.
 	SlowSlack time.Duration
-	// MinSlowInterval is the shortest time between two slow observations of a
-	// route that both count: to the first token on all endpoints, and between
-	// tokens on one endpoint. A pause of a host or the network delays the first
-	// token of all requests in progress, and a pause of an endpoint all tokens of
-	// its requests; each is one observation.
-	MinSlowInterval time.Duration
+	// PauseInterval is the time in which slow observations of a route may have one
+	// cause: to the first token on all endpoints, and between tokens on one
+	// endpoint. A pause of a host or the network delays the first token of all
+	// requests in progress, and a pause of an endpoint all tokens of its requests.
+	PauseInterval time.Duration
 	// BaselineWindow is how long observations of the baseline count.
 	BaselineWindow time.Duration
 }
@@ -82,7 +86,7 @@
 // DefaultSettings returns the default settings.
 func DefaultSettings() Settings {
 	return Settings{FalseAlarmRate: 1e-6, FalseProofRate: 0.01, BaseErrorRate: 0.01, ErrorRateIncrease: 0.2,
-		BaseSlowRate: 0.03, SlowRateIncrease: 0.5, SlowFactor: 1.5, SlowSlack: 5 * time.Millisecond, MinSlowInterval: 250 * time.Millisecond, BaselineWindow: 30 * time.Second}
+		BaseSlowRate: 0.03, SlowRateIncrease: 0.3, SlowFactor: 1.5, SlowSlack: 5 * time.Millisecond, PauseInterval: 250 * time.Millisecond, BaselineWindow: 30 * time.Second}
 }
 
 // Monitor holds the evidence about one candidate version. It is not safe for
@@ -90,9 +94,9 @@
 type Monitor struct {
 	settings Settings
 	routes   map[string]*route
-	// combined counts the errors of all routes together, so that a fault that
-	// is spread over many routes is detected with no more requests than one on
-	// a single route.
+	// combined counts the errors and slow requests of all routes together, so that
+	// a fault that is spread over many routes is detected with no more requests
+	// than one on a single route.
 	combined route
 	// baselineSlow is the current slow rate of the baseline by kind.
 	baselineSlow [kindCount]slowRate
@@ -111,29 +115,23 @@
 	cusum    [kindCount]float64
 	sprt     [kindCount]float64
 	faults   [kindCount]int
-	// uncounted is the number of slow observations that did not count, as another
-	// one was made shortly before.
+	// uncounted is the number of slow observations that did not count, as a pause
+	// may have caused them.
 	uncounted int
-	// lastSlow is when the last slow observation that counted was made.
-	lastSlow map[slowKey]time.Time
-}
-
-// slowKey identifies the slow observations that one pause may cause. The endpoint is
-// empty for a pause of all of them.
-type slowKey struct {
-	kind     Kind
-	endpoint string
+	pauses    map[pauseKey]*pauseFilter
 }
 
 // New returns a monitor without evidence.
 func New(settings Settings) *Monitor {
-	return &Monitor{settings: settings, routes: map[string]*route{}, typical: newTypicalTimes()}
+	return &Monitor{settings: settings, routes: map[string]*route{}, combined: *newRoute(), typical: newTypicalTimes()}
 }
 
+func newRoute() *route { return &route{pauses: map[pauseKey]*pauseFilter{}} }
+
 func (m *Monitor) route(name string) *route {
 	r := m.routes[name]
 	if r == nil {
-		r = &route{lastSlow: map[slowKey]time.Time{}}
+		r = newRoute()
 		m.routes[name] = r
 	}
 	return r
@@ -159,8 +157,9 @@
 	if o.Failed {
 		return
 	}
-	m.updateTimes(now, r, slowKey{kind: KindFirstToken}, o.FirstToken, o.Load)
-	m.updateTimes(now, r, slowKey{KindBetweenTokens, o.Endpoint}, o.BetweenTokens, o.Load)
+	started := now.Add(-max(o.Elapsed, o.FirstToken))
+	m.updateTimes(r, pauseKey{kind: KindFirstToken}, o.FirstToken, o, period{started, started.Add(o.FirstToken)})
+	m.updateTimes(r, pauseKey{KindBetweenTokens, o.Endpoint}, o.BetweenTokens, o, period{started, now})
 	m.observeTypical(r, o, true)
 }
 
@@ -182,21 +181,28 @@
 	r.update(KindError, o.Failed, r.baseline.errorRate(m.settings.BaseErrorRate), m.settings.ErrorRateIncrease)
 }
 
-// updateTimes compares a time with the baseline's. Without enough baseline
-// observations the time is evidence neither way.
-func (m *Monitor) updateTimes(now time.Time, r *route, key slowKey, took time.Duration, load int) {
-	slow, ok := m.isSlow(r, key.kind, took, load)
+// updateTimes compares a time with the baseline's, which the candidate took in a
+// period. Without enough baseline observations the time is evidence neither way.
+func (m *Monitor) updateTimes(r *route, key pauseKey, took time.Duration, o Observation, during period) {
+	slow, ok := m.isSlow(r, key.kind, took, o.Load)
 	if !ok {
 		return
 	}
-	if slow && now.Sub(r.lastSlow[key]) < m.settings.MinSlowInterval {
-		r.uncounted++
-		return
+	base := m.baselineSlow[key.kind].rate(m.settings.BaseSlowRate)
+	for _, sums := range []*route{r, &m.combined} {
+		if sums.pauseFilter(key, m.settings.PauseInterval).counts(slow, o.Batched, during) {
+			sums.update(key.kind, slow, base, m.settings.SlowRateIncrease)
+		} else {
+			sums.uncounted++
+		}
 	}
-	if slow {
-		r.lastSlow[key] = now
+}
+
+func (r *route) pauseFilter(key pauseKey, interval time.Duration) *pauseFilter {
+	if r.pauses[key] == nil {
+		r.pauses[key] = &pauseFilter{interval: interval}
 	}
-	r.update(key.kind, slow, m.baselineSlow[key.kind].rate(m.settings.BaseSlowRate), m.settings.SlowRateIncrease)
+	return r.pauses[key]
 }
 
 // recordBaselineTime updates the slow rate with an observation of the baseline.
@@ -327,8 +333,9 @@
 			SlowFirstToken: r.faults[KindFirstToken], SlowBetweenTokens: r.faults[KindBetweenTokens],
 			SlowUncounted: r.uncounted, SlowLimitMS: float64(limit.Microseconds()) / 1000,
 			SlowBaseRate: m.baselineSlow[KindFirstToken].rate(m.settings.BaseSlowRate),
-			Proved:       m.Proved(name), BaselineRequests: len(r.baseline.window), LogRatio: r.sprt[KindError],
-			Alarm: min(1, slices.Max(r.cusum[:])/-math.Log(m.settings.FalseAlarmRate))})
+			Proved:       m.Proved(name), BaselineRequests: len(r.baseline.window),
+			LogRatio: r.sprt[KindError],
+			Alarm:    min(1, slices.Max(r.cusum[:])/-math.Log(m.settings.FalseAlarmRate))})
 	}
 	return out
 }
--- a/internal/decision/trial/observation.go
+++ b/internal/decision/trial/observation.go
@@ -37,7 +37,8 @@
 	case core.ResultOK:
 		return latencies(o, endpoint), !callerError(o.Status)
 	case core.ResultCancelled:
-		observed := canary.Observation{FirstToken: milliseconds(o.FirstTokenMS), Load: endpoint.loadClass(), Endpoint: o.Endpoint}
+		observed := canary.Observation{FirstToken: milliseconds(o.FirstTokenMS), Elapsed: milliseconds(o.TotalMS),
+			Load: endpoint.loadClass(), Endpoint: o.Endpoint, Batched: endpoint.Kind == core.KindModel}
 		if o.OutputTokens >= minTokensForRate {
 			observed.BetweenTokens = milliseconds(o.BetweenTokensMS)
 		}
@@ -47,8 +48,10 @@
 }
 
 func latencies(o *core.Outcome, endpoint EndpointState) canary.Observation {
-	observed := canary.Observation{FirstToken: milliseconds(o.TotalMS), Load: endpoint.loadClass(), Endpoint: o.Endpoint}
+	observed := canary.Observation{FirstToken: milliseconds(o.TotalMS), Elapsed: milliseconds(o.TotalMS),
+		Load: endpoint.loadClass(), Endpoint: o.Endpoint}
 	if endpoint.Kind == core.KindModel {
+		observed.Batched = true
 		observed.FirstToken, observed.BetweenTokens = milliseconds(o.FirstTokenMS), milliseconds(o.BetweenTokensMS)
 	}
 	return observed
