A version is not proved before its times have been compared

Change: Proved needs times of all routes that speak for the version, unless the baseline's window passed without one comparison. A ramp at the last moment needs times that do not speak against it. Ruled out: a proof of the times for each route (rare routes are never proved). Measured: TestVersionIsNotProvedBeforeItsTimesAreCompared failed before.

--- a/internal/decision/canary/monitor.go
+++ b/internal/decision/canary/monitor.go
@@ -100,6 +100,8 @@
 	combined route
 	// baselineSlow is the current slow rate of the baseline by kind.
 	baselineSlow [kindCount]slowRate
+	// timedSince is when the first time of the baseline was observed, by kind.
+	timedSince [kindCount]time.Time
 	// typical compares the endpoints of the versions until the ramp begins. Later
 	// the versions' endpoints differ in load.
 	typical *typicalTimes
@@ -140,8 +142,8 @@
 // ObserveBaseline adds an observation of the baseline version.
 func (m *Monitor) ObserveBaseline(now time.Time, routeName string, o Observation) {
 	r := m.route(routeName)
-	m.recordBaselineTime(r, KindFirstToken, o.FirstToken, o.Load)
-	m.recordBaselineTime(r, KindBetweenTokens, o.BetweenTokens, o.Load)
+	m.recordBaselineTime(now, r, KindFirstToken, o.FirstToken, o.Load)
+	m.recordBaselineTime(now, r, KindBetweenTokens, o.BetweenTokens, o.Load)
 	r.baseline.add(now, o)
 	m.combined.baseline.add(now, o)
 	m.observeTypical(r, o, false)
@@ -206,7 +208,10 @@
 }
 
 // recordBaselineTime updates the slow rate with an observation of the baseline.
-func (m *Monitor) recordBaselineTime(r *route, kind Kind, took time.Duration, load int) {
+func (m *Monitor) recordBaselineTime(now time.Time, r *route, kind Kind, took time.Duration, load int) {
+	if took > 0 && m.timedSince[kind].IsZero() {
+		m.timedSince[kind] = now
+	}
 	if slow, ok := m.isSlow(r, kind, took, load); ok {
 		m.baselineSlow[kind].add(slow)
 	}
@@ -278,7 +283,7 @@
 func (m *Monitor) HasUnprovedRoute(now time.Time) bool {
 	for name, r := range m.routes {
 		m.expire(r, now)
-		if len(r.baseline.window) >= MinBaselineRequests && !m.Proved(name) {
+		if len(r.baseline.window) >= MinBaselineRequests && !m.Proved(name, now) {
 			return true
 		}
 	}
@@ -291,14 +296,33 @@
 const MinBaselineRequests = 5
 
 // Proved reports whether the version has been shown to be no worse on the route,
-// by a sequential probability ratio test (SPRT) of the errors, and its times do not
-// speak against it.
-func (m *Monitor) Proved(routeName string) bool {
+// by a sequential probability ratio test (SPRT) of the errors, to be no slower on all
+// routes together, and its times on the route do not speak against it.
+func (m *Monitor) Proved(routeName string, now time.Time) bool {
 	r := m.routes[routeName]
-	return r != nil && r.sprt[KindError] <= math.Log(m.settings.FalseProofRate) &&
-		r.sprt[KindFirstToken] <= 0 && r.sprt[KindBetweenTokens] <= 0 && m.typical.logRatio <= 0
+	return r != nil && r.sprt[KindError] <= math.Log(m.settings.FalseProofRate) && r.slowLogRatio() <= 0 &&
+		m.typical.logRatio <= 0 && m.timesProved(KindFirstToken, now) && m.timesProved(KindBetweenTokens, now)
+}
+
+// slowLogRatio returns the larger log likelihood ratio of the candidate's times, slow
+// against no slower than the baseline.
+func (r *route) slowLogRatio() float64 {
+	return max(r.sprt[KindFirstToken], r.sprt[KindBetweenTokens])
 }
 
+// timesProved reports whether the times of a kind have been shown to be no slower. If
+// none was compared in the baseline's window, the service has too few requests, and
+// the version is proved by its errors alone.
+func (m *Monitor) timesProved(kind Kind, now time.Time) bool {
+	since, ratio := m.timedSince[kind], m.combined.sprt[kind]
+	incomparable := ratio == 0 && now.Sub(since) > m.settings.BaselineWindow
+	return since.IsZero() || incomparable || ratio <= math.Log(falseSlowProofRate)
+}
+
+// falseSlowProofRate is the chance that a version as slow as the alternative hypothesis
+// is accepted. Its times are still compared while it gets more traffic.
+const falseSlowProofRate = 0.05
+
 // RouteEvidence summarizes the evidence about one route for operators.
 type RouteEvidence struct {
 	Route             string `json:"route"`
@@ -320,6 +344,8 @@
 	// against no worse than the baseline. A negative value favors the
 	// candidate.
 	LogRatio float64 `json:"log_ratio"`
+	// SlowLogRatio is the same for its times.
+	SlowLogRatio float64 `json:"slow_log_ratio"`
 }
 
 // Evidence returns the evidence by route, ordered by name.
@@ -333,9 +359,9 @@
 			SlowFirstToken: r.faults[KindFirstToken], SlowBetweenTokens: r.faults[KindBetweenTokens],
 			SlowUncounted: r.uncounted, SlowLimitMS: float64(limit.Microseconds()) / 1000,
 			SlowBaseRate: m.baselineSlow[KindFirstToken].rate(m.settings.BaseSlowRate),
-			Proved:       m.Proved(name), BaselineRequests: len(r.baseline.window),
-			LogRatio: r.sprt[KindError],
-			Alarm:    min(1, slices.Max(r.cusum[:])/-math.Log(m.settings.FalseAlarmRate))})
+			Proved:       m.Proved(name, now), BaselineRequests: len(r.baseline.window),
+			LogRatio: r.sprt[KindError], SlowLogRatio: r.slowLogRatio(),
+			Alarm: min(1, slices.Max(r.cusum[:])/-math.Log(m.settings.FalseAlarmRate))})
 	}
 	return out
 }
--- a/internal/decision/canary/monitor_test.go
+++ b/internal/decision/canary/monitor_test.go
@@ -115,7 +115,7 @@
 	m := New(DefaultSettings())
 	now := time.Unix(0, 0)
 	needed := 0
-	for !m.Proved("r") && needed < 1000 {
+	for !m.Proved("r", now) && needed < 1000 {
 		m.ObserveCandidate(now, "r", Observation{})
 		needed++
 	}
--- a/internal/decision/canary/slow_test.go
+++ b/internal/decision/canary/slow_test.go
@@ -49,3 +49,47 @@
 		}
 	}
 }
+
+// Guards against a version that is proved by its errors before any of its times was
+// compared: each route had too few requests for a limit yet.
+func TestVersionIsNotProvedBeforeItsTimesAreCompared(t *testing.T) {
+	m, at := New(DefaultSettings()), time.Unix(1000, 0)
+	for i := range 80 {
+		at = at.Add(10 * time.Millisecond)
+		if i < 2*(minBaselineObservations-1) {
+			m.ObserveBaseline(at, fmt.Sprint("r", i%2), Observation{FirstToken: 20 * time.Millisecond})
+		}
+		m.ObserveCandidate(at, fmt.Sprint("r", i%2), Observation{FirstToken: 100 * time.Millisecond})
+	}
+	if !m.HasUnprovedRoute(at) {
+		t.Error("a version is proved whose times were not compared")
+	}
+}
+
+// A service with too few requests to compare times proves a version by its errors.
+func TestVersionOfRareServiceIsProved(t *testing.T) {
+	m, at := New(DefaultSettings()), time.Unix(1000, 0)
+	for range 80 {
+		at = at.Add(4 * time.Second)
+		m.ObserveBaseline(at, "r", Observation{FirstToken: 20 * time.Millisecond})
+		m.ObserveCandidate(at, "r", Observation{FirstToken: 20 * time.Millisecond})
+	}
+	if m.HasUnprovedRoute(at) {
+		t.Error("a good version is not proved")
+	}
+}
+
+// Guards against a slow version that is proved since fast requests came first.
+func TestVersionWithSlowRequestsIsNotProved(t *testing.T) {
+	const runs, wantProved = 200, 4
+	proved := 0
+	for seed := range uint64(runs) {
+		if _, after := observeService(rand.New(rand.NewPCG(seed, 6)), 20*time.Second, 0.3, 0.5); after > 0 {
+			proved++
+		}
+	}
+	t.Logf("proved in %d of %d runs", proved, runs)
+	if proved > wantProved {
+		t.Errorf("want at most %d", wantProved)
+	}
+}
--- a/internal/decision/canary/unlike_test.go
+++ b/internal/decision/canary/unlike_test.go
@@ -69,7 +69,7 @@
 				m.ObserveCandidate(at, "r", Observation{BetweenTokens: 9 * timeOn(e, random) / 2, Endpoint: fmt.Sprint("new-", e)})
 			}
 		}
-		if _, _, bad := m.Bad(); !bad && m.Proved("r") {
+		if _, _, bad := m.Bad(); !bad && m.Proved("r", at) {
 			t.Errorf("seed %d: a version 4.5 times slower is proved after 50 requests", seed)
 		}
 	}
@@ -89,7 +89,7 @@
 				m.ObserveCandidate(at, "r", Observation{BetweenTokens: timeOn(e, random), Endpoint: fmt.Sprint("new-", e)})
 			}
 		}
-		if !m.Proved("r") {
+		if !m.Proved("r", at) {
 			t.Errorf("seed %d: a good version is not proved after 50 requests", seed)
 		}
 	}
--- a/internal/decision/move/move.go
+++ b/internal/decision/move/move.go
@@ -210,7 +210,7 @@
 	}
 	for _, e := range evidence {
 		rare := e.BaselineRequests < max(canary.MinBaselineRequests, total/rareRouteDivisor)
-		if !rare && (e.Requests == 0 || e.LogRatio >= 0) {
+		if !rare && (e.Requests == 0 || e.LogRatio >= 0 || e.SlowLogRatio > 0) {
 			return false
 		}
 	}
--- a/internal/decision/move/move_test.go
+++ b/internal/decision/move/move_test.go
@@ -103,6 +103,7 @@
 		{"all evidence in favor", last, canary.RouteEvidence{Requests: 12, BaselineRequests: 9, LogRatio: -1}, true, message.StageRamp},
 		{"not allowed", last, canary.RouteEvidence{Requests: 12, BaselineRequests: 9, LogRatio: -1}, false, message.StageCanary},
 		{"evidence against it", last, canary.RouteEvidence{Requests: 12, BaselineRequests: 9, LogRatio: 0.1}, true, message.StageCanary},
+		{"slower", last, canary.RouteEvidence{Requests: 12, BaselineRequests: 9, LogRatio: -1, SlowLogRatio: 0.1}, true, message.StageCanary},
 		{"alarm", last, canary.RouteEvidence{Requests: 12, BaselineRequests: 9, LogRatio: -1, Alarm: 0.6}, true, message.StageCanary},
 		{"too few requests", last, canary.RouteEvidence{Requests: 3, BaselineRequests: 9, LogRatio: -1}, true, message.StageCanary},
 		{"no time left", p.Deadline, canary.RouteEvidence{Requests: 12, BaselineRequests: 9, LogRatio: -1}, true, message.StageReverted},
--- a/internal/decision/trial/preference.go
+++ b/internal/decision/trial/preference.go
@@ -28,7 +28,7 @@
 	switch {
 	case !s.Active(v):
 		return NoPreference
-	case t.stage == message.StageCanary && t.monitor.Proved(route) && t.monitor.HasUnprovedRoute(now):
+	case t.stage == message.StageCanary && t.monitor.Proved(route, now) && t.monitor.HasUnprovedRoute(now):
 		return Avoided
 	}
 	return Preferred
