The log tells which requests an endpoint ran when it died

Change: endpoint died, with the parts of the prompt that others share, whether the answer had begun, and its events. Ruled out: nothing yet.

--- a/internal/gateway/callers/admit.go
+++ b/internal/gateway/callers/admit.go
@@ -54,6 +54,9 @@
 	lastEventID     string
 	lastEventNumber int
 	resuming        bool
+	// answerBegun reports that the header of a response to the attempt in progress
+	// has arrived.
+	answerBegun bool
 	// eventCount counts the events of the attempt in progress.
 	eventCount sse.Counter
 	// responseStarted reports that a part of a response has been relayed to the
--- a/internal/gateway/callers/dispatch.go
+++ b/internal/gateway/callers/dispatch.go
@@ -32,6 +32,7 @@
 		return attemptOutcome{result: core.ResultLost, reason: core.ReasonEndpointFailed, detail: err.Error()}
 	}
 	defer response.Body.Close()
+	c.answerBegun = true
 	info := c.h.Protocol.InterpretResponse(c.request, response)
 	if info.MatchesRequest {
 		c.reportEndpointSaid(endpoint, info)
--- a/internal/gateway/callers/poison.go
+++ b/internal/gateway/callers/poison.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/poison"
@@ -56,6 +57,9 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return
 	}
+	c.h.Log.Warn("endpoint died", zap.String("endpoint", endpoint.Name), zap.String("request", c.request.ID),
+		zap.String("route", c.routeName()), zap.Strings("prompt_parts", c.request.SharedPromptParts),
+		zap.Bool("answer_begun", c.answerBegun), zap.Int("events", c.eventCount.Events))
 	c.sendToAdmission(admission.EndpointDied{Death: poison.Death{Fingerprint: c.fingerprint(), Endpoint: endpoint.Name}})
 }
 
--- a/internal/gateway/callers/run.go
+++ b/internal/gateway/callers/run.go
@@ -44,6 +44,7 @@
 			return
 		}
 		c.attemptStarted, c.timeToFirstPart, c.eventCount, c.leavingIncarnation = time.Now(), 0, sse.Counter{}, 0
+		c.answerBegun = false
 		outcome := c.dispatch(ctx, placed.Endpoint)
 		c.finishAttempt(placed, outcome, time.Since(c.attemptStarted))
 		if outcome.delivered {
--- a/internal/gateway/frontend/frontend.go
+++ b/internal/gateway/frontend/frontend.go
@@ -29,6 +29,10 @@
 	// OutputHint is the caller's estimate of the output length in tokens, zero
 	// if it gave none.
 	OutputHint int
+	// SharedPromptParts are the ids of the parts of the prompt that other requests
+	// may have too, in order. The last part of a prompt is not among them, as it
+	// belongs to the request or its session.
+	SharedPromptParts []string
 	// HeaderBytes is the size of the request header.
 	HeaderBytes int64
 }
