Requests that share a part which crashes endpoints are refused

Cause: requests with one part in their prompts ended 80 endpoints, five under them before 47 more were sent (BUDGET, LOST for sound requests that ran beside them). Deaths are recorded by the fingerprint of the whole request, and no two of the requests are alike. Change: a death is recorded for the shared parts of the prompt too, if the endpoint died as it began the answer: a header and no event. After three deaths without an answer between, requests with the part are refused on all hosts. A request is checked before its second attempt as well. A new list of evidence is told what the hosts have found poisonous. Ruled out: blaming all requests on the endpoint (126 of 170 lost attempts in the logs had events; in each of 27 deaths exactly one had a header and no event).

--- a/internal/decision/poison/poison.go
+++ b/internal/decision/poison/poison.go
@@ -1,5 +1,6 @@
 // Package poison records which endpoints died while they ran a request, so that
-// a request that crashes every endpoint it runs on is stopped.
+// a request that crashes every endpoint it runs on is stopped, and so are all
+// requests that share the part of their prompts that crashes endpoints.
 package poison
 
 import "time"
@@ -16,20 +17,18 @@
 	maxRequests = 1024
 )
 
-// Death is the death of an endpoint while it ran a request.
-type Death struct {
-	// Fingerprint identifies the request if it is sent again.
-	Fingerprint string `json:"fingerprint"`
-	Endpoint    string `json:"endpoint"`
-}
-
-// Tracker holds the deaths by request fingerprint.
+// Tracker holds the deaths by request fingerprint, or by what else the requests share.
 type Tracker struct {
+	limit     int
 	byRequest map[string]map[string]time.Time // fingerprint, endpoint: expiry
 }
 
-// NewTracker returns an empty tracker.
-func NewTracker() *Tracker { return &Tracker{byRequest: map[string]map[string]time.Time{}} }
+// NewTracker returns an empty tracker of requests.
+func NewTracker() *Tracker { return newTracker(DeathLimit) }
+
+func newTracker(limit int) *Tracker {
+	return &Tracker{limit: limit, byRequest: map[string]map[string]time.Time{}}
+}
 
 // RecordDeath records that an endpoint died while it ran a request.
 func (t *Tracker) RecordDeath(fingerprint, endpoint string, now time.Time) {
@@ -54,7 +53,7 @@
 			deaths++
 		}
 	}
-	return deaths >= DeathLimit
+	return deaths >= t.limit
 }
 
 // evict drops what has expired, and the request that expires first if that is
--- /dev/null
+++ b/internal/decision/poison/register.go
@@ -0,0 +1,100 @@
+package poison
+
+import (
+	"slices"
+	"time"
+)
+
+// PartDeathLimit is how many endpoints may die as they begin the answers to requests
+// that share a part of their prompts, without one answer between, before requests with
+// that part are refused. It is higher than DeathLimit, as the refusal concerns more
+// requests.
+const PartDeathLimit = 3
+
+// Evidence is what a host has observed of a request: the death of an endpoint that ran
+// it, or an answer.
+type Evidence struct {
+	// Fingerprint identifies the request if it is sent again.
+	Fingerprint string `json:"fingerprint,omitempty"`
+	// Endpoint is the endpoint that died, empty if an endpoint has answered.
+	Endpoint string `json:"endpoint,omitempty"`
+	// Parts are the parts of the prompt that may have caused the death, or that have
+	// been answered.
+	Parts []string `json:"parts,omitempty"`
+}
+
+// Equal reports whether two hosts have observed the same.
+func (e Evidence) Equal(other Evidence) bool {
+	return e.Fingerprint == other.Fingerprint && e.Endpoint == other.Endpoint && slices.Equal(e.Parts, other.Parts)
+}
+
+// Register holds the evidence about requests and about the parts of their prompts.
+type Register struct {
+	requests, parts *Tracker
+}
+
+// NewRegister returns a register without evidence.
+func NewRegister() *Register {
+	return &Register{requests: NewTracker(), parts: newTracker(PartDeathLimit)}
+}
+
+// Record adds evidence. An answer clears the parts of its prompt: a part that crashes
+// endpoints gets none.
+func (r *Register) Record(e Evidence, now time.Time) {
+	if e.Endpoint == "" {
+		for _, part := range e.Parts {
+			r.parts.Clear(part)
+		}
+		return
+	}
+	if e.Fingerprint != "" {
+		r.requests.RecordDeath(e.Fingerprint, e.Endpoint, now)
+	}
+	for _, part := range e.Parts {
+		r.parts.RecordDeath(part, e.Endpoint, now)
+	}
+}
+
+// Empty reports whether no deaths are recorded.
+func (r *Register) Empty() bool { return r.requests.Empty() && r.parts.Empty() }
+
+// ClearRequest drops the deaths recorded for a request that has since succeeded.
+func (r *Register) ClearRequest(fingerprint string) { r.requests.Clear(fingerprint) }
+
+// Poisonous reports whether too many endpoints have died running the request, or
+// requests that share a part of its prompt.
+func (r *Register) Poisonous(fingerprint string, parts []string, now time.Time) bool {
+	return r.requests.Poisonous(fingerprint, now) ||
+		slices.ContainsFunc(parts, func(part string) bool { return r.parts.Poisonous(part, now) })
+}
+
+// Suspects returns those parts for which deaths are recorded.
+func (r *Register) Suspects(parts []string) []string {
+	var suspects []string
+	for _, part := range parts {
+		if len(r.parts.byRequest[part]) > 0 {
+			suspects = append(suspects, part)
+		}
+	}
+	return suspects
+}
+
+// Verdicts returns the evidence for the requests and parts that are poisonous.
+func (r *Register) Verdicts(now time.Time) []Evidence {
+	var verdicts []Evidence
+	for fingerprint, deaths := range r.requests.byRequest {
+		for endpoint := range deaths {
+			if r.requests.Poisonous(fingerprint, now) {
+				verdicts = append(verdicts, Evidence{Fingerprint: fingerprint, Endpoint: endpoint})
+			}
+		}
+	}
+	for part, deaths := range r.parts.byRequest {
+		for endpoint := range deaths {
+			if r.parts.Poisonous(part, now) {
+				verdicts = append(verdicts, Evidence{Endpoint: endpoint, Parts: []string{part}})
+			}
+		}
+	}
+	return verdicts
+}
--- /dev/null
+++ b/internal/decision/poison/register_test.go
@@ -0,0 +1,83 @@
+package poison
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+// crash records that endpoints died as they began the answers to different requests with
+// the parts.
+func crash(r *Register, from, count int, parts ...string) {
+	for i := from; i < from+count; i++ {
+		r.Record(Evidence{Fingerprint: fmt.Sprint("f", i), Endpoint: fmt.Sprint("e", i), Parts: parts}, start)
+	}
+}
+
+func TestPartIsPoisonousAfterDeathsWithoutAnAnswer(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		record func(r *Register)
+		want   bool
+	}{
+		{"too few deaths", func(r *Register) { crash(r, 0, PartDeathLimit-1, "p") }, false},
+		{"enough deaths", func(r *Register) { crash(r, 0, PartDeathLimit, "p") }, true},
+		{"one death, reported often", func(r *Register) {
+			for range PartDeathLimit {
+				crash(r, 0, 1, "p")
+			}
+		}, false},
+		{"deaths of other parts", func(r *Register) { crash(r, 0, PartDeathLimit, "q") }, false},
+		{"an answer between", func(r *Register) {
+			crash(r, 0, PartDeathLimit-1, "p")
+			r.Record(Evidence{Parts: []string{"p"}}, start)
+			crash(r, 10, 1, "p")
+		}, false},
+		{"an answer to another part", func(r *Register) {
+			crash(r, 0, PartDeathLimit, "p", "q")
+			r.Record(Evidence{Parts: []string{"q"}}, start)
+		}, true},
+	} {
+		r := NewRegister()
+		tt.record(r)
+		if got := r.Poisonous("f", []string{"a", "p"}, start); got != tt.want {
+			t.Errorf("%s: poisonous %v, want %v", tt.name, got, tt.want)
+		}
+		if r.Poisonous("f", []string{"a"}, start) || r.Poisonous("f", nil, start) {
+			t.Errorf("%s: a request without the part is poisonous", tt.name)
+		}
+	}
+}
+
+// A host that keeps a new list learns from the others what is poisonous.
+func TestVerdictsRestoreARegister(t *testing.T) {
+	r, restored := NewRegister(), NewRegister()
+	crash(r, 0, PartDeathLimit, "p")
+	crash(r, 10, 1, "q")
+	r.Record(Evidence{Fingerprint: "f", Endpoint: "e1"}, start)
+	r.Record(Evidence{Fingerprint: "f", Endpoint: "e2"}, start)
+	for _, e := range r.Verdicts(start) {
+		restored.Record(e, start)
+	}
+	if !restored.Poisonous("", []string{"p"}, start) || !restored.Poisonous("f", nil, start) {
+		t.Error("a verdict is lost")
+	}
+	if restored.Poisonous("", []string{"q"}, start) {
+		t.Error("a suspected part is poisonous")
+	}
+}
+
+func TestSuspectsAreThePartsWithDeaths(t *testing.T) {
+	r := NewRegister()
+	crash(r, 0, 1, "p", "q")
+	if got := r.Suspects([]string{"a", "q"}); !slices.Equal(got, []string{"q"}) {
+		t.Errorf("got %q", got)
+	}
+	r.Record(Evidence{Parts: []string{"p", "q"}}, start)
+	if got := r.Suspects([]string{"a", "q"}); got != nil {
+		t.Errorf("after an answer: got %q", got)
+	}
+}
--- a/internal/gateway/admission/duty.go
+++ b/internal/gateway/admission/duty.go
@@ -89,20 +89,22 @@
 	// limitShards is the number of shards of the limits, coordinators the address
 	// of the host that keeps the ledger of each, empty for this host. A shard whose
 	// coordinator is not known yet is missing.
-	limitShards      int
-	coordinators     map[int]string
-	waiting          waitingRequests
-	retries          *retryBudgets
-	poisonMarks      *poison.Tracker
-	unreportedDeaths []poison.Death
-	deathsInReport   int // how many of them are in the report in progress
+	limitShards        int
+	coordinators       map[int]string
+	waiting            waitingRequests
+	retries            *retryBudgets
+	poisonMarks        *poison.Register
+	unreportedEvidence []poison.Evidence
+	evidenceInReport   int // how many of them are in the report in progress
+	// evidenceListID identifies the list that the last evidence of other hosts is from.
+	evidenceListID string
 }
 
 // New returns the duty.
 func New(config Config) *Duty {
 	return &Duty{
 		Config: config, inbox: ring.New[Message]("gateway_admission", inboxCapacity),
-		snapshot: &catalog.Snapshot{}, share: quota.NewAllocation(), poisonMarks: poison.NewTracker(),
+		snapshot: &catalog.Snapshot{}, share: quota.NewAllocation(), poisonMarks: poison.NewRegister(),
 		coordinators: map[int]string{}, retries: newRetryBudgets(config.RetryShare, config.RetryBurst),
 	}
 }
--- a/internal/gateway/admission/fleet.go
+++ b/internal/gateway/admission/fleet.go
@@ -9,16 +9,19 @@
 	"kingcupcourse/internal/ring"
 )
 
-// maxUnreportedDeaths bounds the endpoint deaths queued for the next report.
-const maxUnreportedDeaths = 256
+// maxUnreportedEvidence bounds the evidence queued for the next report.
+const maxUnreportedEvidence = 256
 
 // EndpointDied reports that an endpoint died while it ran a request.
-type EndpointDied struct{ poison.Death }
+type EndpointDied struct{ poison.Evidence }
 
-func (m EndpointDied) handle(d *Duty, now time.Time) {
-	d.poisonMarks.RecordDeath(m.Fingerprint, m.Endpoint, now)
-	if len(d.unreportedDeaths) < maxUnreportedDeaths {
-		d.unreportedDeaths = append(d.unreportedDeaths, m.Death)
+func (m EndpointDied) handle(d *Duty, now time.Time) { d.addEvidence(m.Evidence, now) }
+
+// addEvidence records what this host has observed, and keeps it for the next report.
+func (d *Duty) addEvidence(e poison.Evidence, now time.Time) {
+	d.poisonMarks.Record(e, now)
+	if len(d.unreportedEvidence) < maxUnreportedEvidence {
+		d.unreportedEvidence = append(d.unreportedEvidence, e)
 	}
 }
 
@@ -26,16 +29,28 @@
 type CheckPoison struct {
 	ring.Reply[bool]
 	Fingerprint string
+	// Parts are the parts of its prompt that other requests may share.
+	Parts []string
 }
 
 func (m CheckPoison) handle(d *Duty, now time.Time) {
-	m.Send(d.poisonMarks.Poisonous(m.Fingerprint, now))
+	m.Send(d.poisonMarks.Poisonous(m.Fingerprint, m.Parts, now))
+}
+
+// Answered reports that an endpoint has answered a prompt with the parts. Other hosts
+// learn of it if one of the parts is suspected.
+type Answered struct{ Parts []string }
+
+func (m Answered) handle(d *Duty, now time.Time) {
+	if suspects := d.poisonMarks.Suspects(m.Parts); len(suspects) > 0 {
+		d.addEvidence(poison.Evidence{Parts: suspects}, now)
+	}
 }
 
 // Succeeded reports that a request succeeded, which clears its fingerprint.
 type Succeeded struct{ Fingerprint string }
 
-func (m Succeeded) handle(d *Duty, _ time.Time) { d.poisonMarks.Clear(m.Fingerprint) }
+func (m Succeeded) handle(d *Duty, _ time.Time) { d.poisonMarks.ClearRequest(m.Fingerprint) }
 
 // AdmitAlone asks whether a request is admitted although the coordinator did not
 // answer whether its account's limit allows it.
@@ -51,7 +66,7 @@
 }
 
 // collectUsage asks for what to report to the coordinator of a shard of the
-// limits: the usage, and in shard 0 the deaths.
+// limits: the usage, and in shard 0 the evidence.
 type collectUsage struct {
 	ring.Reply[fleet.Usage]
 	shard, shards int
@@ -62,8 +77,8 @@
 		return fleet.ShardOfAccount(account, m.shards) == m.shard
 	})}
 	if m.shard == 0 {
-		d.deathsInReport = len(d.unreportedDeaths)
-		usage.Deaths = d.unreportedDeaths[:d.deathsInReport:d.deathsInReport]
+		d.evidenceInReport = len(d.unreportedEvidence)
+		usage.Evidence = d.unreportedEvidence[:d.evidenceInReport:d.evidenceInReport]
 	}
 	m.Send(usage)
 }
@@ -80,10 +95,14 @@
 	}
 	d.limitShards = m.Shards
 	d.retries.setHosts(m.Hosts)
-	for _, death := range m.Deaths {
-		d.poisonMarks.RecordDeath(death.Fingerprint, death.Endpoint, now)
+	for _, e := range m.Evidence {
+		d.poisonMarks.Record(e, now)
+	}
+	d.unreportedEvidence, d.evidenceInReport = d.unreportedEvidence[d.evidenceInReport:], 0
+	if m.EvidenceListID != d.evidenceListID { // a new list lacks what this host knows
+		d.evidenceListID = m.EvidenceListID
+		d.unreportedEvidence = append(d.unreportedEvidence, d.poisonMarks.Verdicts(now)...)
 	}
-	d.unreportedDeaths, d.deathsInReport = d.unreportedDeaths[d.deathsInReport:], 0
 }
 
 // CollectUsage implements fleet.Admission.
--- a/internal/gateway/callers/dispatch.go
+++ b/internal/gateway/callers/dispatch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -29,6 +31,7 @@
 	case err != nil && ctx.Err() != nil:
 		return attemptOutcome{result: core.ResultCancelled, reason: core.ReasonDeadlinePassed, detail: err.Error()}
 	case err != nil:
+		c.answerBegun = errors.Is(err, io.ErrUnexpectedEOF) // inside the header
 		return attemptOutcome{result: core.ResultLost, reason: core.ReasonEndpointFailed, detail: err.Error()}
 	}
 	defer response.Body.Close()
--- a/internal/gateway/callers/poison.go
+++ b/internal/gateway/callers/poison.go
@@ -31,12 +31,13 @@
 	return hex.EncodeToString(hash.Sum(nil))
 }
 
-// checkPoison refuses a request whose fingerprint is linked to endpoint deaths.
+// checkPoison refuses a request whose fingerprint, or a part of whose prompt, is linked
+// to endpoint deaths.
 func (c *call) checkPoison(ctx context.Context) *core.Refusal {
 	if !c.ticket.CheckPoison {
 		return nil
 	}
-	query := admission.CheckPoison{Reply: ring.NewReply[bool](), Fingerprint: c.fingerprint()}
+	query := admission.CheckPoison{Reply: ring.NewReply[bool](), Fingerprint: c.fingerprint(), Parts: c.request.SharedPromptParts}
 	if c.h.Admission.Put(ctx, query) != nil {
 		return c.endedBeforePlacement()
 	}
@@ -47,7 +48,9 @@
 }
 
 // reportDeath reports the endpoint to the admission duty if it died while it ran
-// the request, which a refused connection to its port shows.
+// the request, which a refused connection to its port shows. The parts of the prompt
+// are suspected only if the endpoint died as it began the answer: it had worked on
+// answers that have events, and on those that it had not begun, without dying.
 func (c *call) reportDeath(endpoint core.Endpoint) {
 	connection, err := net.DialTimeout("tcp", endpoint.Address, dialTimeout)
 	if err == nil {
@@ -60,7 +63,20 @@
 	c.h.Log.Warn("endpoint died", zap.String("endpoint", endpoint.Name), zap.String("request", c.request.ID),
 		zap.String("route", c.routeName()), zap.Strings("prompt_parts", c.request.SharedPromptParts),
 		zap.Bool("answer_begun", c.answerBegun), zap.Int("events", c.eventCount.Events))
-	c.sendToAdmission(admission.EndpointDied{Death: poison.Death{Fingerprint: c.fingerprint(), Endpoint: endpoint.Name}})
+	evidence := poison.Evidence{Fingerprint: c.fingerprint(), Endpoint: endpoint.Name}
+	if c.answerBegun && c.eventCount.Events == 0 {
+		evidence.Parts = c.request.SharedPromptParts
+	}
+	c.sendToAdmission(admission.EndpointDied{Evidence: evidence})
+	c.ticket.CheckPoison = true // before the next attempt
+}
+
+// reportAnswered reports the first event of an answer, which clears the parts of its
+// prompt of suspicion.
+func (c *call) reportAnswered() {
+	if c.ticket.CheckPoison && len(c.request.SharedPromptParts) > 0 {
+		c.sendToAdmission(admission.Answered{Parts: c.request.SharedPromptParts})
+	}
 }
 
 // sendToAdmission puts a message in the admission duty's ring, even if the caller
--- a/internal/gateway/callers/response.go
+++ b/internal/gateway/callers/response.go
@@ -112,7 +112,10 @@
 // writePart writes a part of a response to the caller and flushes it.
 func (c *call) writePart(response *http.Response, part []byte) error {
 	c.recordFirstPart()
-	c.eventCount.Add(part)
+	events := c.eventCount.Events
+	if c.eventCount.Add(part); events == 0 && c.eventCount.Events > 0 {
+		c.reportAnswered()
+	}
 	c.writeHeader(response)
 	if _, err := c.w.Write(part); err != nil {
 		return err
--- a/internal/gateway/fleet/ledger.go
+++ b/internal/gateway/fleet/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -18,8 +19,8 @@
 	// inboxCapacity bounds the queued reports. Each host has at most one in
 	// flight.
 	inboxCapacity = 256
-	// maxListedDeaths bounds the list of endpoint deaths.
-	maxListedDeaths = 1024
+	// maxListedEvidence bounds the list of evidence about requests.
+	maxListedEvidence = 1024
 )
 
 // errHostsUnknown is the error of a ledger that does not know yet between which hosts
@@ -43,11 +44,11 @@
 	limits    map[string]quota.Limit
 	names     []string
 	heldMoves map[string]moves.Constraints
-	// listID identifies the death list of this run of the process. deaths holds
-	// the newest entries of the list, droppedDeaths counts the dropped ones.
-	listID        string
-	deaths        []poison.Death
-	droppedDeaths int
+	// listID identifies the list of evidence of this run of the process. evidence holds
+	// the newest entries of the list, droppedEvidence counts the dropped ones.
+	listID          string
+	evidence        []poison.Evidence
+	droppedEvidence int
 }
 
 func newLedger(c Config, hosts Hosts) *ledger {
@@ -121,24 +122,24 @@
 	}
 	response := ReportResponse{Grants: l.shard(m.report.Shard).Report(m.report.Host, m.report.Elapsed, m.report.Uses, now)}
 	if m.report.Shard == 0 {
-		l.exchangeDeaths(m.report, &response)
+		l.exchangeEvidence(m.report, &response)
 		l.forwardOutcomes(m.report.Outcomes)
 		response.Moves = l.heldMoves
 	}
 	m.Send(response)
 }
 
-// exchangeDeaths adds the reported deaths to the list, and the deaths that the
+// exchangeEvidence adds the reported evidence to the list, and the evidence that the
 // host does not know to the response.
-func (l *ledger) exchangeDeaths(report Report, response *ReportResponse) {
-	l.addDeaths(report.Deaths)
-	response.DeathListID, response.KnownDeaths = l.listID, l.droppedDeaths+len(l.deaths)
+func (l *ledger) exchangeEvidence(report Report, response *ReportResponse) {
+	l.addEvidence(report.Evidence)
+	response.EvidenceListID, response.KnownEvidence = l.listID, l.droppedEvidence+len(l.evidence)
 	known := 0
-	if report.DeathListID == l.listID {
-		known = max(0, report.KnownDeaths-l.droppedDeaths)
+	if report.EvidenceListID == l.listID {
+		known = max(0, report.KnownEvidence-l.droppedEvidence)
 	}
-	if known < len(l.deaths) {
-		response.Deaths = append(response.Deaths, l.deaths[known:]...)
+	if known < len(l.evidence) {
+		response.Evidence = append(response.Evidence, l.evidence[known:]...)
 	}
 }
 
@@ -150,9 +151,15 @@
 	}
 }
 
-func (l *ledger) addDeaths(deaths []poison.Death) {
-	l.deaths = append(l.deaths, deaths...)
-	if excess := len(l.deaths) - maxListedDeaths; excess > 0 {
-		l.deaths, l.droppedDeaths = append([]poison.Death(nil), l.deaths[excess:]...), l.droppedDeaths+excess
+// addEvidence adds evidence to the list. Several hosts may report the same death after
+// the list has moved here.
+func (l *ledger) addEvidence(reported []poison.Evidence) {
+	for _, e := range reported {
+		if e.Endpoint == "" || !slices.ContainsFunc(l.evidence, e.Equal) {
+			l.evidence = append(l.evidence, e)
+		}
+	}
+	if excess := len(l.evidence) - maxListedEvidence; excess > 0 {
+		l.evidence, l.droppedEvidence = append([]poison.Evidence(nil), l.evidence[excess:]...), l.droppedEvidence+excess
 	}
 }
--- a/internal/gateway/fleet/messages.go
+++ b/internal/gateway/fleet/messages.go
@@ -42,7 +42,7 @@
 }
 
 // Report is a host's usage report to the coordinator of a shard of the limits.
-// The reports of shard 0 also carry the deaths and outcomes.
+// The reports of shard 0 also carry evidence about requests and outcomes.
 type Report struct {
 	Host  string                 `json:"host"`
 	Shard int                    `json:"shard,omitempty"`
@@ -50,14 +50,14 @@
 	// Elapsed is the time that the report covers: since the host's previous report of
 	// the shard to any host.
 	Elapsed time.Duration `json:"elapsed_ns,omitempty"`
-	// Deaths are the endpoint deaths that this host has observed.
-	Deaths []poison.Death `json:"deaths,omitempty"`
-	// KnownDeaths is how many deaths of the coordinator's list the host has
+	// Evidence is what this host has observed of requests under which endpoints died.
+	Evidence []poison.Evidence `json:"deaths,omitempty"`
+	// KnownEvidence is how many entries of the coordinator's list the host has
 	// received.
-	KnownDeaths int `json:"known_deaths"`
-	// DeathListID identifies the death list that KnownDeaths refers to; each run
+	KnownEvidence int `json:"known_deaths"`
+	// EvidenceListID identifies the list that KnownEvidence refers to; each run
 	// of a process has its own.
-	DeathListID string `json:"list,omitempty"`
+	EvidenceListID string `json:"list,omitempty"`
 	// Outcomes are outcomes of requests for services that are being moved, which
 	// the host placed for others.
 	Outcomes []moves.Outcome `json:"outcomes,omitempty"`
@@ -66,20 +66,20 @@
 // ReportResponse is the coordinator's response to a report.
 type ReportResponse struct {
 	Grants map[string]quota.Grant `json:"grants"`
-	// Deaths are the deaths of all hosts that the reporting host has not received
+	// Evidence is the evidence of all hosts that the reporting host has not received
 	// yet.
-	Deaths      []poison.Death `json:"deaths,omitempty"`
-	KnownDeaths int            `json:"known_deaths"`
-	DeathListID string         `json:"list"`
+	Evidence       []poison.Evidence `json:"deaths,omitempty"`
+	KnownEvidence  int               `json:"known_deaths"`
+	EvidenceListID string            `json:"list"`
 	// Moves holds the constraints of the moves that the coordinator holds, by
 	// service.
 	Moves map[string]moves.Constraints `json:"moves,omitempty"`
 }
 
-// Usage is the usage and the deaths since the last report.
+// Usage is the usage and the evidence since the last report.
 type Usage struct {
-	Uses   map[string]quota.Usage
-	Deaths []poison.Death
+	Uses     map[string]quota.Usage
+	Evidence []poison.Evidence
 }
 
 // ReportResult is the result of a report for the admission duty.
@@ -87,7 +87,9 @@
 	// Shard is the shard of the limits that was reported, of Shards shards.
 	Shard, Shards int
 	Grants        map[string]quota.Grant
-	Deaths        []poison.Death
+	Evidence      []poison.Evidence
+	// EvidenceListID identifies the list that the evidence is from.
+	EvidenceListID string
 	// Hosts is the number of hosts in the fleet.
 	Hosts int
 	// Coordinator is the address of the host that keeps the shard's ledger, empty
--- a/internal/gateway/fleet/reporter.go
+++ b/internal/gateway/fleet/reporter.go
@@ -58,9 +58,9 @@
 	retryAt     map[string]time.Time // by host, until when it is skipped
 	coordinator fleet.Host
 	// reportedAt is the time of the last report that was answered.
-	reportedAt  time.Time
-	deathListID string
-	knownDeaths int
+	reportedAt     time.Time
+	evidenceListID string
+	knownEvidence  int
 }
 
 func newUsageReporter(c Config, shard int, hosts Hosts, local *ledger, client *http.Client) *usageReporter {
@@ -125,7 +125,7 @@
 		return err
 	}
 	now := time.Now()
-	report := Report{Host: r.self, Shard: r.shard, Uses: usage.Uses, Elapsed: r.elapsed(now), Deaths: usage.Deaths, KnownDeaths: r.knownDeaths, DeathListID: r.deathListID}
+	report := Report{Host: r.self, Shard: r.shard, Uses: usage.Uses, Elapsed: r.elapsed(now), Evidence: usage.Evidence, KnownEvidence: r.knownEvidence, EvidenceListID: r.evidenceListID}
 	if report.Outcomes, err = r.takeOutcomes(ctx); err != nil {
 		return err
 	}
@@ -134,11 +134,11 @@
 		return err
 	}
 	r.reportedAt = now
-	r.deathListID, r.knownDeaths = response.DeathListID, response.KnownDeaths
+	r.evidenceListID, r.knownEvidence = response.EvidenceListID, response.KnownEvidence
 	if err := r.applyMoves(ctx, response.Moves); err != nil {
 		return err
 	}
-	return r.admission.ApplyReport(ctx, ReportResult{Shard: r.shard, Shards: shards, Grants: response.Grants, Deaths: response.Deaths,
+	return r.admission.ApplyReport(ctx, ReportResult{Shard: r.shard, Shards: shards, Grants: response.Grants, Evidence: response.Evidence, EvidenceListID: response.EvidenceListID,
 		Hosts: len(r.order), Coordinator: r.coordinatorAddress()})
 }
 
