A stream that ends inside an event, or without one, is not whole

Cause: an endpoint may end a stream with its connection. Change: the end of a stream counts only between events; without length and chunks it needs one event at least. Ruled out: a header that breaks off (five places, three routes): the caller gets an error, before and after.

--- a/internal/gateway/callers/response.go
+++ b/internal/gateway/callers/response.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/gateway/frontend"
 	"kingcupcourse/internal/gateway/placement"
@@ -45,12 +47,34 @@
 	return attemptOutcome{result: result, delivered: true, detail: errorDetail(err)}
 }
 
-// relayStream relays a response as it arrives.
+// relayStream relays a stream of events as it arrives.
 func (c *call) relayStream(ctx context.Context, response *http.Response) attemptOutcome {
+	relay := c.relayRaw
 	if c.ticket.Route.Resumable {
-		return c.relayEvents(ctx, response)
+		relay = c.relayEvents
+	}
+	outcome := relay(ctx, response)
+	switch {
+	case outcome.result != core.ResultOK:
+		return outcome
+	case c.eventCount.InEvent():
+		return c.incompleteResponse(ctx, errInsideEvent)
+	case endsWithConnection(response) && c.eventCount.Events == 0:
+		return c.incompleteResponse(ctx, errNoEvent)
 	}
-	return c.relayRaw(ctx, response)
+	c.writeHeader(response)
+	return outcome
+}
+
+var (
+	errInsideEvent = eris.New("the stream ended inside an event")
+	errNoEvent     = eris.New("the stream ended with its connection before its first event")
+)
+
+// endsWithConnection reports whether only the end of its connection shows that a
+// response is complete.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
 // relayRaw relays a response without parsing it.
@@ -99,7 +123,6 @@
 	if !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
 		return c.incompleteResponse(ctx, err)
 	}
-	c.writeHeader(response)
 	return attemptOutcome{result: core.ResultOK, delivered: true}
 }
 
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -87,6 +87,9 @@
 	inLine, inEvent bool
 }
 
+// InEvent reports whether the stream is inside an event that is not complete.
+func (c *Counter) InEvent() bool { return c.inEvent }
+
 // Add counts the events that end in the next chunk.
 func (c *Counter) Add(chunk []byte) {
 	for _, b := range chunk {
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -16,8 +16,8 @@
 			counter.Add(rest[:n])
 			rest = rest[n:]
 		}
-		if counter.Events != 3 {
-			t.Fatalf("%d events, want 3", counter.Events)
+		if counter.Events != 3 || !counter.InEvent() {
+			t.Fatalf("%d events, inside an event: %v, want 3 and inside the fourth", counter.Events, counter.InEvent())
 		}
 	})
 }
