One odd entry does not keep hosts from following the endpoints

Change: values below 200 levels of an answer of the store are read as null, so that only their entry is invalid. Ruled out: numbers too large and ports out of range: the entry alone is ignored, before and after.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -245,5 +245,5 @@
 	if err != nil {
 		return nil, c.transportError(call.Method, err)
 	}
-	return body, nil
+	return limitDepth(body), nil
 }
