Requests that come late in a planned stop are refused, not cut

Change: after the drain delay a host refuses a request whose deadline is later than the end of its grace period: not run, and another host can serve it at once. The process tells since when it drains, in place of whether it does. Ruled out: refusing all requests from the drain delay on (short ones are answered in time).

--- a/internal/gateway/callers/admit.go
+++ b/internal/gateway/callers/admit.go
@@ -23,6 +23,9 @@
 // not respond.
 const coordinatorRetryAfter = 200 * time.Millisecond
 
+// stopRetryAfter is the retry delay for a request that another host can serve at once.
+const stopRetryAfter = 10 * time.Millisecond
+
 // call is the state of one caller's request.
 type call struct {
 	h        *Handler
@@ -86,6 +89,9 @@
 	if c.ticket = ticket; ticket.Refusal != nil {
 		return ticket.Refusal
 	}
+	if c.h.Stop.cuts(c.received, c.ticket.Deadline) {
+		return core.RefuseWithRetry(core.ReasonDraining, "this host stops before the request's deadline", stopRetryAfter)
+	}
 	if refusal := c.acquireQuota(ctx); refusal != nil {
 		return refusal
 	}
--- a/internal/gateway/callers/handler.go
+++ b/internal/gateway/callers/handler.go
@@ -33,9 +33,24 @@
 	EndpointSaid func(context.Context, placement.EndpointSaid)
 	// AcquireQuota asks the coordinator for quota for a request.
 	AcquireQuota func(context.Context, fleet.AcquireRequest) (fleet.AcquireResponse, error)
-	// Draining reports whether the process is shutting down.
-	Draining func() bool
-	Log      *zap.Logger
+	Stop         Stop
+	Log          *zap.Logger
+}
+
+// Stop describes the planned stop of the host.
+type Stop struct {
+	// DrainingSince returns when the host began to drain, zero before.
+	DrainingSince func() time.Time
+	// DrainDelay is the time from then on in which the balancer learns to send
+	// requests elsewhere. After CutAfter the requests in progress are cut.
+	DrainDelay, CutAfter time.Duration
+}
+
+// cuts reports whether a request that arrived late in the stop may be cut before it has
+// its answer.
+func (s Stop) cuts(received, deadline time.Time) bool {
+	since := s.DrainingSince()
+	return !since.IsZero() && received.After(since.Add(s.DrainDelay)) && deadline.After(since.Add(s.CutAfter))
 }
 
 // Handler serves callers.
@@ -52,7 +67,7 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{h: h, w: w, r: r, received: time.Now()}
-	if h.Draining() {
+	if !h.Stop.DrainingSince().IsZero() {
 		w.Header().Set("Connection", "close")
 	}
 	if refusal := c.admit(r.Context()); refusal != nil {
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"kingcupcourse/internal/gateway/admission"
 	"kingcupcourse/internal/ring"
@@ -11,13 +12,14 @@
 // readiness serves the load balancer's readiness probe.
 type readiness struct {
 	admission *ring.Ring[admission.Message]
-	draining  func() bool
+	// drainingSince returns when the host began to drain, zero before.
+	drainingSince func() time.Time
 }
 
 // ServeHTTP implements http.Handler. It responds with status 200, or with 503
 // and the reason.
 func (h *readiness) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if h.draining() {
+	if !h.drainingSince().IsZero() {
 		http.Error(w, "draining", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -86,7 +86,8 @@
 	handler := callers.NewHandler(callers.Config{
 		Host: s.Host, Protocol: adapter.Protocol, Admission: admissionDuty.Inbox(), Place: placementClient.Place, Reports: reporter.Inbox(),
 		EndpointSaid: placementClient.EndpointSaid,
-		AcquireQuota: fleetTree.Acquire, Draining: env.Draining, Log: env.Log,
+		AcquireQuota: fleetTree.Acquire, Log: env.Log,
+		Stop: callers.Stop{DrainingSince: env.DrainingSince, DrainDelay: milliseconds(s.DrainDelayMS), CutAfter: milliseconds(s.GraceMS) - stopMargin},
 	})
 	peerListener, err := supervisor.Listen(s.Peers, newPeerMux(fleetTree, placementClient, mirrorDuties), listenerStopGrace)
 	if err != nil {
@@ -98,7 +99,7 @@
 		return nil, eris.Wrap(err, "listen for callers")
 	}
 	readinessMux := http.NewServeMux()
-	readinessMux.Handle("GET "+adapter.ReadyPath, &readiness{admission: admissionDuty.Inbox(), draining: env.Draining})
+	readinessMux.Handle("GET "+adapter.ReadyPath, &readiness{admission: admissionDuty.Inbox(), drainingSince: env.DrainingSince})
 	balancerListener, err := supervisor.Listen(s.Readiness, readinessMux, listenerStopGrace)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for the balancer")
--- a/internal/process/admin.go
+++ b/internal/process/admin.go
@@ -35,7 +35,7 @@
 // with 503 and the reason.
 func (t *processTree) serveReady(w http.ResponseWriter, env *Environment) {
 	switch {
-	case t.draining.Load():
+	case t.draining.Draining():
 		http.Error(w, "draining", http.StatusServiceUnavailable)
 	case !env.Control.Ready():
 		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
--- a/internal/process/drain.go
+++ b/internal/process/drain.go
@@ -45,7 +45,7 @@
 	case <-d.stopSignal.Done():
 	}
 	d.log.Info("draining", zap.Duration("delay", d.delay))
-	d.tree.draining.Store(true)
+	d.tree.draining.begin(time.Now())
 	if err := d.announceDraining(ctx); err != nil {
 		return err
 	}
--- a/internal/process/program.go
+++ b/internal/process/program.go
@@ -55,8 +55,9 @@
 // with.
 type ProgramEnvironment struct {
 	Log *zap.Logger
-	// Draining reports whether the process is draining after a stop signal.
-	Draining func() bool
+	// DrainingSince returns when the process began to drain after a stop signal, zero
+	// before.
+	DrainingSince func() time.Time
 }
 
 // MainProgram runs the program until SIGTERM or SIGINT and exits with its exit
@@ -93,7 +94,7 @@
 	treeCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	t := &processTree{stop: stop}
-	children, err := program.Build(ProgramEnvironment{Log: logger, Draining: t.draining.Load}, loaded)
+	children, err := program.Build(ProgramEnvironment{Log: logger, DrainingSince: t.draining.Since}, loaded)
 	if err != nil {
 		fmt.Fprintln(stderr, eris.ToString(err, false))
 		return ExitFailed
--- a/internal/process/supervisor.go
+++ b/internal/process/supervisor.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -32,7 +31,7 @@
 // processTree holds the root supervisor of a process and its drain state.
 type processTree struct {
 	root     *supervisor.Supervisor
-	draining atomic.Bool
+	draining drainState
 	// stop stops the tree after the drain delay.
 	stop context.CancelFunc
 }
@@ -106,7 +105,7 @@
 		Metrics:    registry,
 		Platform:   platform.New(common.Platform),
 		ControlMux: http.NewServeMux(),
-		Draining:   t.draining.Load,
+		Draining:   t.draining.Draining,
 	}
 	env.Control = control.New(control.Options{
 		Settings: common,
