A part of prompts that was answered lately is not blamed for deaths

Cause: found by reading the change before: three endpoints that die at once of another cause as they begin answers to one class of requests would have the part that the class shares refused for ten minutes. Change: each host remembers for a minute which parts were answered, and does not refuse those. Answers are told to the admission duty always, not only after a death. Ruled out: a request now and then to try a refused part (each ends an endpoint). Measured: TestPartThatWasAnsweredBeforeIsNotBlamed passes; it was not run on the code before, which has no such memory.

--- a/internal/decision/poison/register.go
+++ b/internal/decision/poison/register.go
@@ -31,11 +31,12 @@
 // Register holds the evidence about requests and about the parts of their prompts.
 type Register struct {
 	requests, parts *Tracker
+	answered        answeredParts
 }
 
 // NewRegister returns a register without evidence.
 func NewRegister() *Register {
-	return &Register{requests: NewTracker(), parts: newTracker(PartDeathLimit)}
+	return &Register{requests: NewTracker(), parts: newTracker(PartDeathLimit), answered: newAnsweredParts()}
 }
 
 // Record adds evidence. An answer clears the parts of its prompt: a part that crashes
@@ -44,6 +45,7 @@
 	if e.Endpoint == "" {
 		for _, part := range e.Parts {
 			r.parts.Clear(part)
+			r.answered.add(part, now)
 		}
 		return
 	}
@@ -62,10 +64,15 @@
 func (r *Register) ClearRequest(fingerprint string) { r.requests.Clear(fingerprint) }
 
 // Poisonous reports whether too many endpoints have died running the request, or
-// requests that share a part of its prompt.
+// requests that share a part of its prompt. Several endpoints may die at once of another
+// cause, so a part that was answered lately is not blamed.
 func (r *Register) Poisonous(fingerprint string, parts []string, now time.Time) bool {
 	return r.requests.Poisonous(fingerprint, now) ||
-		slices.ContainsFunc(parts, func(part string) bool { return r.parts.Poisonous(part, now) })
+		slices.ContainsFunc(parts, func(part string) bool { return r.isPartPoisonous(part, now) })
+}
+
+func (r *Register) isPartPoisonous(part string, now time.Time) bool {
+	return r.parts.Poisonous(part, now) && !r.answered.lately(part, now)
 }
 
 // Suspects returns those parts for which deaths are recorded.
@@ -91,7 +98,7 @@
 	}
 	for part, deaths := range r.parts.byRequest {
 		for endpoint := range deaths {
-			if r.parts.Poisonous(part, now) {
+			if r.isPartPoisonous(part, now) {
 				verdicts = append(verdicts, Evidence{Endpoint: endpoint, Parts: []string{part}})
 			}
 		}
--- a/internal/decision/poison/register_test.go
+++ b/internal/decision/poison/register_test.go
@@ -52,6 +52,33 @@
 	}
 }
 
+// Guards against refusing a class of requests that share a part, after several endpoints
+// died at once as they began answers to it. Nothing would clear the part again.
+func TestPartThatWasAnsweredBeforeIsNotBlamed(t *testing.T) {
+	r := NewRegister()
+	r.Record(Evidence{Parts: []string{"p"}}, start)
+	crash(r, 0, PartDeathLimit, "p")
+	if r.Poisonous("f", []string{"p"}, start.Add(time.Second)) {
+		t.Error("the part is refused")
+	}
+	if !r.Poisonous("f", []string{"p"}, start.Add(answeredMemory)) {
+		t.Error("a part that was not answered for long is not refused")
+	}
+}
+
+func TestAnsweredPartsAreBounded(t *testing.T) {
+	a := newAnsweredParts()
+	for i := range 5 * maxAnswered {
+		a.add(fmt.Sprint(i), start)
+	}
+	if len(a.current)+len(a.previous) > 2*maxAnswered {
+		t.Errorf("%d parts are kept", len(a.current)+len(a.previous))
+	}
+	if !a.lately(fmt.Sprint(5*maxAnswered-1), start) || a.lately("0", start) {
+		t.Error("the newest part is not known, or the oldest is")
+	}
+}
+
 // A host that keeps a new list learns from the others what is poisonous.
 func TestVerdictsRestoreARegister(t *testing.T) {
 	r, restored := NewRegister(), NewRegister()
--- a/internal/gateway/admission/fleet.go
+++ b/internal/gateway/admission/fleet.go
@@ -45,6 +45,7 @@
 	if suspects := d.poisonMarks.Suspects(m.Parts); len(suspects) > 0 {
 		d.addEvidence(poison.Evidence{Parts: suspects}, now)
 	}
+	d.poisonMarks.Record(poison.Evidence{Parts: m.Parts}, now)
 }
 
 // Succeeded reports that a request succeeded, which clears its fingerprint.
--- a/internal/gateway/callers/poison.go
+++ b/internal/gateway/callers/poison.go
@@ -74,7 +74,7 @@
 // reportAnswered reports the first event of an answer, which clears the parts of its
 // prompt of suspicion.
 func (c *call) reportAnswered() {
-	if c.ticket.CheckPoison && len(c.request.SharedPromptParts) > 0 {
+	if len(c.request.SharedPromptParts) > 0 {
 		c.sendToAdmission(admission.Answered{Parts: c.request.SharedPromptParts})
 	}
 }
