--- a/internal/decision/canary/monitor.go
+++ b/internal/decision/canary/monitor.go
@@ -183,8 +183,9 @@
 	r.update(KindError, o.Failed, r.baseline.errorRate(m.settings.BaseErrorRate), m.settings.ErrorRateIncrease)
 }
 
-// updateTimes compares a time with the baseline's, which the candidate took in a
-// period. Without enough baseline observations the time is evidence neither way.
+// updateTimes compares a time of the candidate with the baseline's. The time was
+// measured during the given period. Without enough baseline observations it is
+// evidence neither way.
 func (m *Monitor) updateTimes(r *route, key pauseKey, took time.Duration, o Observation, during period) {
 	slow, ok := m.isSlow(r, key.kind, took, o.Load)
 	if !ok {
