A host's copy of the store keeps one value of each object

Cause: the log of a copy, from which other hosts learn what they lack, held up to 1,024 changes with their values. Under a prefix with one large object these were 1,024 old versions of the configuration.

Evidence: 100 configurations of 227 KB, each applied before the next, left 23.3 MB more on the heap, one encoded configuration a change. In a heap profile 22.7 of 24.3 MB came from the raw values of watched changes. Ruled out by the same run: decoded configurations, updates that wait, garbage.

Change: the log names the changed objects, the copy holds one value of each. A copy that lacks changes gets the latest of each object, which is all that it needs. Memory is that of the objects, whatever the changes.

--- a/internal/decision/mirror/replica.go
+++ b/internal/decision/mirror/replica.go
@@ -17,31 +17,47 @@
 	// Version is the store's revision at the object's last change.
 	Version uint64
 	Deleted bool
-	Value   T
+	// Value is the zero value if the object was deleted.
+	Value T
 }
 
 // Replica is a copy of the objects under one prefix as of a revision of the
-// store, with the latest changes that led to it. The zero value is not usable;
-// see NewReplica.
+// store. It knows which objects changed lately, so that it can tell another copy
+// what that lacks. It keeps one value of each object, whatever the number of
+// changes. The zero value is not usable; see NewReplica.
 type Replica[T any] struct {
 	listed   bool
 	revision uint64
 	// lastChange is the highest version of an object that the copy has seen.
 	lastChange uint64
-	objects    map[string]Change[T]
-	// log holds the changes after the revision logStart, in their order.
-	log      []loggedChange[T]
+	// objects holds the objects, and the deletions that are in the log.
+	objects map[string]entry[T]
+	// log names the objects that changed after the revision logStart, in the order
+	// of the changes. An object is named once for each change.
+	log      []loggedChange
 	logStart uint64
+	// changes counts the changes that were logged.
+	changes uint64
 }
 
-type loggedChange[T any] struct {
+// entry is the latest state of an object.
+type entry[T any] struct {
 	Change[T]
+	// number is that of the logged change that led to the state, zero for none.
+	number uint64
+}
+
+// loggedChange is a change in the log. Its number tells it from other changes of the
+// object.
+type loggedChange struct {
+	key    string
+	number uint64
 	// revision is that of the copy after the change.
 	revision uint64
 }
 
 // NewReplica returns a replica without a list of the objects.
-func NewReplica[T any]() *Replica[T] { return &Replica[T]{objects: map[string]Change[T]{}} }
+func NewReplica[T any]() *Replica[T] { return &Replica[T]{objects: map[string]entry[T]{}} }
 
 // Listed reports whether the replica has a list of the objects.
 func (r *Replica[T]) Listed() bool { return r.listed }
@@ -63,7 +79,7 @@
 	r.log, r.logStart = nil, revision
 	clear(r.objects)
 	for _, object := range all {
-		r.objects[object.Key] = object
+		r.objects[object.Key] = entry[T]{Change: object}
 		r.lastChange = max(r.lastChange, object.Version)
 	}
 	return true
@@ -79,18 +95,18 @@
 	for _, change := range changes {
 		r.lastChange = max(r.lastChange, change.Version)
 		if change.Deleted {
-			delete(r.objects, change.Key)
-		} else {
-			r.objects[change.Key] = change
+			change = Change[T]{Key: change.Key, Version: change.Version, Deleted: true}
 		}
-		r.log = append(r.log, loggedChange[T]{change, revision})
+		r.changes++
+		r.objects[change.Key] = entry[T]{change, r.changes}
+		r.log = append(r.log, loggedChange{change.Key, r.changes, revision})
 	}
 	r.trimLog()
 	return true
 }
 
 // trimLog drops the oldest changes beyond the bound, all those of a revision
-// together.
+// together, and the deletions that only these changes named.
 func (r *Replica[T]) trimLog() {
 	dropped := len(r.log) - maxLoggedChanges
 	if dropped <= 0 {
@@ -99,8 +115,13 @@
 	for dropped < len(r.log) && r.log[dropped].revision == r.log[dropped-1].revision {
 		dropped++
 	}
+	for _, logged := range r.log[:dropped] {
+		if object := r.objects[logged.key]; object.Deleted && object.number == logged.number {
+			delete(r.objects, logged.key)
+		}
+	}
 	r.logStart = r.log[dropped-1].revision
-	r.log = append([]loggedChange[T](nil), r.log[dropped:]...)
+	r.log = append([]loggedChange(nil), r.log[dropped:]...)
 }
 
 // HasNews reports whether a copy as of the revision lacks something. A copy that
@@ -112,21 +133,23 @@
 	return !listed || revision < r.logStart || (len(r.log) > 0 && r.log[len(r.log)-1].revision > revision)
 }
 
-// Since returns what a copy as of the revision lacks: changes, or all objects if
-// full is set.
+// Since returns what a copy as of the revision lacks: the latest change of each
+// object that changed, in the order of the changes, or all objects if full is set.
 func (r *Replica[T]) Since(listed bool, revision uint64) (changes []Change[T], full bool) {
 	if !r.HasNews(listed, revision) {
 		return nil, false
 	}
 	if !listed || revision < r.logStart {
-		for change := range maps.Values(r.objects) {
-			changes = append(changes, change)
+		for object := range maps.Values(r.objects) {
+			if !object.Deleted {
+				changes = append(changes, object.Change)
+			}
 		}
 		return changes, true
 	}
-	for _, change := range r.log {
-		if change.revision > revision {
-			changes = append(changes, change.Change)
+	for _, logged := range r.log {
+		if object := r.objects[logged.key]; logged.revision > revision && object.number == logged.number {
+			changes = append(changes, object.Change)
 		}
 	}
 	return changes, false
--- a/internal/decision/mirror/replica_test.go
+++ b/internal/decision/mirror/replica_test.go
@@ -1,9 +1,12 @@
 package mirror
 
 import (
+	"fmt"
 	"maps"
+	"runtime"
 	"slices"
 	"testing"
+	"weak"
 
 	"pgregory.net/rapid"
 )
@@ -30,8 +33,10 @@
 
 func contents(r *Replica[int]) map[string]int {
 	values := map[string]int{}
-	for key, change := range r.objects {
-		values[key] = change.Value
+	for key, object := range r.objects {
+		if !object.Deleted {
+			values[key] = object.Value
+		}
 	}
 	return values
 }
@@ -88,20 +93,78 @@
 	})
 }
 
-// A copy that lacks more changes than are logged gets all objects.
+// A copy that lacks more changes than are logged gets all objects, one that lacks
+// fewer gets the latest change of each changed object, in the order of the changes.
 func TestReplicaSendsAllObjectsBeyondItsLog(t *testing.T) {
 	s, r := &store{}, NewReplica[int]()
 	r.Replace(nil, 0)
-	for range maxLoggedChanges + 10 {
+	for i := range maxLoggedChanges + 10 {
 		revision := s.revision()
-		s.history = append(s.history, Change[int]{Key: "a", Version: revision + 1, Value: int(revision)})
+		s.history = append(s.history, Change[int]{Key: string(rune('a' + i%4)), Version: revision + 1, Value: int(revision)})
 		r.Apply(s.between(revision, revision+1), revision, revision+1)
 	}
-	if changes, full := r.Since(true, 5); !full || len(changes) != 1 {
-		t.Errorf("%d changes, full %v, want the only object", len(changes), full)
+	if changes, full := r.Since(true, 5); !full || len(changes) != 4 {
+		t.Errorf("%d changes, full %v, want the 4 objects", len(changes), full)
+	}
+	for lacking, want := range map[uint64][]Change[int]{3: s.history[len(s.history)-3:], 7: s.history[len(s.history)-4:]} {
+		if changes, full := r.Since(true, r.Revision()-lacking); full || !slices.Equal(changes, want) {
+			t.Errorf("lacking %d changes: %v, full %v, want %v", lacking, changes, full, want)
+		}
+	}
+}
+
+// Guards against copies that grow with each change: the log kept up to 1,024 old
+// values of one large object, until hosts were killed for their memory.
+func TestReplicaKeepsOneValueOfEachObject(t *testing.T) {
+	type value [4096]byte
+	r := NewReplica[*value]()
+	r.Replace(nil, 0)
+	var values []weak.Pointer[value]
+	for i := range uint64(3 * maxLoggedChanges) {
+		v := &value{}
+		values = append(values, weak.Make(v))
+		r.Apply([]Change[*value]{{Key: fmt.Sprint("key-", i%3), Version: i + 1, Value: v}}, i, i+1)
+	}
+	if kept := countReachable(values); kept != 3 {
+		t.Errorf("%d values are kept of 3 objects", kept)
+	}
+	for i := range uint64(3) {
+		revision := r.Revision()
+		r.Apply([]Change[*value]{{Key: fmt.Sprint("key-", i), Version: revision + 1, Deleted: true, Value: &value{}}}, revision, revision+1)
+	}
+	if kept := countReachable(values); kept != 0 {
+		t.Errorf("%d values are kept of deleted objects", kept)
+	}
+	if changes, full := r.Since(true, r.Revision()-3); full || len(changes) != 3 || !changes[0].Deleted || changes[0].Value != nil {
+		t.Errorf("%v, full %v, want 3 deletions without values", changes, full)
+	}
+	runtime.KeepAlive(r)
+}
+
+func countReachable[T any](pointers []weak.Pointer[T]) (count int) {
+	runtime.GC()
+	for _, p := range pointers {
+		if p.Value() != nil {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against copies that grow with each object that comes and goes, as the
+// entries of endpoints do: a deletion is known as long as it is in the log.
+func TestReplicaForgetsDeletedObjects(t *testing.T) {
+	r := NewReplica[int]()
+	r.Replace(nil, 0)
+	for i := range uint64(2 * maxLoggedChanges) {
+		key := fmt.Sprint("key-", i/2)
+		r.Apply([]Change[int]{{Key: key, Version: i + 1, Deleted: i%2 == 1}}, i, i+1)
+	}
+	if len(r.objects) > maxLoggedChanges || len(r.log) > maxLoggedChanges {
+		t.Errorf("%d objects and %d changes are known, none of %d objects exists", len(r.objects), len(r.log), maxLoggedChanges)
 	}
-	if changes, full := r.Since(true, r.Revision()-3); full || len(changes) != 3 {
-		t.Errorf("%d changes, full %v, want the last 3", len(changes), full)
+	if changes, full := r.Since(true, 3); !full || len(changes) != 0 {
+		t.Errorf("%v, full %v, want no objects", changes, full)
 	}
 }
 
--- a/internal/gateway/mirror/keeper.go
+++ b/internal/gateway/mirror/keeper.go
@@ -130,6 +130,7 @@
 func (k *keeper) deliver(ctx context.Context) error {
 	for len(k.undelivered) > 0 {
 		next := k.undelivered[0]
+		k.undelivered[0] = delivery{} // the array behind the slice keeps no update
 		k.undelivered = k.undelivered[1:]
 		if err := next.to.deliver(ctx, next.update); err != nil {
 			return err
--- a/internal/gateway/mirror/messages.go
+++ b/internal/gateway/mirror/messages.go
@@ -61,9 +61,8 @@
 func toMessage(changes []change) []object {
 	objects := make([]object, 0, len(changes))
 	for _, c := range changes {
-		o := c.Value
-		objects = append(objects, object{Key: o.Key, Version: o.Version, Created: o.Created, Deleted: o.Deleted, Value: o.Value,
-			Status: o.Status})
+		objects = append(objects, object{Key: c.Key, Version: c.Version, Created: c.Value.Created, Deleted: c.Deleted,
+			Value: c.Value.Value, Status: c.Value.Status})
 	}
 	return objects
 }
