Limits: a ledger is that of a shard of one division

Cause: 16 hosts divide the limits into two shards, 15 into one. A report named the shard's number alone. The ledger of a host with the old list took all accounts for those of shard 0 and earned the time of all 16 hosts for each of them, while the ledger of shard 1 earned it once more.

Change: reports and quota requests name the shard with the number of shards of the sender's division, and a host keeps a ledger for each that is in use, with the accounts of that division. It earns the time of the hosts that use it, so that all ledgers together earn the limit once. Reports after a change of division cover no earlier time: a shard that came back earned the time in which its accounts had been in another ledger. Hosts change the division once all its coordinators are known, so that no request is refused meanwhile.

--- a/internal/gateway/admission/duty.go
+++ b/internal/gateway/admission/duty.go
@@ -82,15 +82,11 @@
 // Duty implements supervisor.Duty.
 type Duty struct {
 	Config
-	inbox    *ring.Ring[Message]
-	snapshot *catalog.Snapshot
-	limits   map[string]quota.Limit
-	share    *quota.Allocation
-	// limitShards is the number of shards of the limits, coordinators the address
-	// of the host that keeps the ledger of each, empty for this host. A shard whose
-	// coordinator is not known yet is missing.
-	limitShards        int
-	coordinators       map[int]string
+	inbox              *ring.Ring[Message]
+	snapshot           *catalog.Snapshot
+	limits             map[string]quota.Limit
+	share              *quota.Allocation
+	coordinators       coordinators
 	waiting            waitingRequests
 	retries            *retryBudgets
 	poisonMarks        *poison.Register
@@ -105,7 +101,7 @@
 	return &Duty{
 		Config: config, inbox: ring.New[Message]("gateway_admission", inboxCapacity),
 		snapshot: &catalog.Snapshot{}, share: quota.NewAllocation(), poisonMarks: poison.NewRegister(),
-		coordinators: map[int]string{}, retries: newRetryBudgets(config.RetryShare, config.RetryBurst),
+		retries: newRetryBudgets(config.RetryShare, config.RetryBurst),
 	}
 }
 
@@ -140,7 +136,7 @@
 }
 
 // The number of shards is known with the first answered report of usage.
-func (m Ready) handle(d *Duty, _ time.Time) { m.Send(d.snapshot.Ready() && d.limitShards > 0) }
+func (m Ready) handle(d *Duty, _ time.Time) { m.Send(d.snapshot.Ready() && d.coordinators.known()) }
 
 func (m Admit) handle(d *Duty, now time.Time) {
 	ticket := d.admit(m, now)
@@ -197,8 +193,7 @@
 	if !limited {
 		return
 	}
-	shard := fleet.ShardOfAccount(account.Name, d.limitShards)
-	coordinator, known := d.coordinators[shard]
+	shard, coordinator, known := d.coordinators.of(account.Name)
 	if !known {
 		ticket.Refusal = core.RefuseWithRetry(core.ReasonNotReady, "the coordinator of the account's limit is not known yet", notReadyRetryAfter)
 		return
@@ -209,7 +204,7 @@
 	case quota.OverLimit:
 		ticket.Refusal = core.RefuseWithRetry(core.ReasonRateLimited, "the account is above its limit", retryAfter)
 	case quota.AskCoordinator:
-		ticket.Acquire = &fleet.AcquireRequest{Shard: shard, Account: account.Name, Units: cost, Coordinator: coordinator}
+		ticket.Acquire = &fleet.AcquireRequest{LimitShard: shard, Account: account.Name, Units: cost, Coordinator: coordinator}
 	}
 }
 
--- a/internal/gateway/admission/fleet.go
+++ b/internal/gateway/admission/fleet.go
@@ -70,14 +70,12 @@
 // limits: the usage, and in shard 0 the evidence.
 type collectUsage struct {
 	ring.Reply[fleet.Usage]
-	shard, shards int
+	fleet.LimitShard
 }
 
 func (m collectUsage) handle(d *Duty, _ time.Time) {
-	usage := fleet.Usage{Uses: d.share.Report(func(account string) bool {
-		return fleet.ShardOfAccount(account, m.shards) == m.shard
-	})}
-	if m.shard == 0 {
+	usage := fleet.Usage{Uses: d.share.Report(m.Holds)}
+	if m.Shard == 0 {
 		d.evidenceInReport = len(d.unreportedEvidence)
 		usage.Evidence = d.unreportedEvidence[:d.evidenceInReport:d.evidenceInReport]
 	}
@@ -89,12 +87,11 @@
 
 func (m applyResult) handle(d *Duty, now time.Time) {
 	d.share.ApplyGrants(m.Grants, now)
-	d.coordinators[m.Shard] = m.Coordinator
+	d.coordinators.set(m.LimitShard, m.Coordinator)
 	defer d.releaseWaiting(now)
 	if m.Shard != 0 {
 		return
 	}
-	d.limitShards = m.Shards
 	d.retries.setHosts(m.Hosts)
 	for _, e := range m.Evidence {
 		d.poisonMarks.Record(e, now)
@@ -107,8 +104,8 @@
 }
 
 // CollectUsage implements fleet.Admission.
-func (d *Duty) CollectUsage(ctx context.Context, shard, shards int) (fleet.Usage, error) {
-	m := collectUsage{Reply: ring.NewReply[fleet.Usage](), shard: shard, shards: shards}
+func (d *Duty) CollectUsage(ctx context.Context, shard fleet.LimitShard) (fleet.Usage, error) {
+	m := collectUsage{Reply: ring.NewReply[fleet.Usage](), LimitShard: shard}
 	if err := d.inbox.Put(ctx, m); err != nil {
 		return fleet.Usage{}, err
 	}
--- a/internal/gateway/fleet/ledger.go
+++ b/internal/gateway/fleet/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -21,11 +22,18 @@
 	inboxCapacity = 256
 	// maxListedEvidence bounds the list of evidence about requests.
 	maxListedEvidence = 1024
+	// maxLedgerIdleTime is how long a ledger is kept that no host uses. Hosts change
+	// the division when the fleet grows or shrinks.
+	maxLedgerIdleTime = time.Minute
 )
 
-// errHostsUnknown is the error of a ledger that does not know yet between which hosts
-// it divides the limits.
-var errHostsUnknown = eris.New("the hosts of the fleet are not known yet")
+var (
+	// errHostsUnknown is the error of a ledger that does not know yet between which
+	// hosts it divides the limits.
+	errHostsUnknown = eris.New("the hosts of the fleet are not known yet")
+	// errNoSuchShard is the error of a message about a shard that no division has.
+	errNoSuchShard = eris.New("no such shard of the limits")
+)
 
 // ledger is the duty that accounts for the limits across all hosts that report
 // to this one.
@@ -38,9 +46,10 @@
 
 	tolerance Tolerance
 
-	// shards holds the ledgers by shard, for the shards that hosts have reported
-	// to this host. limits and names are what they are made from.
-	shards    map[int]*quota.Ledger
+	// shards holds the ledgers of the shards that hosts have reported to this host,
+	// also by divisions that this host does not use itself. limits and names are what
+	// they are made from.
+	shards    map[LimitShard]*shardLedger
 	limits    map[string]quota.Limit
 	names     []string
 	heldMoves map[string]moves.Constraints
@@ -55,7 +64,7 @@
 	return &ledger{
 		inbox: ring.New[Message]("fleet_ledger", inboxCapacity), snapshots: c.Snapshots, tolerance: c.Tolerance,
 		hosts: hosts, constraints: c.Moves.Subscribe(), moves: c.Moves.Inbox(),
-		shards: map[int]*quota.Ledger{}, listID: uuid.NewString(),
+		shards: map[LimitShard]*shardLedger{}, listID: uuid.NewString(),
 	}
 }
 
@@ -83,11 +92,21 @@
 	return nil
 }
 
-// configure applies the hosts, and the limits of the shard's accounts.
-func (l *ledger) configure(shard int, quotas *quota.Ledger) {
-	limits, shards := map[string]quota.Limit{}, limitShards(len(l.names))
+// shardLedger is the ledger of one shard.
+type shardLedger struct {
+	*quota.Ledger
+	// usedAt is the time of the last message about the shard.
+	usedAt time.Time
+}
+
+// configure applies the hosts, and the limits of the shard's accounts. The accounts
+// follow from the division of the hosts that use the ledger. If they followed from the
+// list of this host, an account of hosts with another list could have two ledgers that
+// both earn the time of the same host.
+func (l *ledger) configure(shard LimitShard, quotas *shardLedger) {
+	limits := map[string]quota.Limit{}
 	for account, limit := range l.limits {
-		if ShardOfAccount(account, shards) == shard {
+		if shard.Holds(account) {
 			limits[account] = limit
 		}
 	}
@@ -95,32 +114,46 @@
 	quotas.SetHosts(l.names)
 }
 
-// shard returns the ledger of a shard.
-func (l *ledger) shard(shard int) *quota.Ledger {
+// shard returns the ledger of a shard. It fails if the hosts of the fleet are not
+// known yet, or if there is no such shard.
+func (l *ledger) shard(shard LimitShard, now time.Time) (*shardLedger, error) {
+	if len(l.names) == 0 {
+		return nil, errHostsUnknown
+	}
+	if shard.Shards == 0 { // from a host of a release without divisions
+		shard.Shards = limitShards(len(l.names))
+	}
+	if !shard.valid() {
+		return nil, eris.Wrapf(errNoSuchShard, "shard %d of %d", shard.Shard, shard.Shards)
+	}
 	quotas := l.shards[shard]
 	if quotas == nil {
-		quotas = quota.NewLedger()
+		maps.DeleteFunc(l.shards, func(_ LimitShard, other *shardLedger) bool { return now.Sub(other.usedAt) > maxLedgerIdleTime })
+		quotas = &shardLedger{Ledger: quota.NewLedger()}
 		l.shards[shard] = quotas
 		l.configure(shard, quotas)
 	}
-	return quotas
+	quotas.usedAt = now
+	return quotas, nil
 }
 
-func (m acquireMessage) handle(l *ledger, _ time.Time) {
-	if len(l.names) == 0 {
-		m.Abandon(errHostsUnknown)
+func (m acquireMessage) handle(l *ledger, now time.Time) {
+	quotas, err := l.shard(m.request.LimitShard, now)
+	if err != nil {
+		m.Abandon(err)
 		return
 	}
-	allowed, retryAfter := l.shard(m.request.Shard).Acquire(m.request.Account, m.request.Units)
+	allowed, retryAfter := quotas.Acquire(m.request.Account, m.request.Units)
 	m.Send(AcquireResponse{Allowed: allowed, RetryAfterMS: retryAfter.Milliseconds()})
 }
 
 func (m reportMessage) handle(l *ledger, now time.Time) {
-	if len(l.names) == 0 {
-		m.Abandon(errHostsUnknown)
+	quotas, err := l.shard(m.report.LimitShard, now)
+	if err != nil {
+		m.Abandon(err)
 		return
 	}
-	response := ReportResponse{Grants: l.shard(m.report.Shard).Report(m.report.Host, m.report.Elapsed, m.report.Uses, now)}
+	response := ReportResponse{Grants: quotas.Report(m.report.Host, m.report.Elapsed, m.report.Uses, now)}
 	if m.report.Shard == 0 {
 		l.exchangeEvidence(m.report, &response)
 		l.forwardOutcomes(m.report.Outcomes)
--- a/internal/gateway/fleet/messages.go
+++ b/internal/gateway/fleet/messages.go
@@ -44,9 +44,9 @@
 // Report is a host's usage report to the coordinator of a shard of the limits.
 // The reports of shard 0 also carry evidence about requests and outcomes.
 type Report struct {
-	Host  string                 `json:"host"`
-	Shard int                    `json:"shard,omitempty"`
-	Uses  map[string]quota.Usage `json:"uses"`
+	Host string `json:"host"`
+	LimitShard
+	Uses map[string]quota.Usage `json:"uses"`
 	// Elapsed is the time that the report covers: since the host's previous report of
 	// the shard to any host.
 	Elapsed time.Duration `json:"elapsed_ns,omitempty"`
@@ -84,10 +84,10 @@
 
 // ReportResult is the result of a report for the admission duty.
 type ReportResult struct {
-	// Shard is the shard of the limits that was reported, of Shards shards.
-	Shard, Shards int
-	Grants        map[string]quota.Grant
-	Evidence      []poison.Evidence
+	// LimitShard is the shard of the limits that was reported.
+	LimitShard
+	Grants   map[string]quota.Grant
+	Evidence []poison.Evidence
 	// EvidenceListID identifies the list that the evidence is from.
 	EvidenceListID string
 	// Hosts is the number of hosts in the fleet.
@@ -99,7 +99,7 @@
 
 // AcquireRequest asks the coordinator of a shard for the quota of one request.
 type AcquireRequest struct {
-	Shard   int     `json:"shard,omitempty"`
+	LimitShard
 	Account string  `json:"account"`
 	Units   float64 `json:"units"`
 	// Coordinator is the address to send the request to, empty for this host.
@@ -142,6 +142,23 @@
 // ShardOfAccount returns the shard of an account's limit.
 func ShardOfAccount(account string, shards int) int { return fleet.ShardOf(account, shards) }
 
+// LimitShard names a shard of the limits together with the division that it belongs
+// to. Hosts with different lists of hosts may divide the limits differently, and the
+// same number then stands for other accounts.
+type LimitShard struct {
+	Shard int `json:"shard,omitempty"`
+	// Shards is the number of shards of the division.
+	Shards int `json:"shards,omitempty"`
+}
+
+// Holds reports whether the account's limit is in the shard.
+func (s LimitShard) Holds(account string) bool { return ShardOfAccount(account, s.Shards) == s.Shard }
+
+// valid reports whether some number of hosts leads to the shard.
+func (s LimitShard) valid() bool {
+	return 0 <= s.Shard && s.Shard < s.Shards && s.Shards <= maxLimitShards
+}
+
 // Limits returns the limits that the hosts enforce for a configuration, by
 // account.
 func Limits(configuration *catalog.Configuration, tolerance Tolerance) map[string]quota.Limit {
--- a/internal/gateway/fleet/reporter.go
+++ b/internal/gateway/fleet/reporter.go
@@ -36,7 +36,7 @@
 // Admission is the part of the admission duty that the usage reporter needs.
 type Admission interface {
 	// CollectUsage returns the usage of a shard since the last acknowledged report.
-	CollectUsage(ctx context.Context, shard, shards int) (Usage, error)
+	CollectUsage(ctx context.Context, shard LimitShard) (Usage, error)
 	// ApplyReport applies the result of a report.
 	ApplyReport(ctx context.Context, result ReportResult) error
 }
@@ -84,7 +84,7 @@
 			changed = true
 		}
 		if changed {
-			r.order = hosts.Order(limitsKey, r.shard)
+			r.setHosts(hosts)
 			continue
 		}
 		next := time.Now().Add(r.period())
@@ -97,6 +97,16 @@
 	}
 }
 
+// setHosts applies a list of hosts. If it leads to another division of the limits, the
+// previous reports were of other accounts, and the next one covers no earlier time.
+func (r *usageReporter) setHosts(hosts *fleet.Ring) {
+	before := limitShards(len(r.order))
+	r.order = hosts.Order(limitsKey, r.shard)
+	if limitShards(len(r.order)) != before {
+		r.reportedAt = time.Time{}
+	}
+}
+
 // hasShard reports whether the known hosts have the shard.
 func (r *usageReporter) hasShard() bool {
 	return len(r.order) > 0 && r.shard < limitShards(len(r.order))
@@ -119,13 +129,13 @@
 
 // tick sends one report and passes the result to the admission duty.
 func (r *usageReporter) tick(ctx context.Context) error {
-	shards := limitShards(len(r.order))
-	usage, err := r.admission.CollectUsage(ctx, r.shard, shards)
+	shard := LimitShard{Shard: r.shard, Shards: limitShards(len(r.order))}
+	usage, err := r.admission.CollectUsage(ctx, shard)
 	if err != nil {
 		return err
 	}
 	now := time.Now()
-	report := Report{Host: r.self, Shard: r.shard, Uses: usage.Uses, Elapsed: r.elapsed(now), Evidence: usage.Evidence, KnownEvidence: r.knownEvidence, EvidenceListID: r.evidenceListID}
+	report := Report{Host: r.self, LimitShard: shard, Uses: usage.Uses, Elapsed: r.elapsed(now), Evidence: usage.Evidence, KnownEvidence: r.knownEvidence, EvidenceListID: r.evidenceListID}
 	if report.Outcomes, err = r.takeOutcomes(ctx); err != nil {
 		return err
 	}
@@ -138,7 +148,7 @@
 	if err := r.applyMoves(ctx, response.Moves); err != nil {
 		return err
 	}
-	return r.admission.ApplyReport(ctx, ReportResult{Shard: r.shard, Shards: shards, Grants: response.Grants, Evidence: response.Evidence, EvidenceListID: response.EvidenceListID,
+	return r.admission.ApplyReport(ctx, ReportResult{LimitShard: shard, Grants: response.Grants, Evidence: response.Evidence, EvidenceListID: response.EvidenceListID,
 		Hosts: len(r.order), Coordinator: r.coordinatorAddress()})
 }
 
