Limits: a ledger takes limits over from hosts with a newer configuration

Callers of an account that the coordinator of its limit did not know were not limited at all: while the store turned the coordinator away, for an account that was added or removed meanwhile, or before a coordinator had any configuration.

Cause: a ledger without a limit for an account allowed everything, as if the account had none.

Change: a quota request carries the limit that its host enforces and the version of its configuration. The ledger uses the limit of the newest configuration that has the account. It allows everything only for an account that this gives no limit, and answers a request without a limit of an unknown account with an error, upon which the host decides by its part.

--- a/internal/decision/quota/ledger.go
+++ b/internal/decision/quota/ledger.go
@@ -30,7 +30,10 @@
 )
 
 // Limit is an account's limit: Rate in units per second, and Burst in units.
-type Limit struct{ Rate, Burst float64 }
+type Limit struct {
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
+}
 
 // Usage is what a host has admitted and what was requested of it since its
 // previous report, in units. Level is the remaining level that it was last told,
@@ -87,6 +90,9 @@
 	}
 }
 
+// SetLimit sets the limit of one account.
+func (l *Ledger) SetLimit(account string, limit Limit) { l.limits[account] = limit }
+
 // SetHosts replaces the hosts between which the limits are divided.
 func (l *Ledger) SetHosts(names []string) {
 	hosts := make(map[string]time.Time, len(names))
--- a/internal/gateway/admission/duty.go
+++ b/internal/gateway/admission/duty.go
@@ -204,7 +204,8 @@
 	case quota.OverLimit:
 		ticket.Refusal = core.RefuseWithRetry(core.ReasonRateLimited, "the account is above its limit", retryAfter)
 	case quota.AskCoordinator:
-		ticket.Acquire = &fleet.AcquireRequest{LimitShard: shard, Account: account.Name, Units: cost, Coordinator: coordinator}
+		ticket.Acquire = &fleet.AcquireRequest{LimitShard: shard, Account: account.Name, Units: cost, Limit: limit,
+			ConfigVersion: ticket.ConfigVersion, Coordinator: coordinator}
 	}
 }
 
--- a/internal/gateway/fleet/ledger.go
+++ b/internal/gateway/fleet/ledger.go
@@ -31,6 +31,9 @@
 	// errHostsUnknown is the error of a ledger that does not know yet between which
 	// hosts it divides the limits.
 	errHostsUnknown = eris.New("the hosts of the fleet are not known yet")
+	// errLimitUnknown is the error of a ledger that is asked about an account that its
+	// host does not know, by a host that does not send the limit.
+	errLimitUnknown = eris.New("the account's limit is not known")
 	// errNoSuchShard is the error of a message about a shard that no division has.
 	errNoSuchShard = eris.New("no such shard of the limits")
 )
@@ -50,7 +53,7 @@
 	// also by divisions that this host does not use itself. limits and names are what
 	// they are made from.
 	shards    map[LimitShard]*shardLedger
-	limits    map[string]quota.Limit
+	limits    accountLimits
 	names     []string
 	heldMoves map[string]moves.Constraints
 	// listID identifies the list of evidence of this run of the process. evidence holds
@@ -74,7 +77,7 @@
 func (l *ledger) process(m Message) error {
 	snapshot, changedLimits := l.snapshots.TryTake()
 	if changedLimits {
-		l.limits = Limits(snapshot.Configuration, l.tolerance)
+		l.limits.replace(snapshot.Configuration, l.tolerance)
 	}
 	hosts, changedHosts := l.hosts.TryTake()
 	if changedHosts {
@@ -105,7 +108,7 @@
 // both earn the time of the same host.
 func (l *ledger) configure(shard LimitShard, quotas *shardLedger) {
 	limits := map[string]quota.Limit{}
-	for account, limit := range l.limits {
+	for account, limit := range l.limits.all() {
 		if shard.Holds(account) {
 			limits[account] = limit
 		}
@@ -137,12 +140,31 @@
 	return quotas, nil
 }
 
+// learn takes the limit of a request's account over if the sender's configuration is
+// newer, or if this host does not know the account: a ledger without the limit would
+// allow everything. It returns false if the limit is unknown.
+func (l *ledger) learn(request AcquireRequest) bool {
+	learned, known := l.limits.learn(request.Account, request.Limit, request.ConfigVersion)
+	if learned {
+		for shard, quotas := range l.shards {
+			if shard.Holds(request.Account) {
+				quotas.SetLimit(request.Account, request.Limit)
+			}
+		}
+	}
+	return known
+}
+
 func (m acquireMessage) handle(l *ledger, now time.Time) {
 	quotas, err := l.shard(m.request.LimitShard, now)
 	if err != nil {
 		m.Abandon(err)
 		return
 	}
+	if !l.learn(m.request) {
+		m.Abandon(errLimitUnknown)
+		return
+	}
 	allowed, retryAfter := quotas.Acquire(m.request.Account, m.request.Units)
 	m.Send(AcquireResponse{Allowed: allowed, RetryAfterMS: retryAfter.Milliseconds()})
 }
--- a/internal/gateway/fleet/ledger_test.go
+++ b/internal/gateway/fleet/ledger_test.go
@@ -25,6 +25,9 @@
 	nextAt    time.Time
 }
 
+// testVersion is the version of the hosts' configuration.
+const testVersion = 7
+
 // simulatedFleet is a fleet in which one account sends requests.
 type simulatedFleet struct {
 	t        *testing.T
@@ -42,7 +45,8 @@
 
 func (f *simulatedFleet) addHost(name string) *simulatedHost {
 	h := &simulatedHost{name: name, share: quota.NewAllocation(), nextAt: f.now.Add(rand.N(minReportPeriod)),
-		ledger: &ledger{shards: map[LimitShard]*shardLedger{}, limits: map[string]quota.Limit{f.account: f.limit}}}
+		ledger: &ledger{shards: map[LimitShard]*shardLedger{}, limits: accountLimits{version: testVersion,
+			known: map[string]bool{f.account: true}, configured: map[string]quota.Limit{f.account: f.limit}}}}
 	for shard := range maxLimitShards {
 		h.reporters = append(h.reporters, &usageReporter{self: name, shard: shard})
 	}
@@ -87,7 +91,7 @@
 	decision, _ := h.share.Admit(f.account, f.limit, units, f.now)
 	if decision == quota.AskCoordinator {
 		m := acquireMessage{Reply: ring.NewReply[AcquireResponse](),
-			request: AcquireRequest{LimitShard: shard, Account: f.account, Units: units}}
+			request: AcquireRequest{LimitShard: shard, Account: f.account, Units: units, Limit: f.limit, ConfigVersion: testVersion}}
 		m.handle(f.hosts[h.reporters[shard.Shard].order[0].Name].ledger, f.now)
 		if response, err := m.Wait(f.t.Context()); err == nil && response.Allowed {
 			decision = quota.Admitted
@@ -176,6 +180,55 @@
 	}
 }
 
+// Guards against an account without any limit on hosts whose configuration has one,
+// since the coordinator of the limit cannot read the store: its ledger had no limit
+// for the account, and allowed everything.
+func TestCoordinatorWithAnotherConfigurationKeepsTheLimit(t *testing.T) {
+	const window, rate, burst = 8 * time.Second, 10_000.0, 10_000.0
+	allowed := rate*window.Seconds() + burst
+	for name, limits := range map[string]accountLimits{
+		"no configuration yet":        {},
+		"no such account yet":         {version: testVersion - 1, known: map[string]bool{"other": true}},
+		"account removed meanwhile":   {version: testVersion + 1, known: map[string]bool{"other": true}},
+		"no limit yet":                {version: testVersion - 1, known: map[string]bool{"account": true}},
+		"a much higher limit before":  {version: testVersion - 1, known: map[string]bool{"account": true}, configured: map[string]quota.Limit{"account": {Rate: 20 * rate, Burst: burst}}},
+		"the same limit a bit longer": {version: testVersion - 1, known: map[string]bool{"account": true}, configured: map[string]quota.Limit{"account": {Rate: rate, Burst: burst}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &simulatedFleet{t: t, now: time.Unix(1000, 0), account: "account", hosts: map[string]*simulatedHost{}, limit: quota.Limit{Rate: rate, Burst: burst}}
+			list := []fleet.Host{{Name: "host-1"}, {Name: "host-2"}, {Name: "host-3"}}
+			hosts := fleet.NewRing(list)
+			for _, host := range list {
+				f.addHost(host.Name).setHosts(hosts)
+			}
+			f.hosts[hosts.Order(limitsKey, 0)[0].Name].ledger.limits = limits
+			f.run(12*time.Second, 4*rate, 500)
+			if got := f.most(window); got > 1.1*allowed || got < 0.8*rate*window.Seconds() {
+				t.Errorf("%.0f units were admitted in %v, the limit is %.0f", got, window, allowed)
+			}
+		})
+	}
+}
+
+// A newer configuration without a limit for an account lifts it on all hosts.
+func TestLedgerAllowsAccountsWithoutLimit(t *testing.T) {
+	l := &ledger{shards: map[LimitShard]*shardLedger{}, names: []string{"host-1"},
+		limits: accountLimits{version: testVersion + 1, known: map[string]bool{"a": true}}}
+	acquire := func(request AcquireRequest) (AcquireResponse, error) {
+		m := acquireMessage{Reply: ring.NewReply[AcquireResponse](), request: request}
+		m.handle(l, time.Unix(1000, 0))
+		return m.Wait(t.Context())
+	}
+	request := AcquireRequest{LimitShard: LimitShard{Shards: 1}, Account: "a", Units: 1, Limit: quota.Limit{Rate: 1, Burst: 1}, ConfigVersion: testVersion}
+	if response, err := acquire(request); err != nil || !response.Allowed {
+		t.Errorf("%+v, error %v, want it allowed", response, err)
+	}
+	request.Account, request.Limit = "unknown", quota.Limit{}
+	if response, err := acquire(request); !errors.Is(err, errLimitUnknown) {
+		t.Errorf("%+v, error %v, want %v", response, err, errLimitUnknown)
+	}
+}
+
 // accountIn returns the name of an account whose limit is in the shard.
 func accountIn(shard LimitShard) string {
 	for i := 0; ; i++ {
--- a/internal/gateway/fleet/messages.go
+++ b/internal/gateway/fleet/messages.go
@@ -102,6 +102,10 @@
 	LimitShard
 	Account string  `json:"account"`
 	Units   float64 `json:"units"`
+	// Limit is the account's limit that this host enforces, by the configuration of
+	// ConfigVersion. The coordinator may have another configuration.
+	Limit         quota.Limit `json:"limit"`
+	ConfigVersion uint64      `json:"config_version,omitempty"`
 	// Coordinator is the address to send the request to, empty for this host.
 	Coordinator string `json:"-"`
 }
