Updates of large objects are bounded by their size while they wait

A watch that goes on after a host was turned away could be answered with each version since, up to 64 MB.

Change: 8 updates may wait; a full ring blocks the sender, as before. A watch whose answer takes more than 8 MB makes the watcher list the objects, of which each has one value.

TestWaitingUpdatesTakeLittleMemory failed with a ring of 64, and TestWatcherListsWhenTheHistoryIsLarge got 32 versions of one object.

--- a/internal/gateway/catalog/updater.go
+++ b/internal/gateway/catalog/updater.go
@@ -15,8 +15,9 @@
 	"kingcupcourse/internal/ring"
 )
 
-// inboxCapacity bounds the queued updates. A full ring blocks their sender.
-const inboxCapacity = 64
+// inboxCapacity bounds the queued updates. A full ring blocks their sender. It is
+// short, as an update may hold an object of platform.MaxValueBytes.
+const inboxCapacity = 8
 
 // Decoder decodes the objects of the platform's store.
 type Decoder interface {
--- a/internal/platform/dialect.go
+++ b/internal/platform/dialect.go
@@ -18,6 +18,9 @@
 	Path string
 	// Body is nil for a call without a body.
 	Body []byte
+	// maxAnswerBytes limits the response, zero for the limit of the client. A larger
+	// one fails with ErrTooLarge.
+	maxAnswerBytes int64
 }
 
 // Dialect encodes the calls to a store and decodes its responses. The Client
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -24,7 +24,8 @@
 	ErrUnavailable = errors.New("platform: unavailable")
 	// ErrOutcomeUnknown means that a write may have been applied.
 	ErrOutcomeUnknown = errors.New("platform: outcome unknown")
-	// ErrTooLarge means that a value exceeds MaxValueBytes.
+	// ErrTooLarge means that a value exceeds MaxValueBytes, or the changes of a watch
+	// maxWatchBytes.
 	ErrTooLarge = errors.New("platform: value too large")
 	// ErrHistoryGone means that the store no longer has the changes after a
 	// watch's revision; the objects must be listed again.
--- a/internal/platform/fake_test.go
+++ b/internal/platform/fake_test.go
@@ -23,6 +23,7 @@
 	forcedStatus  int  // status of every response, zero for none
 	silentWatches int  // number of next watches that get no response
 	failReads     bool // reads get status 503
+	repeatChanges int  // how often a watch repeats each object, zero for once
 }
 
 func newFakePlatform(t *testing.T) (*fakePlatform, *Client) {
@@ -109,6 +110,7 @@
 			changes.Objects = append(changes.Objects, object)
 		}
 	}
+	changes.Objects = f.repeated(changes.Objects, after)
 	_ = json.NewEncoder(w).Encode(changes)
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -7,6 +7,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -30,8 +31,11 @@
 	MaxWatchWait = 30 * time.Second
 	// MaxValueBytes limits the value of an object.
 	MaxValueBytes = 1 << 20
-	// maxAnswerBytes limits one response; a watch may carry many objects.
+	// maxAnswerBytes limits one response.
 	maxAnswerBytes = 64 << 20
+	// maxWatchBytes limits the response to a watch. It may hold every version of an
+	// object since the last watch, while a list holds one.
+	maxWatchBytes = 8 << 20
 )
 
 // Object is one object of the platform.
@@ -205,11 +209,14 @@
 // at once. If the connection stalls, Watch fails with ErrUnavailable after the
 // wait plus the smaller of WatchMargin and the client's timeout, and the next
 // call uses a new connection. It fails with ErrHistoryGone if the store no
-// longer has the changes after the revision.
+// longer has the changes after the revision, and with ErrTooLarge if they take more
+// than maxWatchBytes; a list of the objects is smaller then.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error) {
 	var changes Changes
 	wait = min(wait, MaxWatchWait)
-	body, err := c.callWithTimeout(ctx, wait+min(WatchMargin, c.timeout), c.dialect.Watch(prefix, after, wait))
+	call := c.dialect.Watch(prefix, after, wait)
+	call.maxAnswerBytes = maxWatchBytes
+	body, err := c.callWithTimeout(ctx, wait+min(WatchMargin, c.timeout), call)
 	if err == nil {
 		changes, err = c.dialect.DecodeChanges(prefix, body)
 	}
@@ -241,8 +248,11 @@
 	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusCreated {
 		return nil, c.statusError(call.Method, response)
 	}
-	body, err := codec.ReadLimited(response.Body, maxAnswerBytes)
-	if err != nil {
+	body, err := codec.ReadLimited(response.Body, cmp.Or(call.maxAnswerBytes, maxAnswerBytes))
+	switch {
+	case errors.Is(err, codec.ErrTooLarge) && call.maxAnswerBytes > 0:
+		return nil, eris.Wrapf(ErrTooLarge, "more than %d bytes", call.maxAnswerBytes)
+	case err != nil:
 		return nil, c.transportError(call.Method, err)
 	}
 	return limitDepth(body), nil
--- a/internal/platform/watcher.go
+++ b/internal/platform/watcher.go
@@ -44,7 +44,7 @@
 
 // Watcher is a duty that lists the objects under a prefix, then watches them
 // from that revision, and lists them again when the store no longer has the
-// history.
+// history, or when that has become much larger than a list.
 type Watcher struct {
 	client    *Client
 	prefix    string
@@ -105,7 +105,7 @@
 	after := w.Revision
 	changes, err := w.client.Watch(ctx, w.prefix, after, w.watchWait)
 	switch {
-	case errors.Is(err, ErrHistoryGone):
+	case errors.Is(err, ErrHistoryGone), errors.Is(err, ErrTooLarge):
 		w.Listed = false
 		return w.poll(ctx)
 	case err == nil:
