Answers without end: bounded headers of all calls, smaller held events

Operators of a similar system reported a worker that sent bytes without end, which the machine kept until it ran out of memory.

A host held up to 1 MB of an event of a resumable stream: with 96 attempts at endless endpoints 7 to 42 MB were in use.

Change: 64 KB of header everywhere, as for callers' requests to endpoints. An event that a host holds is limited like a buffered answer, 256 KB.

The paths of heads and bodies were bounded before.

--- a/internal/codec/call.go
+++ b/internal/codec/call.go
@@ -22,6 +22,9 @@
 	IdleConnectionTimeout = 30 * time.Second
 	// maxErrorBodyBytes limits the body of an error response kept for the log.
 	maxErrorBodyBytes = 512
+	// maxHeaderBytes limits the header of a response, informational responses and
+	// trailers included.
+	maxHeaderBytes = 64 << 10
 )
 
 // CallError is the error of a call to another process. Status is the HTTP
@@ -56,6 +59,8 @@
 		IdleConnTimeout:       IdleConnectionTimeout,
 		ResponseHeaderTimeout: headerTimeout,
 		DisableCompression:    true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/internal/entry/completions/events.go
+++ b/internal/entry/completions/events.go
@@ -36,7 +36,7 @@
 
 // NewEventReader returns a reader for the stream.
 func NewEventReader(stream io.Reader) *EventReader {
-	return &EventReader{events: sse.NewReader(stream)}
+	return &EventReader{events: sse.NewReader(stream, sse.MaxEventBytes)}
 }
 
 // Next returns the next complete event. It returns io.ErrUnexpectedEOF if the
--- a/internal/gateway/callers/response.go
+++ b/internal/gateway/callers/response.go
@@ -18,7 +18,8 @@
 
 const (
 	// maxBufferedBytes is the largest response that is buffered completely before
-	// it is relayed. A larger response is relayed as it arrives.
+	// it is relayed. A larger response is relayed as it arrives. It is also the largest
+	// event of a resumable stream; a stream with a larger one is taken for broken.
 	maxBufferedBytes = 256 << 10
 	// relayBufferBytes is the size of the buffer for relaying a response.
 	relayBufferBytes = 16 << 10
@@ -96,7 +97,7 @@
 // relayEvents relays only complete events, so that a stream that breaks inside
 // an event can resume at another endpoint after the last complete one.
 func (c *call) relayEvents(ctx context.Context, response *http.Response) attemptOutcome {
-	events := sse.NewReader(response.Body)
+	events := sse.NewReader(response.Body, maxBufferedBytes)
 	for {
 		event, err := events.Next()
 		if err != nil {
--- a/internal/reference/limits.go
+++ b/internal/reference/limits.go
@@ -15,10 +15,11 @@
 		{"internal/supervisor", []string{"headerTimeout", "idleTimeout", "maxHeaderBytes"}},
 		{"internal/entry/callers", []string{"bodyTimeout", "answerTimeout", "endpointDialTimeout",
 			"maxAnswerHeaderBytes", "maxAnswerBytes"}},
+		{"internal/gateway/callers", []string{"maxResponseHeaderBytes", "maxBufferedBytes"}},
 		{"internal/sse", []string{"MaxEventBytes"}},
-		{"internal/codec", []string{"DialTimeout", "MaxMessageBytes"}},
+		{"internal/codec", []string{"DialTimeout", "MaxMessageBytes", "maxHeaderBytes"}},
 		{"internal/control", []string{"handlerTimeout", "gossipTimeout"}},
-		{"internal/platform", []string{"DefaultCallTimeout", "MaxValueBytes", "maxAnswerBytes"}},
+		{"internal/platform", []string{"DefaultCallTimeout", "MaxValueBytes", "maxAnswerBytes", "maxWatchBytes"}},
 		{"internal/manifest", []string{"MaxTiers", "MaxSlots", "MaxJournalSlots", "MaxRouteBodyBytes"}},
 	}
 }
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -10,10 +10,10 @@
 	"github.com/rotisserie/eris"
 )
 
-// MaxEventBytes limits the size of one event.
+// MaxEventBytes limits the size of one event of a completion.
 const MaxEventBytes = 1 << 20
 
-// ErrTooLarge is returned for an event larger than MaxEventBytes.
+// ErrTooLarge is returned for an event larger than the limit of the Reader.
 var ErrTooLarge = eris.New("server-sent event is too large")
 
 // Event is one complete event.
@@ -28,14 +28,19 @@
 
 // Reader reads events from a stream.
 type Reader struct {
-	lines *bufio.Reader
+	lines         *bufio.Reader
+	maxEventBytes int
 }
 
-// NewReader returns a reader of the stream.
-func NewReader(stream io.Reader) *Reader { return &Reader{lines: bufio.NewReader(stream)} }
+// NewReader returns a reader of the stream. It keeps an event of at most
+// maxEventBytes bytes.
+func NewReader(stream io.Reader, maxEventBytes int) *Reader {
+	return &Reader{lines: bufio.NewReader(stream), maxEventBytes: maxEventBytes}
+}
 
 // Next returns the next complete event. It returns io.ErrUnexpectedEOF if the
-// stream ends inside an event and io.EOF if it ends between events.
+// stream ends inside an event, io.EOF if it ends between events, and ErrTooLarge for
+// an event above the limit.
 func (r *Reader) Next() (Event, error) {
 	var raw []byte
 	lineStart := 0 // offset of the current line in raw
@@ -43,7 +48,7 @@
 		part, err := r.lines.ReadSlice('\n')
 		raw = append(raw, part...)
 		switch {
-		case len(raw) > MaxEventBytes:
+		case len(raw) > r.maxEventBytes:
 			return Event{}, ErrTooLarge
 		case err == bufio.ErrBufferFull:
 			continue // the line is longer than the read buffer
@@ -57,7 +62,7 @@
 		case blank && lineStart > 0:
 			return parse(raw), nil
 		case blank: // blank line between events
-			raw = nil
+			raw = raw[:0]
 		default:
 			lineStart = len(raw)
 		}
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -1,6 +1,8 @@
 package sse
 
 import (
+	"errors"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -21,3 +23,18 @@
 		}
 	})
 }
+
+// Guards against a stream with an event without end that is kept in memory: the
+// Reader ends at its limit, and an event up to the limit is whole.
+func TestReaderEndsAtItsLimit(t *testing.T) {
+	const limit = 1000
+	whole := "data: " + strings.Repeat("a", limit-8) + "\n\n"
+	if event, err := NewReader(strings.NewReader(whole), limit).Next(); err != nil || string(event.Raw) != whole {
+		t.Errorf("%d bytes, error %v, want the whole event of %d bytes", len(event.Raw), err, len(whole))
+	}
+	for _, endless := range []string{"data: " + strings.Repeat("a", 9*limit), strings.Repeat("data: a\n", limit)} {
+		if _, err := NewReader(strings.NewReader(endless), limit).Next(); !errors.Is(err, ErrTooLarge) {
+			t.Errorf("error %v, want ErrTooLarge", err)
+		}
+	}
+}
