A starting host keeps the coordinators that it learns before the first shard's

Change: the first division takes over what is known of it. TestFirstDivisionKeepsTheCoordinatorsKnownBefore failed before.

--- a/internal/gateway/admission/coordinators.go
+++ b/internal/gateway/admission/coordinators.go
@@ -13,23 +13,20 @@
 	next       map[int]string
 }
 
-// set records the coordinator of a shard.
+// set records the coordinator of a shard. The first division is used as soon as the
+// coordinator of its first shard is known.
 func (c *coordinators) set(shard fleet.LimitShard, address string) {
-	switch {
-	case c.shards == shard.Shards:
-	case c.shards == 0 && shard.Shard == 0: // the other shards follow
-		c.shards, c.addresses = shard.Shards, map[int]string{}
-	default:
-		if c.nextShards != shard.Shards {
-			c.nextShards, c.next = shard.Shards, map[int]string{}
-		}
-		c.next[shard.Shard] = address
-		if len(c.next) == c.nextShards {
-			c.shards, c.addresses, c.nextShards, c.next = c.nextShards, c.next, 0, nil
-		}
+	if c.shards == shard.Shards {
+		c.addresses[shard.Shard] = address
 		return
 	}
-	c.addresses[shard.Shard] = address
+	if c.nextShards != shard.Shards {
+		c.nextShards, c.next = shard.Shards, map[int]string{}
+	}
+	c.next[shard.Shard] = address
+	if isFirst := c.shards == 0 && shard.Shard == 0; isFirst || len(c.next) == c.nextShards {
+		c.shards, c.addresses, c.nextShards, c.next = c.nextShards, c.next, 0, nil
+	}
 }
 
 // known reports whether the first shard's coordinator is known.
--- a/internal/gateway/admission/coordinators_test.go
+++ b/internal/gateway/admission/coordinators_test.go
@@ -32,3 +32,21 @@
 	c.set(fleet.LimitShard{Shard: 0, Shards: 1}, "old")
 	expect("after the fleet has shrunk", 1, "old")
 }
+
+// Guards against requests that are refused for a report period after a start: the
+// coordinators of other shards may be known before that of the first one.
+func TestFirstDivisionKeepsTheCoordinatorsKnownBefore(t *testing.T) {
+	var c coordinators
+	c.set(fleet.LimitShard{Shard: 2, Shards: 3}, "third")
+	if c.known() {
+		t.Error("the division is used before its first coordinator is known")
+	}
+	c.set(fleet.LimitShard{Shard: 0, Shards: 3}, "first")
+	c.set(fleet.LimitShard{Shard: 1, Shards: 3}, "second")
+	for _, account := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		shard, address, ok := c.of(account)
+		if want := []string{"first", "second", "third"}[shard.Shard]; !ok || shard.Shards != 3 || address != want {
+			t.Errorf("account %s is in %+v of %q, known %v, want %q", account, shard, address, ok, want)
+		}
+	}
+}
