--- a/internal/gateway/placement/client_test.go
+++ b/internal/gateway/placement/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -29,6 +30,9 @@
 			}
 		}
 	}
+	for d.inbox.Len() > 0 { // a duty that is stopped leaves what is in its ring
+		time.Sleep(time.Millisecond)
+	}
 	stop()
 	<-served
 	if d.attempts.Len() != 0 || len(d.requests) != 0 {
