--- a/internal/gateway/callers/admit.go
+++ b/internal/gateway/callers/admit.go
@@ -60,8 +60,10 @@
 	// answerBegun reports that the header of a response to the attempt in progress
 	// has arrived.
 	answerBegun bool
-	// eventCount counts the events of the attempt in progress.
-	eventCount sse.Counter
+	// answerBytes and eventCount count the bytes and the events of the answer to the
+	// attempt in progress.
+	answerBytes int64
+	eventCount  sse.Counter
 	// responseStarted reports that a part of a response has been relayed to the
 	// caller.
 	responseStarted bool
--- a/internal/gateway/callers/dispatch.go
+++ b/internal/gateway/callers/dispatch.go
@@ -35,6 +35,7 @@
 		return attemptOutcome{result: core.ResultLost, reason: core.ReasonEndpointFailed, detail: err.Error()}
 	}
 	defer response.Body.Close()
+	response.Body = countingBody{response.Body, &c.answerBytes}
 	c.answerBegun = true
 	info := c.h.Protocol.InterpretResponse(c.request, response)
 	if info.MatchesRequest {
--- a/internal/gateway/callers/metrics.go
+++ b/internal/gateway/callers/metrics.go
@@ -33,5 +33,6 @@
 
 // Collectors returns the metrics of the callers' handler.
 func Collectors() []prometheus.Collector {
-	return []prometheus.Collector{attemptsTotal, refusalsTotal, abortedTotal, firstPartSeconds, responseSeconds}
+	return []prometheus.Collector{attemptsTotal, refusalsTotal, abortedTotal, firstPartSeconds, responseSeconds,
+		crossZoneAttempts, crossZoneBytes}
 }
--- a/internal/gateway/callers/refuse.go
+++ b/internal/gateway/callers/refuse.go
@@ -42,6 +42,7 @@
 	if placed.ByCoordinator {
 		placedBy = "keeper"
 	}
+	c.recordZone(placed)
 	attemptsTotal.WithLabelValues(string(outcome.result), placedBy).Inc()
 	if outcome.delivered {
 		responseSeconds.WithLabelValues(priority).Observe(time.Since(c.received).Seconds())
@@ -51,7 +52,7 @@
 		zap.Int("running", placed.Choice.Running), zap.Float64("expected_ms", placed.Choice.ExpectedMS),
 		zap.Int("prompt_tokens", c.request.PromptTokens), zap.Int("output_bound", c.request.MaxOutputTokens),
 		zap.Int("output_hint", c.request.OutputHint), zap.Int("events", c.eventCount.Events),
-		zap.Bool("by_keeper", placed.ByCoordinator), zap.Duration("first", c.timeToFirstPart), zap.Uint64("configuration", c.ticket.ConfigVersion),
+		zap.Bool("by_keeper", placed.ByCoordinator), zap.String("left_zone", string(placed.LeftZone)), zap.Duration("first", c.timeToFirstPart), zap.Uint64("configuration", c.ticket.ConfigVersion),
 		zap.String("result", string(outcome.result)), zap.Int("status", outcome.status), zap.String("reason", string(outcome.reason)),
 		zap.String("detail", outcome.detail), zap.Duration("took", elapsed))
 }
--- a/internal/gateway/callers/run.go
+++ b/internal/gateway/callers/run.go
@@ -44,7 +44,7 @@
 			return
 		}
 		c.attemptStarted, c.timeToFirstPart, c.eventCount, c.leavingIncarnation = time.Now(), 0, sse.Counter{}, 0
-		c.answerBegun = false
+		c.answerBegun, c.answerBytes = false, 0
 		outcome := c.dispatch(ctx, placed.Endpoint)
 		c.finishAttempt(placed, outcome, time.Since(c.attemptStarted))
 		if outcome.delivered {
@@ -88,6 +88,7 @@
 		Route: c.routeName(), PromptTokens: c.request.PromptTokens, OutputTokens: c.expectedOutputTokens(), MaxOutputTokens: c.request.MaxOutputTokens,
 		ObjectiveMS: c.ticket.Route.LatencyObjective.Milliseconds(),
 		Exclude:     c.triedEndpoints, RemainingMS: time.Until(c.ticket.Deadline).Milliseconds(),
+		BodyBytes: len(c.body),
 	})
 	c.lastChoice = placed.Choice
 	return placed, placed.Refusal
--- a/internal/gateway/placement/client.go
+++ b/internal/gateway/placement/client.go
@@ -31,31 +31,38 @@
 // Client requests endpoints from the coordinators of the service's shards, and
 // from this host's own duty if none of them responds.
 type Client struct {
-	host   string
-	local  *ring.Ring[Message]
-	client *http.Client
-	log    *zap.Logger
+	host string
+	zone core.AvailabilityZone
+	// zoneAware is the setting of the duty.
+	zoneAware bool
+	local     *ring.Ring[Message]
+	client    *http.Client
+	log       *zap.Logger
 }
 
 // NewClient returns a client that falls back to the host's own duty.
 func NewClient(local *Duty, log *zap.Logger) *Client {
-	return &Client{host: local.host.Name, local: local.inbox, client: &http.Client{Transport: codec.NewTransport(0)}, log: log}
+	return &Client{host: local.host.Name, zone: local.host.AvailabilityZone, zoneAware: local.directory.zoneAware, local: local.inbox, client: &http.Client{Transport: codec.NewTransport(0)}, log: log}
 }
 
 // Place chooses an endpoint for an attempt of this host. An update with a result
 // releases the placement. A shard without room passes the request on to another
 // one.
 func (c *Client) Place(ctx context.Context, req Request) Placed {
-	found := c.findTargets(ctx, req.Service)
+	found := c.findTargets(ctx, req)
 	if found.wait > 0 {
 		return Placed{Refusal: core.RefuseWithRetry(core.ReasonShed, "all endpoints want no requests for some time", found.wait)}
 	}
 	req.Exclude = slices.Concat(req.Exclude, found.resting)
 	var refused *Placed
 	for _, target := range found.coordinators {
+		if target.onlyIfSilent && refused != nil {
+			continue
+		}
 		placed, answered := c.placeAt(ctx, req, target)
 		switch {
 		case answered && placed.Refusal == nil:
+			placed.LeftZone = c.leftZone(placed, target.causeAfter(refused != nil))
 			return placed
 		case answered:
 			refused = &placed
@@ -74,8 +81,8 @@
 func (c *Client) EndpointSaid(ctx context.Context, said EndpointSaid) { _ = c.local.Put(ctx, said) }
 
 // findTargets returns the coordinators to ask, none if the request has ended.
-func (c *Client) findTargets(ctx context.Context, service string) targets {
-	m := findTargets{Reply: ring.NewReply[targets](), service: service}
+func (c *Client) findTargets(ctx context.Context, req Request) targets {
+	m := findTargets{Reply: ring.NewReply[targets](), request: req}
 	if c.local.Put(ctx, m) != nil {
 		return targets{}
 	}
@@ -90,7 +97,7 @@
 // host may use, and no refusal either.
 func (c *Client) placeAt(ctx context.Context, req Request, target target) (Placed, bool) {
 	req.Shard = target.shard
-	choice, err := c.choose(ctx, req, target.address)
+	choice, err := c.choose(ctx, req, target)
 	switch {
 	case err != nil:
 		return Placed{}, false
@@ -107,16 +114,21 @@
 	return placed, ok
 }
 
-// choose asks the coordinator at the address, or this host's own duty if that is
-// empty, for a choice.
-func (c *Client) choose(ctx context.Context, req Request, address string) (Choice, error) {
+// choose asks a coordinator, which may be this host's own duty, for a choice.
+func (c *Client) choose(ctx context.Context, req Request, target target) (Choice, error) {
+	address := target.address
 	if address == "" {
 		return c.chooseLocally(ctx, req)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, chooseTimeout)
 	defer cancel()
 	var choice Choice
+	began := time.Now()
 	err := codec.Call(callCtx, c.client, address, choosePath, &req, &choice)
+	if c.zoneAware && ctx.Err() == nil {
+		// The next answer makes up for one that finds the ring full.
+		_ = c.local.TryPut(heard{rooms: map[string][]ShardRoom{req.Service: choice.Rooms}, zone: target.zone, took: time.Since(began)})
+	}
 	if err != nil && ctx.Err() == nil {
 		c.log.Warn("placement request to the coordinator failed", zap.String("attempt", req.Attempt), zap.Int("shard", req.Shard),
 			zap.String("keeper", address), zap.String("error", err.Error()))
@@ -163,6 +175,7 @@
 		return overloaded(choice, false)
 	}
 	if placed, ok := c.confirm(ctx, req, choice); ok {
+		placed.LeftZone = c.leftZone(placed, causeAlone)
 		return placed
 	}
 	c.release(ctx, req.Attempt)
@@ -189,7 +202,16 @@
 		choice, err := m.Wait(ctx)
 		return &choice, err
 	}))
-	mux.Handle("POST "+updatesPath, codec.Handle(func(_ context.Context, updates *Updates) (*struct{}, error) {
-		return &struct{}{}, c.local.TryPut(ApplyUpdates{Updates: *updates})
+	mux.Handle("POST "+updatesPath, codec.Handle(func(ctx context.Context, updates *Updates) (*UpdatesAnswer, error) {
+		m := ApplyUpdates{Updates: *updates}
+		if !c.zoneAware {
+			return &UpdatesAnswer{}, c.local.TryPut(m)
+		}
+		m.Reply = ring.NewReply[UpdatesAnswer]()
+		if err := c.local.TryPut(m); err != nil {
+			return nil, err
+		}
+		answer, err := m.Wait(ctx)
+		return &answer, err
 	}))
 }
--- a/internal/gateway/placement/directory.go
+++ b/internal/gateway/placement/directory.go
@@ -1,9 +1,13 @@
 package placement
 
 import (
+	"maps"
+	"slices"
 	"time"
 
+	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/fleet"
+	"kingcupcourse/internal/decision/spill"
 	"kingcupcourse/internal/ring"
 )
 
@@ -17,31 +21,44 @@
 	shard int
 	// address is empty for this host.
 	address string
+	// zone is the zone of the coordinator.
+	zone core.AvailabilityZone
+	// cause is why it is asked, onlyIfSilent that it is asked only if none of
+	// those before answered.
+	cause        spill.Cause
+	onlyIfSilent bool
 }
 
 // directory knows which host coordinates which endpoints.
 type directory struct {
-	self     string
-	ring     *fleet.Ring
-	homes    map[int]int // home shard of this host, by number of shards
-	services map[string]*shards
-	retryAt  map[string]time.Time // by address, until when a coordinator is passed over
+	self      core.Host
+	zoneAware bool
+	ring      *fleet.Ring
+	homes     map[int]int // home shard of this host, by number of shards
+	services  map[string]*shards
+	links     *links
+	retryAt   map[string]time.Time // by address, until when a coordinator is passed over
 }
 
 // shards is the division of a service's endpoints.
 type shards struct {
-	count   int
-	shardOf map[string]int // by endpoint
-	// home is the shard that this host asks first.
+	*fleet.Division
+	numbers []int // of the shards, ascending
+	// home is the shard of this host.
 	home   int
 	orders map[int][]fleet.Host // by shard
 	// turn rotates over the shards that this host asks second.
 	turn int
+	// rooms is what is known of the shards' room. relayed rotates over what is
+	// passed on.
+	rooms   map[int]countedRoom
+	relayed int
+	decider *spill.Decider
 }
 
-func newDirectory(self string) *directory {
-	return &directory{self: self, ring: fleet.NewRing([]fleet.Host{{Name: self}}), homes: map[int]int{}, services: map[string]*shards{},
-		retryAt: map[string]time.Time{}}
+func newDirectory(self core.Host, zoneAware bool) *directory {
+	return &directory{self: self, zoneAware: zoneAware, ring: fleet.NewRing([]fleet.Host{{Name: self.Name, AvailabilityZone: self.AvailabilityZone}}),
+		homes: map[int]int{}, services: map[string]*shards{}, links: newLinks(), retryAt: map[string]time.Time{}}
 }
 
 // setHosts replaces the hosts of the fleet. Endpoints move only if the number of
@@ -51,7 +68,7 @@
 	clear(d.homes)
 	d.setEndpoints(services)
 	for _, s := range d.services {
-		s.home, s.orders = d.home(s.count), map[int][]fleet.Host{}
+		s.home, s.orders = d.home(s.Division, s.numbers), map[int][]fleet.Host{}
 	}
 }
 
@@ -64,79 +81,100 @@
 		}
 	}
 	for service, endpoints := range services {
-		count := fleet.ShardCount(d.ring.Len(), len(endpoints))
 		known := d.services[service]
-		if known != nil && known.count == count && known.contains(endpoints) {
+		if !d.zoneAware && known != nil && len(known.numbers) == fleet.ShardCount(d.ring.Len(), len(endpoints)) && known.contains(endpoints) {
 			continue
 		}
-		divided := d.divide(endpoints, count)
-		if known != nil {
-			divided.turn = known.turn
-		}
-		d.services[service] = divided
+		d.services[service] = d.divide(endpoints, known)
 	}
 }
 
 // contains reports whether these endpoints have been divided.
 func (s *shards) contains(endpoints []*endpoint) bool {
 	for _, e := range endpoints {
-		if _, ok := s.shardOf[e.Endpoint.Name]; !ok {
+		if _, ok := s.ShardOf[e.Endpoint.Name]; !ok {
 			return false
 		}
 	}
-	return len(endpoints) == len(s.shardOf)
+	return len(endpoints) == len(s.ShardOf)
 }
 
-// divide divides endpoints into shards.
-func (d *directory) divide(endpoints []*endpoint, count int) *shards {
-	names := make([]string, 0, len(endpoints))
+// divide divides endpoints into shards. What is known of the shards is kept.
+func (d *directory) divide(endpoints []*endpoint, known *shards) *shards {
+	members := make([]fleet.Member, 0, len(endpoints))
 	for _, e := range endpoints {
-		names = append(names, e.Endpoint.Name)
+		members = append(members, fleet.Member{Name: e.Endpoint.Name, Zone: e.AvailabilityZone})
+	}
+	division := fleet.Divide
+	if d.zoneAware {
+		division = fleet.DivideByZone
+	}
+	divided := &shards{Division: division(members, d.ring), orders: map[int][]fleet.Host{}, rooms: map[int]countedRoom{}, decider: spill.NewDecider()}
+	divided.numbers = divided.Shards()
+	if known != nil {
+		divided.turn, divided.relayed = known.turn, known.relayed
+		if maps.Equal(known.Zones, divided.Zones) {
+			divided.rooms, divided.decider, divided.orders = known.rooms, known.decider, known.orders
+		}
 	}
-	return &shards{count: count, shardOf: fleet.Partition(names, count), home: d.home(count), orders: map[int][]fleet.Host{}}
+	divided.home = d.home(divided.Division, divided.numbers)
+	return divided
 }
 
-// home returns this host's home among a number of shards.
-func (d *directory) home(count int) int {
-	home, known := d.homes[count]
+// home returns this host's home among the shards.
+func (d *directory) home(division *fleet.Division, numbers []int) int {
+	if d.zoneAware {
+		return division.Home(d.self.Name, d.ring)
+	}
+	home, known := d.homes[len(numbers)]
 	if !known {
-		home = fleet.Partition(d.ring.Names(), count)[d.self]
-		d.homes[count] = home
+		home = division.Home(d.self.Name, d.ring)
+		d.homes[len(numbers)] = home
 	}
 	return home
 }
 
-// targets returns the coordinators to ask for a request of the service: that of
-// the home shard, and that of another shard in case the first has no room.
-func (d *directory) targets(service string, now time.Time) []target {
-	s := d.services[service]
+// targets returns the coordinators to ask for a request: that of the home shard,
+// and that of another shard in case the first has no room. With zones considered
+// the order follows what is known of the shards' room.
+func (d *directory) targets(req Request, now time.Time) []target {
+	s := d.services[req.Service]
 	if s == nil {
 		return []target{{shard: 1}}
 	}
-	found := []target{{s.home + 1, d.coordinator(service, s.home, now)}}
-	if s.count > 1 {
-		s.turn = (s.turn + 1) % (s.count - 1)
-		other := (s.home + 1 + s.turn) % s.count
-		found = append(found, target{other + 1, d.coordinator(service, other, now)})
+	if d.zoneAware && len(s.numbers) > 1 {
+		return d.targetsByRoom(s, req, now)
+	}
+	found := []target{d.target(req.Service, s.home, now)}
+	if count := len(s.numbers); count > 1 {
+		s.turn = (s.turn + 1) % (count - 1)
+		found = append(found, d.target(req.Service, s.numbers[(slices.Index(s.numbers, s.home)+1+s.turn)%count], now))
 	}
 	return found
 }
 
-// coordinator returns the address of a shard's coordinator, empty for this host.
-func (d *directory) coordinator(service string, shard int, now time.Time) string {
-	s := d.services[service]
+// target returns the coordinator of a shard.
+func (d *directory) target(service string, shard int, now time.Time) target {
+	host := d.coordinator(service, shard, now)
+	return target{shard: shard + 1, address: host.Address, zone: host.AvailabilityZone}
+}
+
+// coordinator returns the host that coordinates a shard, without an address if that
+// is this host.
+func (d *directory) coordinator(service string, shard int, now time.Time) fleet.Host {
+	s, self := d.services[service], fleet.Host{AvailabilityZone: d.self.AvailabilityZone}
 	if s.orders[shard] == nil {
-		s.orders[shard] = d.ring.Order(service, shard)
+		s.orders[shard] = d.ring.OrderInZone(service, shard, s.Zones[shard])
 	}
 	for _, host := range s.orders[shard] {
 		switch {
-		case host.Name == d.self:
-			return ""
+		case host.Name == d.self.Name:
+			return self
 		case !now.Before(d.retryAt[host.Address]):
-			return host.Address
+			return host
 		}
 	}
-	return ""
+	return self
 }
 
 // coordinatorOf returns the address of the coordinator of an endpoint, empty for
@@ -146,20 +184,26 @@
 	if s == nil {
 		return ""
 	}
-	return d.coordinator(service, s.shardOf[endpoint], now)
+	return d.coordinator(service, s.ShardOf[endpoint], now).Address
 }
 
 // inShard reports whether an endpoint belongs to a shard of its service, numbered
 // from 1. Every endpoint belongs to shard 0, the whole service.
 func (d *directory) inShard(service, endpoint string, shard int) bool {
 	s := d.services[service]
-	return shard == 0 || s == nil || s.shardOf[endpoint] == (shard-1)%s.count
+	if shard == 0 || s == nil {
+		return true
+	}
+	if _, ok := s.Zones[shard-1]; !ok { // the asking host divides otherwise for the moment
+		return s.ShardOf[endpoint] == s.numbers[(shard-1)%len(s.numbers)]
+	}
+	return s.ShardOf[endpoint] == shard-1
 }
 
 // shardCount returns the number of shards of a service.
 func (d *directory) shardCount(service string) int {
 	if s := d.services[service]; s != nil {
-		return s.count
+		return len(s.numbers)
 	}
 	return 1
 }
@@ -167,7 +211,7 @@
 // findTargets asks which coordinators may place a request of the service.
 type findTargets struct {
 	ring.Reply[targets]
-	service string
+	request Request
 }
 
 // targets is the response to findTargets.
@@ -180,8 +224,8 @@
 }
 
 func (m findTargets) handle(d *Duty, now time.Time) {
-	found := targets{coordinators: d.directory.targets(m.service, now)}
-	found.resting, found.wait = d.resting(m.service, now)
+	found := targets{coordinators: d.directory.targets(m.request, now)}
+	found.resting, found.wait = d.resting(m.request.Service, now)
 	m.Send(found)
 }
 
--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -87,7 +87,10 @@
 	// moved. Outcomes takes the outcomes of these services' attempts.
 	Constraints moves.Subscription
 	Outcomes    *ring.Ring[moves.Message]
-	Log         *zap.Logger
+	// ZoneAware divides endpoints by zone and sends requests to other zones only
+	// if that pays.
+	ZoneAware bool
+	Log       *zap.Logger
 }
 
 // New returns the duty of a host.
@@ -106,7 +109,7 @@
 		attempts: outstanding.NewTracker(), speeds: estimate.NewSpeeds(),
 		endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, requests: map[string]Request{},
 		tokensPerEvent: map[string]int{}, traffic: newTrafficLimits(c.Constraints, c.Outcomes),
-		directory: newDirectory(c.Host.Name), outgoing: outgoing{}, withdrawals: withdrawal.New(), log: c.Log,
+		directory: newDirectory(c.Host, c.ZoneAware), outgoing: outgoing{}, withdrawals: withdrawal.New(), log: c.Log,
 	}
 }
 
@@ -173,12 +176,15 @@
 		d.load.requests++
 		d.load.longestWait = max(d.load.longestWait, now.Sub(m.received))
 	}
-	m.Send(d.choose(m.Request, now))
+	choice := d.choose(m.Request, now)
+	choice.Rooms = d.roomsFor(m.Request, now)
+	m.Send(choice)
 }
 
 // choose selects an endpoint and counts the attempt on it.
 func (d *Duty) choose(req Request, now time.Time) Choice {
 	candidates := d.candidates(req, now)
+	d.recordRoom(req, candidates, now)
 	request := &core.Request{Exclude: req.Exclude, Deadline: now.Add(time.Duration(req.RemainingMS) * time.Millisecond)}
 	policy := d.plainPolicy
 	if req.PromptTokens > 0 {
@@ -223,14 +229,22 @@
 // overload reports whether a request to a model would wait too long for its
 // first token, and the delay after which a retry may succeed.
 func overload(req Request, c *placement.Candidate) (retryAfter time.Duration, overloaded bool) {
-	if req.PromptTokens == 0 || req.ObjectiveMS == 0 {
+	limit := maxWait(req)
+	if limit == 0 {
 		return 0, false
 	}
-	objective := time.Duration(req.ObjectiveMS) * time.Millisecond
-	limit := time.Duration(maxWaitShare * float64(objective))
 	return max(minRetryAfter, c.PendingPrefill-limit), c.PendingPrefill > limit
 }
 
+// maxWait returns how long a request may be predicted to wait at an engine, zero if
+// there is no limit.
+func maxWait(req Request) time.Duration {
+	if req.PromptTokens == 0 {
+		return 0
+	}
+	return time.Duration(maxWaitShare * float64(time.Duration(req.ObjectiveMS)*time.Millisecond))
+}
+
 // countAttempt counts an attempt on a candidate.
 func (d *Duty) countAttempt(req Request, c *placement.Candidate, now time.Time) {
 	ahead := 0
--- a/internal/gateway/placement/messages.go
+++ b/internal/gateway/placement/messages.go
@@ -11,6 +11,7 @@
 
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/catalog"
+	"kingcupcourse/internal/decision/spill"
 	"kingcupcourse/internal/ring"
 )
 
@@ -37,6 +38,8 @@
 	// Shard is the shard of the service in which to place the attempt, from 1, or
 	// 0 for the whole service.
 	Shard int `json:"shard,omitempty"`
+	// BodyBytes is the size of the request. Only its own host needs it.
+	BodyBytes int `json:"-"`
 }
 
 // outputMarginFactor is the safety factor for estimated output lengths: 19 of 20
@@ -66,6 +69,21 @@
 	// time. It may be retried after RetryAfterMS, in milliseconds.
 	Overload     bool  `json:"overload,omitempty"`
 	RetryAfterMS int64 `json:"retry_ms,omitempty"`
+	// Rooms is the room of the shard, and what its coordinator knows of others.
+	Rooms []ShardRoom `json:"rooms,omitempty"`
+}
+
+// ShardRoom is the room of a shard of the service.
+type ShardRoom struct {
+	// Shard is the number of the shard, from 1.
+	Shard int `json:"shard"`
+	// Free is the number of free slots of Slots.
+	Free  int `json:"free"`
+	Slots int `json:"slots"`
+	// WaitMS is the shortest forecast wait for the prefill of a new request, AgeMS
+	// the time since the count, in milliseconds.
+	WaitMS float64 `json:"wait_ms,omitempty"`
+	AgeMS  int64   `json:"age_ms,omitempty"`
 }
 
 // Update reports the progress or the end of an attempt.
@@ -111,6 +129,12 @@
 	Full    bool      `json:"full,omitempty"`
 }
 
+// UpdatesAnswer is the response to Updates.
+type UpdatesAnswer struct {
+	// Rooms holds the room of the shards of the listed attempts, by service.
+	Rooms map[string][]ShardRoom `json:"rooms,omitempty"`
+}
+
 // Placed is the endpoint chosen for an attempt, or the refusal if there is none.
 type Placed struct {
 	Endpoint catalog.Endpoint
@@ -118,6 +142,9 @@
 	Refusal  *core.Refusal
 	// ByCoordinator reports that the coordinator made the choice.
 	ByCoordinator bool
+	// LeftZone is why the endpoint is in another availability zone, empty if it is
+	// in that of the host.
+	LeftZone spill.Cause
 }
 
 // Message is a message to the duty.
@@ -147,4 +174,7 @@
 }
 
 // ApplyUpdates delivers the updates on a host's attempts.
-type ApplyUpdates struct{ Updates Updates }
+type ApplyUpdates struct {
+	ring.Reply[UpdatesAnswer]
+	Updates Updates
+}
--- a/internal/gateway/placement/reporter.go
+++ b/internal/gateway/placement/reporter.go
@@ -86,10 +86,15 @@
 func (r *Reporter) send(ctx context.Context, message outgoingUpdates) error {
 	callCtx, cancel := context.WithTimeout(ctx, updatesTimeout)
 	defer cancel()
-	var response struct{}
-	err := codec.Call(callCtx, r.client, message.address, updatesPath, &message.updates, &response)
-	if err == nil || ctx.Err() != nil {
+	var answer UpdatesAnswer
+	err := codec.Call(callCtx, r.client, message.address, updatesPath, &message.updates, &answer)
+	switch {
+	case ctx.Err() != nil:
 		return ctx.Err()
+	case err == nil && len(answer.Rooms) == 0:
+		return nil
+	case err == nil:
+		return r.local.Put(ctx, heard{rooms: answer.Rooms})
 	}
 	r.log.Warn("sending updates to the coordinator failed", zap.String("keeper", message.address),
 		zap.Int("updates", len(message.updates.Updates)), zap.String("error", err.Error()))
--- a/internal/gateway/placement/updates.go
+++ b/internal/gateway/placement/updates.go
@@ -21,6 +21,7 @@
 	if m.Updates.Full {
 		d.applyList(m.Updates, now)
 	}
+	m.Send(d.updatesAnswer(m.Updates, now))
 }
 
 // applyUpdate records the first part or the end of an attempt's response.
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -79,7 +79,7 @@
 	fleetTree.OnDiscovery(mirrorDuties.Discovered)
 	placementDuty := placement.New(placement.Config{
 		Host: host, Snapshots: catalogTree.Subscribe(), Hosts: fleetTree.Hosts(), Constraints: movesTree.Subscribe(),
-		Outcomes: movesTree.Inbox(), Log: env.Log,
+		Outcomes: movesTree.Inbox(), ZoneAware: s.ZoneAwarePlacement, Log: env.Log,
 	})
 	placementClient := placement.NewClient(placementDuty, env.Log)
 	reporter := placement.NewReporter(s.Host, placementDuty, placementClient, env.Log)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -126,6 +126,10 @@
 	// requests that it may receive in addition.
 	ExposeShare float64 `json:"expose_share"`
 	ExposeFree  int     `json:"expose_free"`
+	// ZoneAwarePlacement keeps requests in the availability zone of their host
+	// while its endpoints have room, and sends them to other zones by the room
+	// there. Without it zones are not considered. All hosts need the same value.
+	ZoneAwarePlacement bool `json:"zone_aware_placement,omitempty"`
 	// GraceMS is the time between SIGTERM and SIGKILL, in milliseconds.
 	GraceMS int64 `json:"grace_ms"`
 	// DrainDelayMS is the time after SIGTERM during which the process still
