Limits: units of requests that did not run are given back

Cause: an account was charged for requests that were then refused for want of room.

Change: a refusal as not run refunds its units to the host's allowance, from where the next report returns them to the ledger, at most up to the burst.

--- a/internal/decision/quota/allocation.go
+++ b/internal/decision/quota/allocation.go
@@ -90,6 +90,11 @@
 	return true
 }
 
+// Refund gives back the units of an admitted request that was not run.
+func (alloc *Allocation) Refund(account string, units float64) {
+	alloc.allowance(account).admitted -= units
+}
+
 // plentiful reports whether plenty was left of the limit at the last grant.
 func (a *allowance) plentiful(limit Limit) bool {
 	return a.grant.Level-a.admitted >= plentifulShare*limit.Burst
--- a/internal/decision/quota/ledger.go
+++ b/internal/decision/quota/ledger.go
@@ -35,8 +35,8 @@
 	Burst float64 `json:"burst"`
 }
 
-// Usage is what a host has admitted and what was requested of it since its
-// previous report, in units. Level is the remaining level that it was last told,
+// Usage is what a host has admitted, less what it has refunded, and what was
+// requested of it since its previous report, in units. Level is the remaining level that it was last told,
 // if LevelKnown.
 type Usage struct {
 	Admitted   float64 `json:"taken"`
@@ -116,7 +116,8 @@
 		b := l.balance(name)
 		b.addHost(host, usage, limit, len(l.hosts))
 		b.refill(limit, l.credited, fraction)
-		b.level -= usage.Admitted
+		// Units that were given back may exceed those admitted.
+		b.level = min(b.level-usage.Admitted, limit.Burst*fraction)
 		b.recordDemand(host, usage.Requested, since)
 		share := b.hostShare(host, reporting)
 		grants[name] = Grant{Units: b.level * share, Level: b.level, Inflow: limit.Rate * fraction * share}
--- a/internal/decision/quota/quota_test.go
+++ b/internal/decision/quota/quota_test.go
@@ -276,3 +276,59 @@
 		}
 	}
 }
+
+// Guards against an account being refused below its limit: requests that were
+// admitted and then refused for want of room used up the limit.
+func TestRefundedUnitsAreAdmittedAgain(t *testing.T) {
+	const rate, size = 10_000, 100.0
+	f := newFleet(4, Limit{Rate: rate, Burst: rate})
+	demand := []int{20, 20, 20, 20}
+	ran := 0.0
+	for at := range 100 {
+		f.step(demand, size, make([]int, 4))
+		admitted, run := f.admitted[at], 0.0
+		if at%2 == 0 { // the endpoints have room in every second tick
+			run = admitted
+		}
+		ran += run
+		f.allocations[0].Refund("a", admitted-run)
+	}
+	if want := 0.9 * 100 * rate * tick.Seconds(); ran < want {
+		t.Errorf("%.0f units ran, want at least %.0f", ran, want)
+	}
+}
+
+// Checks that refunds never let more run than the limit allows, whichever ledger
+// takes them and however late they come.
+func TestRefundsStayWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const rate, size, windowTicks = 50_000.0, 2000.0, 80
+		hosts := rapid.IntRange(1, 6).Draw(t, "hosts")
+		f := newFleet(hosts, Limit{Rate: rate, Burst: rate})
+		demand, ledgerOf := make([]int, hosts), make([]int, hosts)
+		var ran, owed []float64
+		for at := range 200 {
+			if at%40 == 0 {
+				for i := range hosts {
+					ledgerOf[i] = rapid.IntRange(0, min(2, hosts)-1).Draw(t, "ledger")
+					demand[i] = rapid.IntRange(0, 10).Draw(t, "demand")
+				}
+			}
+			f.step(demand, size, ledgerOf)
+			admitted := f.admitted[at]
+			refused := admitted * rapid.Float64Range(0, 1).Draw(t, "refused")
+			ran, owed = append(ran, admitted-refused), append(owed, refused)
+			delay := rapid.IntRange(0, 5).Draw(t, "delay")
+			if at >= delay && owed[at-delay] > 0 {
+				f.allocations[at%hosts].Refund("a", owed[at-delay])
+				owed[at-delay] = 0
+			}
+		}
+		f.admitted = ran
+		// What is admitted and not yet refunded comes on top of the burst.
+		allowed := rate*(2+windowTicks*tick.Seconds()) + float64(hosts)*10*size
+		if most := f.maxInWindow(windowTicks); most > allowed {
+			t.Fatalf("%.0f units ran in a window, allowed %.0f", most, allowed)
+		}
+	})
+}
--- a/internal/gateway/admission/fleet.go
+++ b/internal/gateway/admission/fleet.go
@@ -53,6 +53,14 @@
 
 func (m Succeeded) handle(d *Duty, _ time.Time) { d.poisonMarks.ClearRequest(m.Fingerprint) }
 
+// Refund gives back the units that were charged for a request that was not run.
+type Refund struct {
+	Account string
+	Units   float64
+}
+
+func (m Refund) handle(d *Duty, _ time.Time) { d.share.Refund(m.Account, m.Units) }
+
 // AdmitAlone asks whether a request is admitted although the coordinator did not
 // answer whether its account's limit allows it.
 type AdmitAlone struct {
--- a/internal/gateway/callers/admit.go
+++ b/internal/gateway/callers/admit.go
@@ -37,6 +37,8 @@
 	ticket  admission.Ticket
 	body    []byte
 
+	// charged reports that the request was charged against its account's limit.
+	charged bool
 	// lastChoice is the result of the last placement.
 	lastChoice placement.Choice
 	// attempt is the id of the attempt in progress, attemptStarted the time of
@@ -95,6 +97,7 @@
 	if refusal := c.acquireQuota(ctx); refusal != nil {
 		return refusal
 	}
+	c.charged = c.ticket.Units > 0
 	return c.readBody()
 }
 
--- a/internal/gateway/callers/metrics.go
+++ b/internal/gateway/callers/metrics.go
@@ -11,6 +11,10 @@
 		Name: "kingcup_gateway_refusals_total",
 		Help: "Requests that got no endpoint's answer, by disposition and reason.",
 	}, []string{"disposition", "reason"})
+	refundedUnits = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "kingcup_gateway_refunded_units_total",
+		Help: "Units given back to accounts for requests that were admitted and not run.",
+	})
 	abortedTotal = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "kingcup_gateway_broken_off_total",
 		Help: "Answers that ended after a part had been passed on.",
@@ -33,5 +37,5 @@
 
 // Collectors returns the metrics of the callers' handler.
 func Collectors() []prometheus.Collector {
-	return []prometheus.Collector{attemptsTotal, refusalsTotal, abortedTotal, firstPartSeconds, responseSeconds}
+	return []prometheus.Collector{attemptsTotal, refusalsTotal, refundedUnits, abortedTotal, firstPartSeconds, responseSeconds}
 }
--- a/internal/gateway/callers/refuse.go
+++ b/internal/gateway/callers/refuse.go
@@ -8,16 +8,30 @@
 	"go.uber.org/zap"
 
 	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/gateway/admission"
 	"kingcupcourse/internal/gateway/placement"
 )
 
 // refuse responds to the caller with a refusal.
 func (c *call) refuse(refusal *core.Refusal) {
 	c.logRefusal(refusal)
+	c.refund(refusal)
 	refusalsTotal.WithLabelValues(string(refusal.Disposition), string(refusal.Reason)).Inc()
 	c.h.Protocol.WriteRefusal(c.w, c.request, refusal)
 }
 
+// refund gives back what a request was charged that did not run. Otherwise the
+// requests that are refused for want of room would use up the account's limit, and
+// the account would be refused below it.
+func (c *call) refund(refusal *core.Refusal) {
+	if !c.charged || c.possibleRuns > 0 || refusal.Disposition != core.NotRun {
+		return
+	}
+	c.charged = false
+	refundedUnits.Add(c.ticket.Units)
+	c.sendToAdmission(admission.Refund{Account: c.ticket.Account, Units: c.ticket.Units})
+}
+
 // abortResponse aborts a response of which a part has been relayed, so that the
 // caller does not take it for complete.
 func (c *call) abortResponse(outcome attemptOutcome) {
