Overload: the time that a request may wait at an engine follows its tier

Cause: a request of any tier was taken if it was forecast to wait no longer than 0.6 of its own objective.

Change: internal/decision/overload bounds the wait by tier; the shares are a setting, and without it all tiers wait 0.6 of their objective as before. A tier is the route's priority, or the first for accounts above the lowest priority.

--- a/internal/decision/catalog/catalog.go
+++ b/internal/decision/catalog/catalog.go
@@ -32,6 +32,8 @@
 
 	byAuthority map[string][]*Route // routes in descending order of prefix length
 	byKey       map[string]*Account
+	// lowestPriority is the largest, least important, priority of an account.
+	lowestPriority int
 }
 
 // Route maps the requests of one authority and path prefix to services.
@@ -151,6 +153,9 @@
 		for _, key := range c.Accounts[i].Keys {
 			c.byKey[key] = &c.Accounts[i]
 		}
+		if c.Accounts[i].HasPriority {
+			c.lowestPriority = max(c.lowestPriority, c.Accounts[i].Priority)
+		}
 	}
 }
 
@@ -200,3 +205,14 @@
 	}
 	return r.Priority
 }
+
+// Tier returns the tier of a request, 0 for the most important; account may be nil.
+// The priority of an account precedes that of the route: all requests of an account
+// above the lowest priority are in the first tier, and the others are ordered by
+// their routes, since most accounts share one priority.
+func (c *Configuration) Tier(route *Route, account *Account) int {
+	if account != nil && account.HasPriority && account.Priority < c.lowestPriority {
+		return 0
+	}
+	return route.Priority
+}
--- a/internal/gateway/admission/duty.go
+++ b/internal/gateway/admission/duty.go
@@ -42,6 +42,9 @@
 	Account string
 	// Priority is 0 for the most important requests.
 	Priority int
+	// Tier orders the requests while there is too little room for all; 0 is the
+	// most important.
+	Tier int
 	// Deadline is when the request must have got its final response.
 	Deadline     time.Time
 	MaxBodyBytes int64
@@ -166,7 +169,7 @@
 		}
 		ticket.Account = account.Name
 	}
-	ticket.Priority = route.PriorityFor(account)
+	ticket.Priority, ticket.Tier = route.PriorityFor(account), configuration.Tier(route, account)
 	ticket.Deadline = m.Received.Add(requestTimeout(request, route))
 	if limit := configuration.Limits.MaxHeaderBytes; limit > 0 && request.HeaderBytes > limit {
 		ticket.Refusal = core.Refuse(core.ReasonHeaderTooLarge, "the header is larger than allowed")
--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -14,6 +14,7 @@
 	"kingcupcourse/internal/decision/fleet"
 	"kingcupcourse/internal/decision/health"
 	"kingcupcourse/internal/decision/outstanding"
+	"kingcupcourse/internal/decision/overload"
 	"kingcupcourse/internal/decision/placement"
 	"kingcupcourse/internal/decision/withdrawal"
 	gatewaycatalog "kingcupcourse/internal/gateway/catalog"
@@ -29,12 +30,6 @@
 	// maxInitialOffset bounds the initial position of a host's rotation among equal
 	// endpoints.
 	maxInitialOffset = 1 << 16
-	// maxWaitShare is the share of its objective that a request may be predicted
-	// to wait at the engine. The rest is left for its own prefill and for
-	// prediction errors.
-	maxWaitShare = 0.6
-	// minRetryAfter is the shortest retry delay for a refused request.
-	minRetryAfter = 200 * time.Millisecond
 	// initialPrefillRate and initialDecodeRate, in tokens per second, are the
 	// initial estimates of an engine's speed. They are those of a fast engine, so
 	// that a new engine is tried.
@@ -67,6 +62,7 @@
 	candidateBuffer []placement.Candidate
 	load            load
 	withdrawals     *withdrawal.Tracker
+	overload        overload.Policy
 	headerLoggedAt  time.Time
 	log             *zap.Logger
 }
@@ -87,7 +83,9 @@
 	// moved. Outcomes takes the outcomes of these services' attempts.
 	Constraints moves.Subscription
 	Outcomes    *ring.Ring[moves.Message]
-	Log         *zap.Logger
+	// Overload bounds the predicted wait of requests by tier.
+	Overload overload.Policy
+	Log      *zap.Logger
 }
 
 // New returns the duty of a host.
@@ -106,7 +104,7 @@
 		attempts: outstanding.NewTracker(), speeds: estimate.NewSpeeds(),
 		endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, requests: map[string]Request{},
 		tokensPerEvent: map[string]int{}, traffic: newTrafficLimits(c.Constraints, c.Outcomes),
-		directory: newDirectory(c.Host.Name), outgoing: outgoing{}, withdrawals: withdrawal.New(), log: c.Log,
+		directory: newDirectory(c.Host.Name), outgoing: outgoing{}, withdrawals: withdrawal.New(), overload: c.Overload, log: c.Log,
 	}
 }
 
@@ -194,7 +192,8 @@
 	}
 	c := decision.Chosen
 	firstToken := c.PendingPrefill + c.FirstToken
-	if retryAfter, overloaded := overload(req, c); overloaded {
+	if d.overloaded(req, c) {
+		retryAfter := d.overload.RetryAfter(req.demand(), c.PendingPrefill)
 		return Choice{BlockedReason: "overload", Overload: true, RetryAfterMS: retryAfter.Milliseconds(), Running: c.Running,
 			ExpectedMS: toMilliseconds(firstToken)}
 	}
@@ -211,7 +210,7 @@
 func (d *Duty) withoutOverload(req Request, candidates []placement.Candidate) []placement.Candidate {
 	d.candidateBuffer = d.candidateBuffer[:0]
 	for i := range candidates {
-		if _, overloaded := overload(req, &candidates[i]); !overloaded {
+		if !d.overloaded(req, &candidates[i]) {
 			d.candidateBuffer = append(d.candidateBuffer, candidates[i])
 		}
 	}
@@ -220,15 +219,15 @@
 
 func toMilliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
-// overload reports whether a request to a model would wait too long for its
-// first token, and the delay after which a retry may succeed.
-func overload(req Request, c *placement.Candidate) (retryAfter time.Duration, overloaded bool) {
-	if req.PromptTokens == 0 || req.ObjectiveMS == 0 {
-		return 0, false
-	}
-	objective := time.Duration(req.ObjectiveMS) * time.Millisecond
-	limit := time.Duration(maxWaitShare * float64(objective))
-	return max(minRetryAfter, c.PendingPrefill-limit), c.PendingPrefill > limit
+// overloaded reports whether a request to a model would wait too long for its
+// first token.
+func (d *Duty) overloaded(req Request, c *placement.Candidate) bool {
+	return req.PromptTokens > 0 && d.overload.Refuses(req.demand(), c.PendingPrefill)
+}
+
+// demand returns what the overload policy needs to know of the request.
+func (r *Request) demand() overload.Request {
+	return overload.Request{Tier: r.Tier, Objective: time.Duration(r.ObjectiveMS) * time.Millisecond}
 }
 
 // countAttempt counts an attempt on a candidate.
--- a/internal/gateway/placement/duty_test.go
+++ b/internal/gateway/placement/duty_test.go
@@ -12,6 +12,7 @@
 	"kingcupcourse/internal/decision/catalog"
 	"kingcupcourse/internal/decision/fleet"
 	"kingcupcourse/internal/decision/outstanding"
+	"kingcupcourse/internal/decision/overload"
 	"kingcupcourse/internal/decision/placement"
 	"kingcupcourse/internal/gateway/moves"
 	"kingcupcourse/internal/ring"
@@ -22,7 +23,7 @@
 func newDuty(endpoints int) *Duty {
 	d := New(Config{Host: core.Host{Name: "h", AvailabilityZone: "a"}, Snapshots: ring.NewLatest[*catalog.Snapshot](),
 		Hosts: ring.NewLatest[*fleet.Ring](), Constraints: ring.NewLatest[map[string]moves.Constraints](),
-		Outcomes: ring.New[moves.Message]("test_moves", 100), Log: zap.NewNop()})
+		Outcomes: ring.New[moves.Message]("test_moves", 100), Overload: overload.NewPolicy(nil), Log: zap.NewNop()})
 	snapshot := &catalog.Snapshot{}
 	for i := range endpoints {
 		snapshot.Endpoints = append(snapshot.Endpoints, catalog.Endpoint{Service: "s",
@@ -60,7 +61,7 @@
 		switch {
 		case choice.Overload:
 			refused++
-			if choice.RetryAfterMS < minRetryAfter.Milliseconds() {
+			if choice.RetryAfterMS < overload.MinRetryAfter.Milliseconds() {
 				t.Errorf("retry delay of %d ms is too short", choice.RetryAfterMS)
 			}
 		case choice.ExpectedMS > 500:
--- a/internal/gateway/placement/messages.go
+++ b/internal/gateway/placement/messages.go
@@ -27,6 +27,8 @@
 	OutputTokens int `json:"output_tokens,omitempty"`
 	// MaxOutputTokens is the limit of the output length, zero if it is unknown.
 	MaxOutputTokens int `json:"output_bound,omitempty"`
+	// Tier is 0 for the most important requests.
+	Tier int `json:"tier,omitempty"`
 	// ObjectiveMS is the time to the first part of the response within which it
 	// has its full value, in milliseconds.
 	ObjectiveMS int64 `json:"objective_ms,omitempty"`
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/overload"
 	"kingcupcourse/internal/gateway/admission"
 	"kingcupcourse/internal/gateway/callers"
 	"kingcupcourse/internal/gateway/catalog"
@@ -79,7 +80,7 @@
 	fleetTree.OnDiscovery(mirrorDuties.Discovered)
 	placementDuty := placement.New(placement.Config{
 		Host: host, Snapshots: catalogTree.Subscribe(), Hosts: fleetTree.Hosts(), Constraints: movesTree.Subscribe(),
-		Outcomes: movesTree.Inbox(), Log: env.Log,
+		Outcomes: movesTree.Inbox(), Overload: overload.NewPolicy(s.WaitShares), Log: env.Log,
 	})
 	placementClient := placement.NewClient(placementDuty, env.Log)
 	reporter := placement.NewReporter(s.Host, placementDuty, placementClient, env.Log)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -80,6 +80,11 @@
 	if g.RepeatShare < 0 || g.RepeatBurst < 0 {
 		report.Add("repeat_share", "must not be negative, and neither may repeat_burst")
 	}
+	for i, share := range g.WaitShares {
+		if share < 0 || share > 1 {
+			report.Add("wait_shares", "entry %d must be from 0 to 1", i)
+		}
+	}
 	if g.ExposeShare < 0 || g.ExposeShare > 1 {
 		report.Add("expose_share", "must be from 0 to 1")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -121,6 +121,11 @@
 	// number of hosts never exceeds them.
 	RepeatShare float64 `json:"repeat_share"`
 	RepeatBurst float64 `json:"repeat_burst"`
+	// WaitShares is, by tier from the most important one, the share of its latency
+	// objective that a request may be predicted to wait at an engine, from 0 to 1.
+	// Above that it is refused as not run. The last share holds for all further
+	// tiers. Default 0.6 for all tiers.
+	WaitShares []float64 `json:"wait_shares,omitempty"`
 	// ExposeShare is the maximum fraction of a service's requests that a
 	// candidate version may receive, from 0 to 1, and ExposeFree the number of
 	// requests that it may receive in addition.
