--- a/internal/decision/spill/spill.go
+++ b/internal/decision/spill/spill.go
@@ -42,8 +42,8 @@
 	exploredShare = 0.1
 	// maxSteps is how many shards are asked for one request.
 	maxSteps = 3
-	// maxTiers bounds the tiers whose state is kept.
-	maxTiers = 64
+	// maxKept bounds the limits of waits whose state is kept.
+	maxKept = 64
 )
 
 // Room is the room of a shard as its coordinator counted it.
@@ -71,10 +71,8 @@
 
 // Request is a request to be placed.
 type Request struct {
-	// Tier separates the state of requests with unlike objectives.
-	Tier int64
 	// MaxWait is the wait above which a coordinator refuses the request, zero if
-	// it never does.
+	// it never does. It follows from the tier and the objective.
 	MaxWait time.Duration
 	// Bytes is the size of the request and of its expected answer together.
 	Bytes int
@@ -110,12 +108,12 @@
 	OnlyIfSilent bool
 }
 
-// Decider decides for the hosts of one home shard. Its state is whether requests of
-// a tier leave at present.
-type Decider struct{ leaving map[int64]bool }
+// Decider decides for the hosts of one home shard. Its state is whether
+// requests leave at present, by how long they may wait.
+type Decider struct{ leaving map[time.Duration]bool }
 
 // NewDecider returns a decider by which no request leaves yet.
-func NewDecider() *Decider { return &Decider{leaving: map[int64]bool{}} }
+func NewDecider() *Decider { return &Decider{leaving: map[time.Duration]bool{}} }
 
 // Order returns the shards to ask for a request, in this order, at most three. The
 // home shard is always among them. links is the time that a call to a zone takes in
@@ -138,15 +136,16 @@
 	return c.fallbacks([]Step{{Shard: home}})
 }
 
-// leaves updates and returns whether requests of the tier leave at present.
+// leaves updates and returns whether requests that may wait as long as
+// this one leave at present.
 func (d *Decider) leaves(req Request, home *Shard) bool {
 	switch wait := home.Room.Wait.Seconds(); {
 	case req.MaxWait <= 0 || !home.known():
-		delete(d.leaving, req.Tier)
-	case wait >= startShare*req.MaxWait.Seconds() && len(d.leaving) < maxTiers:
-		d.leaving[req.Tier] = true
+		delete(d.leaving, req.MaxWait)
+	case wait >= startShare*req.MaxWait.Seconds() && len(d.leaving) < maxKept:
+		d.leaving[req.MaxWait] = true
 	case wait <= stopShare*req.MaxWait.Seconds():
-		delete(d.leaving, req.Tier)
+		delete(d.leaving, req.MaxWait)
 	}
-	return d.leaving[req.Tier]
+	return d.leaving[req.MaxWait]
 }
--- a/internal/gateway/placement/directory.go
+++ b/internal/gateway/placement/directory.go
@@ -136,14 +136,15 @@
 
 // targets returns the coordinators to ask for a request: that of the home shard,
 // and that of another shard in case the first has no room. With zones considered
-// the order follows what is known of the shards' room.
-func (d *directory) targets(req Request, now time.Time) []target {
+// the order follows what is known of the shards' room, and maxWait is how long the
+// request may wait.
+func (d *directory) targets(req Request, maxWait time.Duration, now time.Time) []target {
 	s := d.services[req.Service]
 	if s == nil {
 		return []target{{shard: 1}}
 	}
 	if d.zoneAware && len(s.numbers) > 1 {
-		return d.targetsByRoom(s, req, now)
+		return d.targetsByRoom(s, req, maxWait, now)
 	}
 	found := []target{d.target(req.Service, s.home, now)}
 	if count := len(s.numbers); count > 1 {
@@ -224,7 +225,7 @@
 }
 
 func (m findTargets) handle(d *Duty, now time.Time) {
-	found := targets{coordinators: d.directory.targets(m.request, now)}
+	found := targets{coordinators: d.directory.targets(m.request, d.maxWait(m.request), now)}
 	found.resting, found.wait = d.resting(m.request.Service, now)
 	m.Send(found)
 }
--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -14,6 +14,7 @@
 	"kingcupcourse/internal/decision/fleet"
 	"kingcupcourse/internal/decision/health"
 	"kingcupcourse/internal/decision/outstanding"
+	"kingcupcourse/internal/decision/overload"
 	"kingcupcourse/internal/decision/placement"
 	"kingcupcourse/internal/decision/withdrawal"
 	gatewaycatalog "kingcupcourse/internal/gateway/catalog"
@@ -29,12 +30,6 @@
 	// maxInitialOffset bounds the initial position of a host's rotation among equal
 	// endpoints.
 	maxInitialOffset = 1 << 16
-	// maxWaitShare is the share of its objective that a request may be predicted
-	// to wait at the engine. The rest is left for its own prefill and for
-	// prediction errors.
-	maxWaitShare = 0.6
-	// minRetryAfter is the shortest retry delay for a refused request.
-	minRetryAfter = 200 * time.Millisecond
 	// initialPrefillRate and initialDecodeRate, in tokens per second, are the
 	// initial estimates of an engine's speed. They are those of a fast engine, so
 	// that a new engine is tried.
@@ -67,6 +62,7 @@
 	candidateBuffer []placement.Candidate
 	load            load
 	withdrawals     *withdrawal.Tracker
+	overload        overload.Policy
 	headerLoggedAt  time.Time
 	log             *zap.Logger
 }
@@ -87,6 +83,8 @@
 	// moved. Outcomes takes the outcomes of these services' attempts.
 	Constraints moves.Subscription
 	Outcomes    *ring.Ring[moves.Message]
+	// Overload bounds the predicted wait of requests by tier.
+	Overload overload.Policy
 	// ZoneAware divides endpoints by zone and sends requests to other zones only
 	// if that pays.
 	ZoneAware bool
@@ -109,7 +107,7 @@
 		attempts: outstanding.NewTracker(), speeds: estimate.NewSpeeds(),
 		endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, requests: map[string]Request{},
 		tokensPerEvent: map[string]int{}, traffic: newTrafficLimits(c.Constraints, c.Outcomes),
-		directory: newDirectory(c.Host, c.ZoneAware), outgoing: outgoing{}, withdrawals: withdrawal.New(), log: c.Log,
+		directory: newDirectory(c.Host, c.ZoneAware), outgoing: outgoing{}, withdrawals: withdrawal.New(), overload: c.Overload, log: c.Log,
 	}
 }
 
@@ -199,8 +197,9 @@
 		return Choice{BlockedReason: policy.TopRejectingFilter(decision)}
 	}
 	c := decision.Chosen
-	firstToken := c.PendingPrefill + c.Prefill
-	if retryAfter, overloaded := overload(req, c); overloaded {
+	firstToken := c.PendingPrefill + c.FirstToken
+	if d.overloaded(req, c) {
+		retryAfter := d.overload.RetryAfter(req.demand(), c.PendingPrefill)
 		return Choice{BlockedReason: "overload", Overload: true, RetryAfterMS: retryAfter.Milliseconds(), Running: c.Running,
 			ExpectedMS: toMilliseconds(firstToken)}
 	}
@@ -217,7 +216,7 @@
 func (d *Duty) withoutOverload(req Request, candidates []placement.Candidate) []placement.Candidate {
 	d.candidateBuffer = d.candidateBuffer[:0]
 	for i := range candidates {
-		if _, overloaded := overload(req, &candidates[i]); !overloaded {
+		if !d.overloaded(req, &candidates[i]) {
 			d.candidateBuffer = append(d.candidateBuffer, candidates[i])
 		}
 	}
@@ -226,23 +225,25 @@
 
 func toMilliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
-// overload reports whether a request to a model would wait too long for its
-// first token, and the delay after which a retry may succeed.
-func overload(req Request, c *placement.Candidate) (retryAfter time.Duration, overloaded bool) {
-	limit := maxWait(req)
-	if limit == 0 {
-		return 0, false
-	}
-	return max(minRetryAfter, c.PendingPrefill-limit), c.PendingPrefill > limit
+// overloaded reports whether a request to a model would wait too long for its
+// first token.
+func (d *Duty) overloaded(req Request, c *placement.Candidate) bool {
+	return req.PromptTokens > 0 && d.overload.Refuses(req.demand(), c.PendingPrefill)
+}
+
+// demand returns what the overload policy needs to know of the request.
+func (r *Request) demand() overload.Request {
+	return overload.Request{Tier: r.Tier, Objective: time.Duration(r.ObjectiveMS) * time.Millisecond}
 }
 
 // maxWait returns how long a request may be predicted to wait at an engine, zero if
 // there is no limit.
-func maxWait(req Request) time.Duration {
-	if req.PromptTokens == 0 {
+func (d *Duty) maxWait(req Request) time.Duration {
+	limit, bounded := d.overload.MaxWait(req.demand())
+	if req.PromptTokens == 0 || !bounded {
 		return 0
 	}
-	return time.Duration(maxWaitShare * float64(time.Duration(req.ObjectiveMS)*time.Millisecond))
+	return limit
 }
 
 // countAttempt counts an attempt on a candidate.
@@ -256,7 +257,7 @@
 	d.attempts.Add(&outstanding.Attempt{
 		ID: req.Attempt, Host: req.Host, Endpoint: c.Endpoint.Name, Version: c.Version,
 		PrefillTokens: req.PromptTokens, PrefillTokensAhead: ahead, ExpectedOutputTokens: req.OutputTokens,
-		GrantedAt: now, ExpectedFirstToken: now.Add(c.PendingPrefill + c.Prefill), RunningAtPlacement: c.Running,
+		GrantedAt: now, ExpectedFirstToken: now.Add(c.PendingPrefill + c.FirstToken), RunningAtPlacement: c.Running,
 	}, now)
 }
 
--- a/internal/gateway/placement/duty_test.go
+++ b/internal/gateway/placement/duty_test.go
@@ -12,6 +12,7 @@
 	"kingcupcourse/internal/decision/catalog"
 	"kingcupcourse/internal/decision/fleet"
 	"kingcupcourse/internal/decision/outstanding"
+	"kingcupcourse/internal/decision/overload"
 	"kingcupcourse/internal/decision/placement"
 	"kingcupcourse/internal/gateway/moves"
 	"kingcupcourse/internal/ring"
@@ -22,7 +23,7 @@
 func newDuty(endpoints int) *Duty {
 	d := New(Config{Host: core.Host{Name: "h", AvailabilityZone: "a"}, Snapshots: ring.NewLatest[*catalog.Snapshot](),
 		Hosts: ring.NewLatest[*fleet.Ring](), Constraints: ring.NewLatest[map[string]moves.Constraints](),
-		Outcomes: ring.New[moves.Message]("test_moves", 100), Log: zap.NewNop()})
+		Outcomes: ring.New[moves.Message]("test_moves", 100), Overload: overload.NewPolicy(nil), Log: zap.NewNop()})
 	snapshot := &catalog.Snapshot{}
 	for i := range endpoints {
 		snapshot.Endpoints = append(snapshot.Endpoints, catalog.Endpoint{Service: "s",
@@ -60,7 +61,7 @@
 		switch {
 		case choice.Overload:
 			refused++
-			if choice.RetryAfterMS < minRetryAfter.Milliseconds() {
+			if choice.RetryAfterMS < overload.MinRetryAfter.Milliseconds() {
 				t.Errorf("retry delay of %d ms is too short", choice.RetryAfterMS)
 			}
 		case choice.ExpectedMS > 500:
@@ -80,16 +81,17 @@
 	d, now := newDuty(2), time.Now()
 	teach := func(endpoint string, msPer1000 float64) {
 		for i := range 20 {
-			req := newRequest(i, 1000)
+			req := newRequest(i, 1000+500*(i%5))
+			first := msPer1000 * float64(req.PromptTokens) / 1000
 			d.countAttempt(req, &placement.Candidate{Endpoint: d.endpoints[endpoint].Endpoint.Endpoint}, now)
-			d.applyUpdate(Update{Attempt: req.Attempt, Result: core.ResultOK, FirstPartMS: msPer1000, TotalMS: msPer1000 + 300}, now)
+			d.applyUpdate(Update{Attempt: req.Attempt, Result: core.ResultOK, FirstPartMS: first, TotalMS: first + 300}, now)
 		}
 	}
 	teach("e0", 10)
 	teach("e1", 50)
 	// Prompts of 35,000 tokens make the fast engine busy for longer than a request
 	// with an objective of 500 ms may wait.
-	d.countAttempt(newRequest(100, 35_000), &placement.Candidate{Endpoint: d.endpoints["e0"].Endpoint.Endpoint, PendingPrefill: 0, Prefill: 350 * time.Millisecond}, now)
+	d.countAttempt(newRequest(100, 35_000), &placement.Candidate{Endpoint: d.endpoints["e0"].Endpoint.Endpoint, Prefill: 350 * time.Millisecond, FirstToken: 350 * time.Millisecond}, now)
 	for _, prompt := range []int{1000, 14_000} {
 		choice := d.choose(newRequest(200+prompt, prompt), now)
 		if choice.Endpoint != "e1" {
--- a/internal/gateway/placement/room.go
+++ b/internal/gateway/placement/room.go
@@ -84,13 +84,13 @@
 }
 
 // targetsByRoom returns the coordinators to ask by the room of their shards.
-func (d *directory) targetsByRoom(s *shards, req Request, now time.Time) []target {
+func (d *directory) targetsByRoom(s *shards, req Request, maxWait time.Duration, now time.Time) []target {
 	known := make([]spill.Shard, 0, len(s.numbers))
 	for _, shard := range s.numbers {
 		known = append(known, spill.Shard{Number: shard, Zone: s.Zones[shard], Room: s.rooms[shard].aged(now)})
 	}
 	steps := s.decider.Order(spill.Request{
-		Tier: req.ObjectiveMS, MaxWait: maxWait(req), Bytes: req.BodyBytes + bytesPerOutputToken*req.OutputTokens, Draw: uniform(req.Attempt),
+		MaxWait: maxWait, Bytes: req.BodyBytes + bytesPerOutputToken*req.OutputTokens, Draw: uniform(req.Attempt),
 	}, s.home, known, d.links.extra(s.Zones[s.home], now))
 	found := make([]target, 0, len(steps))
 	for _, step := range steps {
--- a/internal/gateway/placement/room_test.go
+++ b/internal/gateway/placement/room_test.go
@@ -14,6 +14,7 @@
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/catalog"
 	"kingcupcourse/internal/decision/fleet"
+	"kingcupcourse/internal/decision/overload"
 	"kingcupcourse/internal/decision/spill"
 	"kingcupcourse/internal/gateway/moves"
 	"kingcupcourse/internal/ring"
@@ -24,7 +25,7 @@
 func newZonedDuty(zoneAware bool, addresses map[core.AvailabilityZone]string) *Duty {
 	d := New(Config{Host: core.Host{Name: "h", AvailabilityZone: "a"}, Snapshots: ring.NewLatest[*catalog.Snapshot](),
 		Hosts: ring.NewLatest[*fleet.Ring](), Constraints: ring.NewLatest[map[string]moves.Constraints](),
-		Outcomes: ring.New[moves.Message]("test_moves", 100), ZoneAware: zoneAware, Log: zap.NewNop()})
+		Outcomes: ring.New[moves.Message]("test_moves", 100), Overload: overload.NewPolicy(nil), ZoneAware: zoneAware, Log: zap.NewNop()})
 	snapshot := &catalog.Snapshot{}
 	hosts := []fleet.Host{{Name: "h", AvailabilityZone: "a", Processor: 0.1}}
 	for _, zone := range []core.AvailabilityZone{"a", "b"} {
