--- a/internal/gateway/placement/client.go
+++ b/internal/gateway/placement/client.go
@@ -35,14 +35,17 @@
 	zone core.AvailabilityZone
 	// zoneAware is the setting of the duty.
 	zoneAware bool
-	local     *ring.Ring[Message]
-	client    *http.Client
-	log       *zap.Logger
+	// timeout bounds a placement request to a coordinator.
+	timeout time.Duration
+	local   *ring.Ring[Message]
+	client  *http.Client
+	log     *zap.Logger
 }
 
 // NewClient returns a client that falls back to the host's own duty.
 func NewClient(local *Duty, log *zap.Logger) *Client {
-	return &Client{host: local.host.Name, zone: local.host.AvailabilityZone, zoneAware: local.directory.zoneAware, local: local.inbox, client: &http.Client{Transport: codec.NewTransport(0)}, log: log}
+	return &Client{host: local.host.Name, zone: local.host.AvailabilityZone, zoneAware: local.directory.zoneAware, local: local.inbox, timeout: chooseTimeout,
+		client: &http.Client{Transport: codec.NewTransport(0)}, log: log}
 }
 
 // Place chooses an endpoint for an attempt of this host. An update with a result
@@ -120,7 +123,7 @@
 	if address == "" {
 		return c.chooseLocally(ctx, req)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, chooseTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	var choice Choice
 	began := time.Now()
--- a/internal/gateway/placement/directory.go
+++ b/internal/gateway/placement/directory.go
@@ -43,7 +43,8 @@
 // shards is the division of a service's endpoints.
 type shards struct {
 	*fleet.Division
-	numbers []int // of the shards, ascending
+	ring    *fleet.Ring // by which it was divided
+	numbers []int       // of the shards, ascending
 	// home is the shard of this host.
 	home   int
 	orders map[int][]fleet.Host // by shard
@@ -82,13 +83,18 @@
 	}
 	for service, endpoints := range services {
 		known := d.services[service]
-		if !d.zoneAware && known != nil && len(known.numbers) == fleet.ShardCount(d.ring.Len(), len(endpoints)) && known.contains(endpoints) {
-			continue
+		if known == nil || known.ring != d.ring && d.divisionChanges(known, len(endpoints)) || !known.contains(endpoints) {
+			d.services[service] = d.divide(endpoints, known)
 		}
-		d.services[service] = d.divide(endpoints, known)
 	}
 }
 
+// divisionChanges reports whether other hosts may divide endpoints otherwise. By
+// zone that follows from the hosts of each zone, else from the number of shards.
+func (d *directory) divisionChanges(known *shards, endpoints int) bool {
+	return d.zoneAware || len(known.numbers) != fleet.ShardCount(d.ring.Len(), endpoints)
+}
+
 // contains reports whether these endpoints have been divided.
 func (s *shards) contains(endpoints []*endpoint) bool {
 	for _, e := range endpoints {
@@ -109,7 +115,7 @@
 	if d.zoneAware {
 		division = fleet.DivideByZone
 	}
-	divided := &shards{Division: division(members, d.ring), orders: map[int][]fleet.Host{}, rooms: map[int]countedRoom{}, decider: spill.NewDecider()}
+	divided := &shards{Division: division(members, d.ring), ring: d.ring, orders: map[int][]fleet.Host{}, rooms: map[int]countedRoom{}, decider: spill.NewDecider()}
 	divided.numbers = divided.Shards()
 	if known != nil {
 		divided.turn, divided.relayed = known.turn, known.relayed
--- a/internal/gateway/placement/room.go
+++ b/internal/gateway/placement/room.go
@@ -206,8 +206,8 @@
 			continue
 		}
 		for _, r := range rooms {
-			room := spill.Room{Free: r.Free, Slots: r.Slots, Wait: toDuration(r.WaitMS)}
-			s.learn(r.Shard-1, countedRoom{room, now.Add(-time.Duration(r.AgeMS) * time.Millisecond)})
+			room := spill.Room{Free: max(0, r.Free), Slots: max(0, r.Slots), Wait: toDuration(max(0, r.WaitMS))}
+			s.learn(r.Shard-1, countedRoom{room, now.Add(-time.Duration(max(0, r.AgeMS)) * time.Millisecond)})
 		}
 	}
 }
