--- a/internal/decision/spill/sim_test.go
+++ b/internal/decision/spill/sim_test.go
@@ -30,8 +30,8 @@
 	placed, refused, left, vain, both int
 	wait                              time.Duration // sum over the placed requests
 	leftAfter                         map[int]int   // left by tick
-	// flow counts the requests of the last ticks by home and shard.
-	flow [4][4]int
+	// flow counts the requests of the last ticks by home and shard, taken all of them.
+	flow, taken [4][4]int
 }
 
 type simulatedShard struct {
@@ -116,6 +116,7 @@
 		}
 		z.queued++
 		s.placed++
+		s.taken[home][step.Shard]++
 		s.wait += room.Wait
 		if step.Shard != home {
 			s.left++
--- a/internal/decision/spill/spill_test.go
+++ b/internal/decision/spill/spill_test.go
@@ -76,6 +76,27 @@
 	}
 }
 
+// A burst in one zone goes to the others in proportion to their room, not in equal
+// parts, and leaves the demand there alone.
+func TestBurstInOneZoneSpreadsByRoom(t *testing.T) {
+	base := []float64{3.6, 1.4, 0.9, 0.4}
+	decided, rotated := both(4, 1000, nil, func(zone, _ int) float64 { return base[zone] })
+	to := decided.taken[0]
+	if !(to[3] > to[2] && to[2] > to[1] && to[1] > 0) || to[3] < 3*to[1]/2 {
+		t.Errorf("the burst went to the zones as %v, want most to the last", to)
+	}
+	for zone := 1; zone < 4; zone++ {
+		for other := range 4 {
+			if other != zone && decided.taken[zone][other] > 0 {
+				t.Errorf("%d requests of zone %d were displaced to zone %d", decided.taken[zone][other], zone, other)
+			}
+		}
+	}
+	if decided.refused > rotated.refused || decided.meanWait() > rotated.meanWait()/2 {
+		t.Errorf("%d refused, mean wait %v; in turn %d and %v", decided.refused, decided.meanWait(), rotated.refused, rotated.meanWait())
+	}
+}
+
 // Guards against requests that leave in vain: while all zones are full, other
 // zones have no room either.
 func TestBurstInAllZonesStaysHome(t *testing.T) {
