Connections to endpoints are kept for requests that may not be repeated

Cause: each such request opened a connection, and idle ones were closed after 1.5 s.

Change: the duty connections owns the idle connections and hands each to one request; decision/keepalive decides which may carry which request, by idle age, stated and observed timeouts, incarnation, failures and silence of the endpoint. The pool chooses by giving each connection a name in place of the address, so that net/http still sends, reads and watches it. A connection is kept only if the response names the request, was read to its end and announces no close; the socket is looked at right before reuse. Counters by reason and cause, a line of counts every 10 s, and "reused" in the line of an attempt. platform/ decodes Keep-Alive. docs/design/connections.md weighs the risks.

Tests: platform/connections_test.go; on the code before, TestRunOnceRequestsUseKeptConnections saw 40 connections for 40 requests. TestSilentConnectionsAreNotUsedAgain fails without the rule of silence (504 after 3 s). The stand-in endpoints count their connections.

TCP_USER_TIMEOUT would also cut requests at endpoints that read slowly.

--- a/internal/gateway/callers/dispatch.go
+++ b/internal/gateway/callers/dispatch.go
@@ -9,6 +9,7 @@
 
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/catalog"
+	"kingcupcourse/internal/gateway/connections"
 	"kingcupcourse/internal/gateway/frontend"
 	"kingcupcourse/internal/gateway/placement"
 )
@@ -16,23 +17,49 @@
 // dispatch sends the request to the endpoint at most once and relays the
 // response.
 func (c *call) dispatch(ctx context.Context, endpoint catalog.Endpoint) attemptOutcome {
-	tracker := &writeTracker{}
-	request, err := c.h.Protocol.BuildRequest(tracker.trace(ctx), c.r, frontend.EndpointRequest{
+	request, err := c.h.Protocol.BuildRequest(ctx, c.r, frontend.EndpointRequest{
 		Endpoint: endpoint, Account: c.ticket.Account, Timeout: time.Until(c.ticket.Deadline), Body: c.body,
 		LastEventID: c.lastEventID,
 	})
 	if err != nil {
 		return attemptOutcome{result: core.ResultNotDispatched, reason: core.ReasonBadRequest, detail: err.Error()}
 	}
-	response, err := c.transport().RoundTrip(request)
+	lease := c.h.Connections.Take(ctx, connections.Request{Endpoint: endpoint, Repeatable: c.repeatable()})
+	outcome, info := c.exchange(ctx, endpoint, lease, request)
+	outcome.reused = lease.Reused()
+	lease.Close(ctx, connections.Result{
+		Answered: info.MatchesRequest && !info.Anonymous && !info.Closing && !info.Leaving && outcome.result != core.ResultLost,
+		Fault:    isConnectionFault(ctx, lease, outcome), KeepAlive: info.KeepAlive,
+	})
+	return outcome
+}
+
+// isConnectionFault reports whether the outcome casts doubt on other connections to
+// the endpoint. So does silence on a kept connection.
+func isConnectionFault(ctx context.Context, lease *connections.Lease, outcome attemptOutcome) bool {
+	switch outcome.result {
+	case core.ResultLost:
+		return true
+	case core.ResultNotDispatched:
+		return ctx.Err() == nil
+	case core.ResultCancelled:
+		return lease.Reused() && outcome.status == 0 && outcome.reason == core.ReasonDeadlinePassed
+	}
+	return false
+}
+
+// exchange sends the request on the leased connection and relays the response. The
+// info is empty if there was no response.
+func (c *call) exchange(ctx context.Context, endpoint catalog.Endpoint, lease *connections.Lease, request *http.Request) (attemptOutcome, frontend.ResponseInfo) {
+	response, err := lease.RoundTrip(request)
 	switch {
-	case err != nil && !tracker.mayHaveWritten():
-		return attemptOutcome{result: core.ResultNotDispatched, reason: core.ReasonNoEndpoint, detail: err.Error()}
+	case err != nil && !lease.MayHaveWritten():
+		return attemptOutcome{result: core.ResultNotDispatched, reason: core.ReasonNoEndpoint, detail: err.Error()}, frontend.ResponseInfo{}
 	case err != nil && ctx.Err() != nil:
-		return attemptOutcome{result: core.ResultCancelled, reason: core.ReasonDeadlinePassed, detail: err.Error()}
+		return attemptOutcome{result: core.ResultCancelled, reason: core.ReasonDeadlinePassed, detail: err.Error()}, frontend.ResponseInfo{}
 	case err != nil:
 		c.answerBegun = errors.Is(err, io.ErrUnexpectedEOF) // inside the header
-		return attemptOutcome{result: core.ResultLost, reason: core.ReasonEndpointFailed, detail: err.Error()}
+		return attemptOutcome{result: core.ResultLost, reason: core.ReasonEndpointFailed, detail: err.Error()}, frontend.ResponseInfo{}
 	}
 	defer response.Body.Close()
 	c.answerBegun = true
@@ -40,19 +67,12 @@
 	if info.MatchesRequest {
 		c.reportEndpointSaid(endpoint, info)
 	}
-	if info.Anonymous && tracker.reused {
+	if info.Anonymous && lease.Reused() {
 		info.MatchesRequest = false
 	}
 	outcome := c.receive(ctx, response, info)
 	outcome.status = response.StatusCode
-	return outcome
-}
-
-func (c *call) transport() *http.Transport {
-	if c.repeatable() {
-		return c.h.transports.pooled
-	}
-	return c.h.transports.unpooled
+	return outcome, info
 }
 
 // reportEndpointSaid tells the placement duty what the endpoint says about itself,
--- a/internal/gateway/callers/handler.go
+++ b/internal/gateway/callers/handler.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"kingcupcourse/internal/gateway/admission"
+	"kingcupcourse/internal/gateway/connections"
 	"kingcupcourse/internal/gateway/fleet"
 	"kingcupcourse/internal/gateway/frontend"
 	"kingcupcourse/internal/gateway/placement"
@@ -27,6 +28,8 @@
 	Host string
 	// Place chooses an endpoint for an attempt.
 	Place func(context.Context, placement.Request) placement.Placed
+	// Connections are those to the endpoints.
+	Connections *connections.Pool
 	// Reports receives the updates on attempts.
 	Reports *ring.Ring[placement.Update]
 	// EndpointSaid takes what an endpoint says about itself in a response.
@@ -56,12 +59,11 @@
 // Handler serves callers.
 type Handler struct {
 	Config
-	transports *transports
 }
 
 // NewHandler returns the handler.
 func NewHandler(config Config) *Handler {
-	return &Handler{Config: config, transports: newTransports()}
+	return &Handler{Config: config}
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/gateway/callers/poison.go
+++ b/internal/gateway/callers/poison.go
@@ -14,6 +14,7 @@
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/poison"
 	"kingcupcourse/internal/gateway/admission"
+	"kingcupcourse/internal/gateway/connections"
 	"kingcupcourse/internal/ring"
 )
 
@@ -52,7 +53,7 @@
 // are suspected only if the endpoint died as it began the answer: it had worked on
 // answers that have events, and on those that it had not begun, without dying.
 func (c *call) reportDeath(endpoint core.Endpoint) {
-	connection, err := net.DialTimeout("tcp", endpoint.Address, dialTimeout)
+	connection, err := net.DialTimeout("tcp", endpoint.Address, connections.DialTimeout)
 	if err == nil {
 		_ = connection.Close()
 		return
--- a/internal/gateway/callers/refuse.go
+++ b/internal/gateway/callers/refuse.go
@@ -52,7 +52,7 @@
 		zap.Int("prompt_tokens", c.request.PromptTokens), zap.Int("output_bound", c.request.MaxOutputTokens),
 		zap.Int("output_hint", c.request.OutputHint), zap.Int("events", c.eventCount.Events),
 		zap.Bool("by_keeper", placed.ByCoordinator), zap.Duration("first", c.timeToFirstPart), zap.Uint64("configuration", c.ticket.ConfigVersion),
-		zap.String("result", string(outcome.result)), zap.Int("status", outcome.status), zap.String("reason", string(outcome.reason)),
+		zap.String("result", string(outcome.result)), zap.Int("status", outcome.status), zap.Bool("reused", outcome.reused), zap.String("reason", string(outcome.reason)),
 		zap.String("detail", outcome.detail), zap.Duration("took", elapsed))
 }
 
--- a/internal/gateway/callers/run.go
+++ b/internal/gateway/callers/run.go
@@ -28,6 +28,8 @@
 	reason core.Reason
 	detail string
 	status int
+	// reused reports that the connection carried an earlier request.
+	reused bool
 	// delivered reports that the caller has got its final response.
 	delivered bool
 }
--- a/internal/gateway/frontend/frontend.go
+++ b/internal/gateway/frontend/frontend.go
@@ -60,6 +60,11 @@
 	// Anonymous reports that the response names no request. On a connection that
 	// carried an earlier request it may be a second response to that one.
 	Anonymous bool
+	// Closing reports that the endpoint closes the connection after the response.
+	Closing bool
+	// KeepAlive is how long the endpoint keeps the connection idle, zero if it did
+	// not say so.
+	KeepAlive time.Duration
 	// Leaving reports that the endpoint takes no new requests until it restarts.
 	Leaving bool
 	// Rest is how long the endpoint wants no requests of this host, zero if it did
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -16,6 +16,7 @@
 	"kingcupcourse/internal/gateway/admission"
 	"kingcupcourse/internal/gateway/callers"
 	"kingcupcourse/internal/gateway/catalog"
+	"kingcupcourse/internal/gateway/connections"
 	"kingcupcourse/internal/gateway/fleet"
 	"kingcupcourse/internal/gateway/frontend"
 	"kingcupcourse/internal/gateway/mirror"
@@ -83,9 +84,10 @@
 	})
 	placementClient := placement.NewClient(placementDuty, env.Log)
 	reporter := placement.NewReporter(s.Host, placementDuty, placementClient, env.Log)
+	pool := connections.New(connections.Config{Snapshots: catalogTree.Subscribe(), Hosts: fleetTree.Hosts(), Log: env.Log})
 	handler := callers.NewHandler(callers.Config{
 		Host: s.Host, Protocol: adapter.Protocol, Admission: admissionDuty.Inbox(), Place: placementClient.Place, Reports: reporter.Inbox(),
-		EndpointSaid: placementClient.EndpointSaid,
+		EndpointSaid: placementClient.EndpointSaid, Connections: pool,
 		AcquireQuota: fleetTree.Acquire, Log: env.Log,
 		Stop: callers.Stop{DrainingSince: env.DrainingSince, DrainDelay: milliseconds(s.DrainDelayMS), CutAfter: milliseconds(s.GraceMS) - stopMargin},
 	})
@@ -115,6 +117,7 @@
 			{Name: "mirror", Duty: mirrorDuties.Supervisor()},
 			{Name: "peers", Duty: peerListener},
 			{Name: "balancer", Duty: balancerListener},
+			{Name: "connections", Duty: pool},
 			{Name: "callers", Duty: callerListener, StopTimeout: drain + stopMargin},
 		}}, env.Log)}}, nil
 }
@@ -127,6 +130,7 @@
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	registry.MustRegister(callers.Collectors()...)
 	registry.MustRegister(catalog.Collectors()...)
+	registry.MustRegister(connections.Collectors()...)
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	fleetTree.RegisterHandlers(mux)
