A duty has closed its port when its supervisor has stopped it

TestProxyRefusesConnections failed once: a connection was accepted after the fault proxy had answered that it refuses them.

Cause: CloseOnDone closes the listener on a goroutine of context.AfterFunc. The close first wakes up Accept, and only then gives up its reference, with which the socket is closed. The duty returned between the two; its own second Close does not wait. So the supervisor reported it as stopped while the port was still open. supervisor.HTTP had a copy of the same lines, where a duty that is restarted could find its own port in use.

Ruled out: a reply of the proxy before its duty is removed (Remove waits for the duty's return), and another process at the same port (its chance does not fit 10 of 6000).

--- a/internal/supervisor/http.go
+++ b/internal/supervisor/http.go
@@ -67,10 +67,8 @@
 	}
 	open := newOpenConnections()
 	server.ConnState = open.track
-	listener := h.listener
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
-	err := server.Serve(&wrappingListener{Listener: listener, wrap: h.wrap})
+	defer CloseOnDone(ctx, h.listener)()
+	err := server.Serve(&wrappingListener{Listener: h.listener, wrap: h.wrap})
 	h.listener = nil
 	if ctx.Err() != nil {
 		return h.drain(server, open)
