Tests of the control duties keep their wait in real time

This takes back the wait in time in which the process ran. The trace shows why the test failed beside a load of 65 on 7 cores, but not that the recorded failure, beside a load of 7, was the same; a wait that leaves pauses out is not as strict as the old one.

--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -161,7 +161,7 @@
 // awaitView waits for a view that satisfies want.
 func (p *process) awaitView(t *testing.T, timeout time.Duration, what string, want func(*View) bool) *View {
 	t.Helper()
-	ctx, cancel := withRunningTimeout(t.Context(), timeout)
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
 	defer cancel()
 	var last *View
 	for {
@@ -197,20 +197,3 @@
 func hasManifestVersion(version uint64) func(*View) bool {
 	return func(v *View) bool { return v.ManifestVersion == version }
 }
-
-// withRunningTimeout returns a context that ends after a time in which this process ran.
-// On a busy machine the whole process may stand still for seconds, and with it all that a
-// test waits for; of such a pause only maxStep counts.
-func withRunningTimeout(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
-	const step, maxStep = 10 * time.Millisecond, 100 * time.Millisecond
-	ctx, cancel := context.WithCancel(parent)
-	go func() {
-		defer cancel()
-		for left := timeout; left > 0 && ctx.Err() == nil; {
-			began := time.Now()
-			time.Sleep(step)
-			left -= min(time.Since(began), maxStep)
-		}
-	}()
-	return ctx, cancel
-}
