Plain services leave a zone by their queue

Cause: the room of a shard of a plain service had no wait, and its coordinators refuse nothing, so with shards by zone a peak would have queued at home while other zones were idle. Change: its wait is the time of one request for each slot's worth of requests ahead, and the share of the objective of its tier decides when requests leave. Ruled out: refusing plain requests by the forecast; that changes what is served without the setting too.

--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -236,11 +236,12 @@
 	return overload.Request{Tier: r.Tier, Objective: time.Duration(r.ObjectiveMS) * time.Millisecond}
 }
 
-// maxWait returns how long a request may be predicted to wait at an engine, zero if
-// there is no limit.
+// maxWait returns how long a request may be predicted to wait at an endpoint, zero
+// if there is no limit. Plain services refuse nothing for it, but it says when
+// another shard serves the request better.
 func (d *Duty) maxWait(req Request) time.Duration {
 	limit, bounded := d.overload.MaxWait(req.demand())
-	if req.PromptTokens == 0 || !bounded {
+	if !bounded {
 		return 0
 	}
 	return limit
--- a/internal/gateway/placement/room.go
+++ b/internal/gateway/placement/room.go
@@ -116,13 +116,23 @@
 		}
 		room.Slots += c.Endpoint.Slots
 		room.Free += max(0, c.Endpoint.Slots-c.Running)
-		if first || c.PendingPrefill < room.Wait {
-			room.Wait, first = c.PendingPrefill, false
+		if wait := forecastWait(req, c); first || wait < room.Wait {
+			room.Wait, first = wait, false
 		}
 	}
 	s.learn(req.Shard-1, countedRoom{room, now})
 }
 
+// forecastWait returns how long a request is predicted to wait at a candidate. A
+// plain service works on the requests in its slots, each for the time of one request.
+func forecastWait(req Request, c *placement.Candidate) time.Duration {
+	if req.PromptTokens > 0 {
+		return c.PendingPrefill
+	}
+	ahead := max(0, c.Running+1-c.Endpoint.Slots)
+	return c.RunTime * time.Duration(ahead) / time.Duration(max(1, c.Endpoint.Slots))
+}
+
 // roomsFor returns what the answer to a request says about the room of shards: its
 // own shard's and that of some others.
 func (d *Duty) roomsFor(req Request, now time.Time) []ShardRoom {
--- a/internal/gateway/placement/room_test.go
+++ b/internal/gateway/placement/room_test.go
@@ -151,6 +151,41 @@
 	}
 }
 
+// Guards against requests to a plain service that queue at home while other zones
+// are idle: no coordinator of a plain service refuses them.
+func TestPlainServiceLeavesAQueue(t *testing.T) {
+	d, now := newZonedDuty(true, nil), time.Now()
+	s := d.directory.services["s"]
+	home := s.home
+	for i := range 600 {
+		req := newRequest(i, 0)
+		req.Shard = home + 1
+		if choice := d.choose(req, now); choice.Endpoint == "" {
+			t.Fatalf("not placed: %+v", choice)
+		}
+		if i < 60 { // teaches the time of one request
+			d.applyUpdate(Update{Attempt: req.Attempt, Result: core.ResultOK, FirstPartMS: 50, TotalMS: 50}, now)
+		}
+	}
+	if room := s.rooms[home]; room.Free != 0 || room.Wait < 300*time.Millisecond {
+		t.Fatalf("room of a shard with 540 requests on %d slots: %+v", room.Slots, room)
+	}
+	for _, shard := range s.numbers {
+		if shard != home {
+			s.learn(shard, countedRoom{spill.Room{Free: 24, Slots: 24}, now})
+		}
+	}
+	left := 0
+	for i := range 100 {
+		if targets := d.directory.targets(newRequest(1000+i, 0), d.maxWait(newRequest(i, 0)), now); targets[0].shard != home+1 {
+			left++
+		}
+	}
+	if left < 90 {
+		t.Errorf("%d of 100 requests leave the queue at home", left)
+	}
+}
+
 // What is heard later but was counted earlier does not replace what is known, and
 // shards that do not exist are ignored.
 func TestNewestRoomIsKept(t *testing.T) {
