A request waits for two silent coordinators at most

Cause: with three shards in the order of a request, three frozen coordinators could delay it by 120 ms; before zones it was 80 ms. Change: after two coordinators that gave neither an endpoint nor a refusal the host places the request alone. Ruled out: a shorter time limit; a busy coordinator would count as frozen. Measured: TestTwoSilentCoordinatorsAtMost.

--- a/internal/gateway/placement/client.go
+++ b/internal/gateway/placement/client.go
@@ -24,6 +24,9 @@
 	// chooseTimeout bounds a placement request to the coordinator. If it is
 	// frozen or unreachable, that may delay a request only by milliseconds.
 	chooseTimeout = 40 * time.Millisecond
+	// maxUnanswered is how many coordinators may give neither an endpoint nor a
+	// refusal before the host places a request alone.
+	maxUnanswered = 2
 	// noEndpointRetryAfter is the retry delay for a request without an endpoint.
 	noEndpointRetryAfter = 500 * time.Millisecond
 )
@@ -58,9 +61,10 @@
 	}
 	req.Exclude = slices.Concat(req.Exclude, found.resting)
 	var refused *Placed
+	unanswered := 0
 	for _, target := range found.coordinators {
-		if target.onlyIfSilent && refused != nil {
-			continue
+		if unanswered == maxUnanswered || (target.onlyIfSilent && refused != nil) {
+			break
 		}
 		placed, answered := c.placeAt(ctx, req, target)
 		switch {
@@ -69,6 +73,8 @@
 			return placed
 		case answered:
 			refused = &placed
+		default:
+			unanswered++
 		}
 	}
 	switch {
--- a/internal/gateway/placement/room_test.go
+++ b/internal/gateway/placement/room_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -128,6 +129,23 @@
 	}
 }
 
+// Guards against a request that waits for one frozen coordinator after the other:
+// each costs the whole timeout.
+func TestTwoSilentCoordinatorsAtMost(t *testing.T) {
+	t.Parallel()
+	var calls atomic.Int64
+	failing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		w.WriteHeader(http.StatusInternalServerError)
+	}))
+	t.Cleanup(failing.Close)
+	address := failing.Listener.Addr().String()
+	client := serveZoned(t, newZonedDuty(true, map[core.AvailabilityZone]string{"a": address, "b": address}))
+	if placed := client.Place(t.Context(), newRequest(1, 1000)); placed.Refusal != nil || calls.Load() > maxUnanswered {
+		t.Errorf("%d coordinators asked, placed %+v", calls.Load(), placed)
+	}
+}
+
 // Without the setting the wire and the order stay as they were.
 func TestZonesAreIgnoredUnlessSet(t *testing.T) {
 	now := time.Now()
