Evacuations of availability zones and allowed regions are followed

Cause: the operators' orders to empty an availability zone were not read, and routes and client accounts had no regions. A filter of the placement keeps requests from evacuated zones and from regions that route or account don't allow, at the coordinator and, by the newer of both hosts' knowledge, at the host that sends. Ruled out: a status of the order; the store's answer acknowledges it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -135,6 +135,8 @@
 	ReasonQueueFull          Reason = "queue_full"
 	ReasonRateLimited        Reason = "rate_limited"
 	ReasonNoEndpoint         Reason = "no_endpoint"
+	ReasonEvacuated          Reason = "evacuated"
+	ReasonRegionNotAllowed   Reason = "region_not_allowed"
 	ReasonNoScheduler        Reason = "no_scheduler"
 	ReasonNotOwner           Reason = "not_owner"
 	ReasonPoison             Reason = "poison"
--- a/internal/decision/catalog/catalog.go
+++ b/internal/decision/catalog/catalog.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/evacuation"
 )
 
 // RetryPolicy tells whether a request may run more than once.
@@ -59,6 +60,9 @@
 	// MaxAttempts is the number of endpoints that may be tried for a request.
 	MaxAttempts int
 	Targets     []Target
+	// AllowedRegions are the only regions in which the requests may be processed;
+	// empty for all.
+	AllowedRegions []core.Region
 }
 
 // Target is a service of a route with its traffic weight.
@@ -101,6 +105,9 @@
 	UnitIsToken bool
 	// DefaultTokens is charged for a request that states no token count.
 	DefaultTokens int
+	// AllowedRegions are the only regions in which the account's requests may be
+	// processed; empty for all.
+	AllowedRegions []core.Region
 }
 
 // Limits are the size limits of a request.
@@ -129,10 +136,17 @@
 	EndpointsKnown bool
 	// Orders holds the operator's orders to move a service, keyed by service.
 	Orders map[string]Order
+	// Evacuations holds the operator's orders to empty availability zones.
+	Evacuations evacuation.Orders
+	// EvacuationsPending is set if the deployment has such orders and they have not
+	// been read yet.
+	EvacuationsPending bool
 }
 
 // Ready reports whether requests can be served.
-func (s *Snapshot) Ready() bool { return s.Configuration != nil && s.EndpointsKnown }
+func (s *Snapshot) Ready() bool {
+	return s.Configuration != nil && s.EndpointsKnown && !s.EvacuationsPending
+}
 
 // BuildIndex builds the lookup tables. It is called once, before the
 // configuration is shared.
--- a/internal/decision/placement/filters.go
+++ b/internal/decision/placement/filters.go
@@ -86,3 +86,22 @@
 	}
 	return c.PendingPrefill+c.MinRunTime <= q.TimeLeft()
 }
+
+// NotEvacuated rejects endpoints in an availability zone that is being emptied.
+type NotEvacuated struct{}
+
+// Name implements Filter.
+func (NotEvacuated) Name() string { return "evacuated" }
+
+// Pass implements Filter.
+func (NotEvacuated) Pass(c *Candidate, _ *Query) bool { return !c.Evacuated }
+
+// RegionAllowed rejects endpoints in a region in which the request may not be
+// processed.
+type RegionAllowed struct{}
+
+// Name implements Filter.
+func (RegionAllowed) Name() string { return "region_not_allowed" }
+
+// Pass implements Filter.
+func (RegionAllowed) Pass(c *Candidate, _ *Query) bool { return !c.RegionNotAllowed }
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -18,6 +18,9 @@
 	// NoTraffic is set if the version may get no traffic at all: its move has
 	// not begun or was reverted, or a finished move has replaced it.
 	NoTraffic bool
+	// Evacuated is set if the endpoint's availability zone is being emptied,
+	// RegionNotAllowed if the request may not be processed in its region.
+	Evacuated, RegionNotAllowed bool
 	// Running is how many attempts the owner tracks on the endpoint.
 	Running int
 	// Untracked is how many more requests the load report shows, placed by
--- a/internal/gateway/admission/duty.go
+++ b/internal/gateway/admission/duty.go
@@ -54,6 +54,9 @@
 	// CheckPoison reports that endpoints have died while they ran some request,
 	// so that this request's fingerprint must be checked.
 	CheckPoison bool
+	// AllowedRegions are the only regions in which the request may be processed;
+	// empty for all.
+	AllowedRegions []core.Region
 	// ConfigVersion is the version of the configuration that the decision is
 	// based on.
 	ConfigVersion uint64
@@ -172,6 +175,9 @@
 		ticket.Refusal = core.Refuse(core.ReasonHeaderTooLarge, "the header is larger than allowed")
 		return ticket
 	}
+	if ticket.restrict(account); ticket.Refusal != nil {
+		return ticket
+	}
 	if ticket.Service, found = route.PickService(hashFraction(request.ID)); !found {
 		ticket.Refusal = core.RefuseWithRetry(core.ReasonNoEndpoint, "the route has no service", time.Second)
 		return ticket
--- a/internal/gateway/callers/run.go
+++ b/internal/gateway/callers/run.go
@@ -86,8 +86,9 @@
 	placed := c.h.Place(ctx, placement.Request{
 		Attempt: c.attempt, Host: c.h.Host, Service: c.ticket.Service,
 		Route: c.routeName(), PromptTokens: c.request.PromptTokens, OutputTokens: c.expectedOutputTokens(), MaxOutputTokens: c.request.MaxOutputTokens,
-		ObjectiveMS: c.ticket.Route.LatencyObjective.Milliseconds(),
-		Exclude:     c.triedEndpoints, RemainingMS: time.Until(c.ticket.Deadline).Milliseconds(),
+		ObjectiveMS:    c.ticket.Route.LatencyObjective.Milliseconds(),
+		AllowedRegions: c.ticket.AllowedRegions,
+		Exclude:        c.triedEndpoints, RemainingMS: time.Until(c.ticket.Deadline).Milliseconds(),
 	})
 	c.lastChoice = placed.Choice
 	return placed, placed.Refusal
--- a/internal/gateway/catalog/supervisor.go
+++ b/internal/gateway/catalog/supervisor.go
@@ -31,6 +31,11 @@
 	return c.updater.inbox.Put(ctx, update)
 }
 
+// ExpectEvacuations tells that orders to empty availability zones will be delivered.
+// Until then the snapshots are not ready. It must be called before the supervisor
+// runs.
+func (c *Catalog) ExpectEvacuations() { c.updater.evacuations.followed = true }
+
 // Subscribe returns a ring that holds only the latest snapshot. It must be
 // called before the supervisor runs.
 func (c *Catalog) Subscribe() Subscription {
--- a/internal/gateway/catalog/updater.go
+++ b/internal/gateway/catalog/updater.go
@@ -5,12 +5,14 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
 
 	"kingcupcourse/internal/decision/catalog"
 	"kingcupcourse/internal/decision/discovery"
+	"kingcupcourse/internal/decision/evacuation"
 	"kingcupcourse/internal/platform"
 	"kingcupcourse/internal/ring"
 )
@@ -34,6 +36,10 @@
 	Order(platform.Object) (catalog.Order, error)
 	// OrderStatus encodes the status of an order that is shown to the operator.
 	OrderStatus(catalog.Order, catalog.OrderState) any
+	// EvacuationsPrefix is the key prefix of the orders to empty availability zones.
+	EvacuationsPrefix() string
+	// Evacuation returns the order that an object holds.
+	Evacuation(platform.Object) evacuation.Order
 }
 
 // Subscription is a ring that holds only the latest snapshot.
@@ -50,14 +56,15 @@
 	configuration   *catalog.Configuration
 	endpointsListed bool
 	orders          map[string]catalog.Order // by key
-	failingPrefixes map[string]bool          // prefixes whose last call failed
+	evacuations     evacuations
+	failingPrefixes map[string]bool // prefixes whose last call failed
 }
 
 func newUpdater(decoder Decoder, log *zap.Logger) *updater {
 	return &updater{
 		decoder: decoder, log: log, registry: discovery.New(), failingPrefixes: map[string]bool{},
-		orders: map[string]catalog.Order{},
-		inbox:  ring.New[platform.Update]("gateway_catalog", inboxCapacity),
+		orders: map[string]catalog.Order{}, evacuations: evacuations{orders: evacuation.Orders{}},
+		inbox: ring.New[platform.Update]("gateway_catalog", inboxCapacity),
 	}
 }
 
@@ -80,6 +87,8 @@
 		changed = u.applyEndpoints(update, now)
 	case u.decoder.OrdersPrefix():
 		changed = u.applyOrders(update, now)
+	case u.decoder.EvacuationsPrefix():
+		changed = u.applyEvacuations(update, now)
 	}
 	if changed {
 		u.publish()
@@ -199,7 +208,7 @@
 func (u *updater) publish() {
 	snapshot := &catalog.Snapshot{
 		Configuration: u.configuration, Endpoints: u.registry.Endpoints(), EndpointsKnown: u.endpointsListed,
-		Orders: map[string]catalog.Order{},
+		Orders: map[string]catalog.Order{}, Evacuations: maps.Clone(u.evacuations.orders), EvacuationsPending: u.evacuations.pending(),
 	}
 	for _, order := range u.orders {
 		snapshot.Orders[order.Service] = order
--- a/internal/gateway/placement/candidates.go
+++ b/internal/gateway/placement/candidates.go
@@ -14,13 +14,17 @@
 // predicted times.
 func (d *Duty) candidates(req Request, now time.Time) []placement.Candidate {
 	all := d.services[req.Service]
-	ejected := 0
+	ejected, usable := 0, 0
 	for _, e := range all {
+		if !d.isOpen(e, req) {
+			continue
+		}
+		usable++
 		if e.health.Ejected(now) {
 			ejected++
 		}
 	}
-	ignoreEjections := health.IgnoreEjections(ejected, len(all))
+	ignoreEjections := health.IgnoreEjections(ejected, usable)
 	candidates := make([]placement.Candidate, 0, len(all))
 	for _, e := range all {
 		if !d.directory.inShard(req.Service, e.Endpoint.Name, req.Shard) {
@@ -29,6 +33,7 @@
 		c := placement.Candidate{
 			Endpoint: e.Endpoint.Endpoint, Version: e.Version, Draining: d.isDraining(e),
 			NotReady: !ignoreEjections && e.health.Ejected(now), SameZone: e.AvailabilityZone == d.host.AvailabilityZone,
+			Evacuated: d.isEvacuated(e, req), RegionNotAllowed: !d.isRegionAllowed(e, req),
 		}
 		d.predictTimes(&c, e, req, now)
 		candidates = append(candidates, c)
--- a/internal/gateway/placement/client.go
+++ b/internal/gateway/placement/client.go
@@ -46,11 +46,14 @@
 // releases the placement. A shard without room passes the request on to another
 // one.
 func (c *Client) Place(ctx context.Context, req Request) Placed {
-	found := c.findTargets(ctx, req.Service)
+	found := c.findTargets(ctx, req)
+	if found.refusal != nil {
+		return Placed{Refusal: found.refusal}
+	}
 	if found.wait > 0 {
 		return Placed{Refusal: core.RefuseWithRetry(core.ReasonShed, "all endpoints want no requests for some time", found.wait)}
 	}
-	req.Exclude = slices.Concat(req.Exclude, found.resting)
+	req.Exclude, req.EvacuatedZones = slices.Concat(req.Exclude, found.resting), found.evacuated
 	var refused *Placed
 	for _, target := range found.coordinators {
 		placed, answered := c.placeAt(ctx, req, target)
@@ -74,8 +77,8 @@
 func (c *Client) EndpointSaid(ctx context.Context, said EndpointSaid) { _ = c.local.Put(ctx, said) }
 
 // findTargets returns the coordinators to ask, none if the request has ended.
-func (c *Client) findTargets(ctx context.Context, service string) targets {
-	m := findTargets{Reply: ring.NewReply[targets](), service: service}
+func (c *Client) findTargets(ctx context.Context, req Request) targets {
+	m := findTargets{Reply: ring.NewReply[targets](), service: req.Service, regions: req.AllowedRegions}
 	if c.local.Put(ctx, m) != nil {
 		return targets{}
 	}
--- a/internal/gateway/placement/directory.go
+++ b/internal/gateway/placement/directory.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/fleet"
 	"kingcupcourse/internal/ring"
 )
@@ -168,6 +169,8 @@
 type findTargets struct {
 	ring.Reply[targets]
 	service string
+	// regions are the only regions in which the request may be processed.
+	regions []core.Region
 }
 
 // targets is the response to findTargets.
@@ -177,11 +180,16 @@
 	// others, the first takes requests again after wait.
 	resting []string
 	wait    time.Duration
+	// evacuated are the availability zones that are being emptied. refusal is set if
+	// no endpoint of the service is left for the request.
+	evacuated []core.AvailabilityZone
+	refusal   *core.Refusal
 }
 
 func (m findTargets) handle(d *Duty, now time.Time) {
 	found := targets{coordinators: d.directory.targets(m.service, now)}
 	found.resting, found.wait = d.resting(m.service, now)
+	found.evacuated, found.refusal = d.evacuations.Zones(), d.noneLeft(m.service, m.regions)
 	m.Send(found)
 }
 
--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -11,10 +11,12 @@
 	"kingcupcourse/internal/decision/catalog"
 	"kingcupcourse/internal/decision/engine"
 	"kingcupcourse/internal/decision/estimate"
+	"kingcupcourse/internal/decision/evacuation"
 	"kingcupcourse/internal/decision/fleet"
 	"kingcupcourse/internal/decision/health"
 	"kingcupcourse/internal/decision/outstanding"
 	"kingcupcourse/internal/decision/placement"
+	"kingcupcourse/internal/decision/residency"
 	"kingcupcourse/internal/decision/withdrawal"
 	gatewaycatalog "kingcupcourse/internal/gateway/catalog"
 	"kingcupcourse/internal/gateway/moves"
@@ -68,6 +70,8 @@
 	load            load
 	withdrawals     *withdrawal.Tracker
 	headerLoggedAt  time.Time
+	evacuations     evacuation.Tracker
+	zones           residency.Zones
 	log             *zap.Logger
 }
 
@@ -87,14 +91,16 @@
 	// moved. Outcomes takes the outcomes of these services' attempts.
 	Constraints moves.Subscription
 	Outcomes    *ring.Ring[moves.Message]
-	Log         *zap.Logger
+	// Zones holds the region of each availability zone.
+	Zones residency.Zones
+	Log   *zap.Logger
 }
 
 // New returns the duty of a host.
 func New(c Config) *Duty {
 	policy := func(scorer placement.Scorer) *placement.Policy {
 		return &placement.Policy{
-			Filters: []placement.Filter{placement.NotDraining{}, placement.NotExcluded{}, placement.Ready{},
+			Filters: []placement.Filter{placement.NotDraining{}, placement.NotExcluded{}, placement.NotEvacuated{}, placement.RegionAllowed{}, placement.Ready{},
 				placement.VersionInForce{}, placement.BelowVersionShare{}},
 			Scorer: scorer,
 			Picker: &placement.RotatingLowestScore{Offset: int(xxhash.Sum64String(c.Host.Name) % maxInitialOffset)},
@@ -106,7 +112,7 @@
 		attempts: outstanding.NewTracker(), speeds: estimate.NewSpeeds(),
 		endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, requests: map[string]Request{},
 		tokensPerEvent: map[string]int{}, traffic: newTrafficLimits(c.Constraints, c.Outcomes),
-		directory: newDirectory(c.Host.Name), outgoing: outgoing{}, withdrawals: withdrawal.New(), log: c.Log,
+		directory: newDirectory(c.Host.Name), outgoing: outgoing{}, withdrawals: withdrawal.New(), zones: c.Zones, log: c.Log,
 	}
 }
 
@@ -117,9 +123,7 @@
 func (d *Duty) Serve(ctx context.Context) error {
 	d.nextExpiry = time.Now().Add(expiryPeriod)
 	return ring.LoopUntil(ctx, d.inbox, func(m Message) error {
-		if snapshot, ok := d.snapshots.TryTake(); ok {
-			d.updateEndpoints(snapshot)
-		}
+		d.takeSnapshot()
 		if hosts, ok := d.hosts.TryTake(); ok {
 			d.directory.setHosts(hosts, d.services)
 		}
@@ -131,11 +135,19 @@
 	}, func() time.Time { return d.nextExpiry }, d.expireAttempts)
 }
 
+func (d *Duty) takeSnapshot() {
+	if snapshot, ok := d.snapshots.TryTake(); ok {
+		d.updateEndpoints(snapshot)
+	}
+}
+
 // expireAttempts drops the attempts of hosts that have stopped reporting.
 func (d *Duty) expireAttempts() error {
 	now := time.Now()
 	d.nextExpiry = now.Add(expiryPeriod)
+	d.takeSnapshot()
 	d.logLoad()
+	d.reportEvacuations(now)
 	d.attempts.ApplyHostReport(d.host.Name, nil, false, now)
 	for _, attempt := range d.attempts.ExpireSilentHosts(now) {
 		delete(d.requests, attempt.ID)
@@ -166,6 +178,7 @@
 		d.services[listed.Service] = append(d.services[listed.Service], e)
 	}
 	d.directory.setEndpoints(d.services)
+	d.updateEvacuations(snapshot.Evacuations, time.Now())
 }
 
 func (m Choose) handle(d *Duty, now time.Time) {
@@ -248,7 +261,7 @@
 
 func (m Confirm) handle(d *Duty, now time.Time) {
 	e := d.endpoints[m.Endpoint]
-	if e == nil || d.isDraining(e) || e.Service != m.Request.Service || d.withdrawals.RestLeft(incarnation(e.Endpoint), now) > 0 {
+	if e == nil || d.isDraining(e) || !d.isOpen(e, m.Request) || e.Service != m.Request.Service || d.withdrawals.RestLeft(incarnation(e.Endpoint), now) > 0 {
 		m.Send(Confirmed{})
 		return
 	}
--- a/internal/gateway/placement/messages.go
+++ b/internal/gateway/placement/messages.go
@@ -32,6 +32,12 @@
 	ObjectiveMS int64 `json:"objective_ms,omitempty"`
 	// Exclude lists endpoints that must not be chosen again.
 	Exclude []string `json:"exclude,omitempty"`
+	// AllowedRegions are the only regions in which the request may be processed;
+	// empty for all.
+	AllowedRegions []core.Region `json:"allowed_regions,omitempty"`
+	// EvacuatedZones are the availability zones that the host knows as being
+	// emptied.
+	EvacuatedZones []core.AvailabilityZone `json:"evacuated_zones,omitempty"`
 	// RemainingMS is the time to the deadline, in milliseconds.
 	RemainingMS int64 `json:"left_ms"`
 	// Shard is the shard of the service in which to place the attempt, from 1, or
--- a/internal/gateway/placement/withdrawals.go
+++ b/internal/gateway/placement/withdrawals.go
@@ -58,7 +58,7 @@
 func (d *Duty) resting(service string, now time.Time) (names []string, wait time.Duration) {
 	others := false
 	for _, e := range d.services[service] {
-		if d.isDraining(e) {
+		if d.isDraining(e) || d.evacuations.Evacuated(e.AvailabilityZone) {
 			continue
 		}
 		left := d.withdrawals.RestLeft(incarnation(e.Endpoint), now)
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/residency"
 	"kingcupcourse/internal/gateway/admission"
 	"kingcupcourse/internal/gateway/callers"
 	"kingcupcourse/internal/gateway/catalog"
@@ -75,11 +76,15 @@
 	mirrorDuties.Follow(adapter.Decoder.ConfigurationPrefix(), milliseconds(s.WatchMS), catalogTree.Deliver)
 	mirrorDuties.Follow(adapter.Decoder.EndpointsPrefix(), milliseconds(s.WatchMS), catalogTree.Deliver)
 	mirrorDuties.Follow(adapter.Decoder.OrdersPrefix(), longWatch, catalogTree.Deliver)
+	if s.Evacuations {
+		catalogTree.ExpectEvacuations()
+		mirrorDuties.Follow(adapter.Decoder.EvacuationsPrefix(), longWatch, catalogTree.Deliver)
+	}
 	mirrorDuties.Follow(fleet.HostsPrefix, longWatch, fleetTree.Deliver)
 	fleetTree.OnDiscovery(mirrorDuties.Discovered)
 	placementDuty := placement.New(placement.Config{
 		Host: host, Snapshots: catalogTree.Subscribe(), Hosts: fleetTree.Hosts(), Constraints: movesTree.Subscribe(),
-		Outcomes: movesTree.Inbox(), Log: env.Log,
+		Outcomes: movesTree.Inbox(), Zones: knownZones(s), Log: env.Log,
 	})
 	placementClient := placement.NewClient(placementDuty, env.Log)
 	reporter := placement.NewReporter(s.Host, placementDuty, placementClient, env.Log)
@@ -127,6 +132,7 @@
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	registry.MustRegister(callers.Collectors()...)
 	registry.MustRegister(catalog.Collectors()...)
+	registry.MustRegister(placement.Collectors()...)
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	fleetTree.RegisterHandlers(mux)
@@ -135,4 +141,14 @@
 	return mux
 }
 
+// knownZones returns the regions of the availability zones, the host's own
+// included.
+func knownZones(s *settings.Gateway) residency.Zones {
+	zones := residency.Zones{s.AvailabilityZone: s.Region}
+	for _, zone := range s.Zones {
+		zones[zone.Name] = zone.Region
+	}
+	return zones
+}
+
 func milliseconds(value int64) time.Duration { return time.Duration(value) * time.Millisecond }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -1,10 +1,12 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
 	"net/url"
 	"slices"
 
+	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/strictjson"
 )
 
@@ -61,6 +63,7 @@
 	checkName(report, "host", g.Host)
 	checkName(report, "region", string(g.Region))
 	checkName(report, "availability_zone", string(g.AvailabilityZone))
+	g.checkZones(report)
 	checkAddress(report, "callers", g.Callers)
 	checkAddress(report, "readiness", g.Readiness)
 	checkPeerAddress(report, "peers", g.Peers)
@@ -92,6 +95,20 @@
 	checkLog(report, g.Log)
 }
 
+// checkZones reports zones with two regions, the host's own among them.
+func (g *Gateway) checkZones(report *strictjson.Document) {
+	regions := map[core.AvailabilityZone]core.Region{g.AvailabilityZone: g.Region}
+	for i, zone := range g.Zones {
+		path := fmt.Sprintf("zones[%d]", i)
+		checkName(report, path+".name", string(zone.Name))
+		checkName(report, path+".region", string(zone.Region))
+		if region, known := regions[zone.Name]; known && region != zone.Region {
+			report.Add(path+".region", "is %q, but the zone %s is in %q", zone.Region, zone.Name, region)
+		}
+		regions[zone.Name] = zone.Region
+	}
+}
+
 func checkLog(report *strictjson.Document, log Log) {
 	checkOneOf(report, "log.level", log.Level, "debug", "info", "warn", "error")
 	checkOneOf(report, "log.format", log.Format, "json", "console")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -78,6 +78,14 @@
 	LeaseMS int64 `json:"lease_ms,omitempty"`
 }
 
+// Zone is an availability zone and its region.
+type Zone struct {
+	// Name is the name of the availability zone.
+	Name core.AvailabilityZone `json:"name"`
+	// Region is the region that the zone is in.
+	Region core.Region `json:"region"`
+}
+
 // Gateway holds the settings of kingcup-host.
 type Gateway struct {
 	// Host is the name of the entry host that the process runs on.
@@ -86,6 +94,14 @@
 	Region core.Region `json:"region"`
 	// AvailabilityZone is the availability zone of the host.
 	AvailabilityZone core.AvailabilityZone `json:"availability_zone"`
+	// Zones lists the availability zones of the deployment with their regions. Requests of
+	// routes and client accounts that are restricted to regions go to endpoints in
+	// these zones, and in the host's own, only.
+	Zones []Zone `json:"zones,omitempty"`
+	// Evacuations tells whether operators may order that an availability zone be
+	// emptied. The host then follows these orders in the store, and is ready once it
+	// knows them. Default false.
+	Evacuations bool `json:"evacuations,omitempty"`
 	// Callers is the listen address for requests from callers.
 	Callers string `json:"callers"`
 	// Readiness is the listen address for the load balancer's readiness
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -68,6 +68,24 @@
 	}
 }
 
+// Two regions of one zone would leave it open where restricted requests may go.
+func TestZonesWithTwoRegionsAreReported(t *testing.T) {
+	_, err := Load[Gateway](writeFile(t, `{"host": "h", "region": "r", "availability_zone": "a",
+  "zones": [{"name": "a", "region": "s"}, {"name": "b", "region": "s"}, {"name": "b", "region": "t"}, {"name": "", "region": "s"}]}`))
+	if err == nil {
+		t.Fatal("invalid settings were accepted")
+	}
+	for _, want := range []string{
+		`zones[0].region: is "s", but the zone a is in "r"`,
+		`zones[2].region: is "t", but the zone b is in "s"`,
+		"zones[3].name: must not be empty",
+	} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("no finding %q in\n%v", want, err)
+		}
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(validSettings))
 	f.Add([]byte(`{"log":[{}],"peers":{}}`))
