--- a/internal/decision/evacuation/evacuation.go
+++ b/internal/decision/evacuation/evacuation.go
@@ -24,9 +24,6 @@
 // Orders holds the orders in force, by availability zone.
 type Orders map[core.AvailabilityZone]Order
 
-// Zones returns the evacuated availability zones, sorted.
-func (o Orders) Zones() []core.AvailabilityZone { return slices.Sorted(maps.Keys(o)) }
-
 // Tracker follows how a host empties availability zones. The zero value has no
 // orders.
 type Tracker struct {
@@ -85,8 +82,7 @@
 }
 
 // Progress records the attempts that run in the zones and returns the progress of
-// the zones that were not yet empty, sorted by zone. A zone that was empty stays so:
-// an attempt that was placed before the order may still be listed late.
+// the zones that were not empty at the call before, sorted by zone.
 func (t *Tracker) Progress(running map[core.AvailabilityZone]int, now time.Time) []Progress {
 	var progress []Progress
 	for _, zone := range t.Zones() {
