Orders to empty a zone are watched as shortly as the configuration

Cause: a watch that begins while the store is silent gets no answer, and that of the evacuations was given up only after 5 s and the time limit of a call, longer than the operator allows for an evacuation. Change: the watch has the time of the configuration's, watch_ms.

--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -78,7 +78,7 @@
 	mirrorDuties.Follow(adapter.Decoder.OrdersPrefix(), longWatch, catalogTree.Deliver)
 	if s.Evacuations {
 		catalogTree.ExpectEvacuations()
-		mirrorDuties.Follow(adapter.Decoder.EvacuationsPrefix(), longWatch, catalogTree.Deliver)
+		mirrorDuties.Follow(adapter.Decoder.EvacuationsPrefix(), milliseconds(s.WatchMS), catalogTree.Deliver)
 	}
 	mirrorDuties.Follow(fleet.HostsPrefix, longWatch, fleetTree.Deliver)
 	fleetTree.OnDiscovery(mirrorDuties.Discovered)
