--- a/internal/decision/spill/choice.go
+++ b/internal/decision/spill/choice.go
@@ -105,6 +105,16 @@
 	return steps
 }
 
+// withoutHome returns the shards to ask for a request that may not go home.
+func (c *choice) withoutHome() []Step {
+	for _, weight := range []func(*Shard) float64{c.roomWeight, c.unknownWeight, c.anyWeight} {
+		if shard, ok := pick(c.others, c.req.Draw, weight); ok {
+			return c.fallbacks([]Step{{Shard: shard.Number, Cause: CauseClosed}})
+		}
+	}
+	return nil
+}
+
 // redraw returns another draw for the same request.
 func (c *choice) redraw(step int) float64 {
 	_, fraction := math.Modf(c.req.Draw*7919 + float64(step)*math.Phi)
--- a/internal/decision/spill/spill.go
+++ b/internal/decision/spill/spill.go
@@ -94,6 +94,8 @@
 	CauseExplore Cause = "explore"
 	// CauseRefused means that the shards asked before have no room.
 	CauseRefused Cause = "home_full"
+	// CauseClosed means that the home shard is closed to the request.
+	CauseClosed Cause = "home_closed"
 	// CauseSilent means that the coordinators of the shards asked before did not
 	// answer.
 	CauseSilent Cause = "home_silent"
@@ -116,17 +118,21 @@
 func NewDecider() *Decider { return &Decider{leaving: map[time.Duration]bool{}} }
 
 // Order returns the shards to ask for a request, in this order, at most three. The
-// home shard is always among them. links is the time that a call to a zone takes in
+// home shard is always among them unless shards lacks it, as its zone is closed to
+// the request. links is the time that a call to a zone takes in
 // addition to one within the home zone.
 func (d *Decider) Order(req Request, home int, shards []Shard, links map[core.AvailabilityZone]time.Duration) []Step {
-	c := choice{req: req, links: links, home: Shard{Number: home}}
+	c, open := choice{req: req, links: links, home: Shard{Number: home}}, false
 	for _, shard := range shards {
 		if shard.Number == home {
-			c.home = shard
+			c.home, open = shard, true
 		} else {
 			c.others = append(c.others, shard)
 		}
 	}
+	if !open {
+		return c.withoutHome()
+	}
 	if d.leaves(req, &c.home) {
 		if first := c.leave(); first != nil {
 			steps := []Step{*first, {Shard: home}}
--- a/internal/decision/spill/spill_test.go
+++ b/internal/decision/spill/spill_test.go
@@ -170,6 +170,22 @@
 	}
 }
 
+// Guards against requests of an evacuated zone that ask shards in vain: their home
+// shard is closed.
+func TestClosedHomeIsNotAsked(t *testing.T) {
+	shards := []Shard{{Number: 1, Zone: "b", Room: Room{Slots: 36, Wait: maxWait}}, {Number: 2, Zone: "c", Room: Room{Slots: 36, Free: 30}},
+		{Number: 3, Zone: "d"}}
+	for i := range 100 {
+		steps := NewDecider().Order(Request{MaxWait: maxWait, Draw: float64(i) / 100}, 0, shards, nil)
+		if len(steps) < 2 || steps[0] != (Step{Shard: 2, Cause: CauseClosed}) || slices.ContainsFunc(steps, func(s Step) bool { return s.Shard == 0 }) {
+			t.Fatalf("asks %v, want first the shard with room and never the home shard", steps)
+		}
+	}
+	if steps := NewDecider().Order(Request{}, 0, nil, nil); len(steps) != 0 {
+		t.Errorf("asks %v without any open shard", steps)
+	}
+}
+
 // Guards against a shard whose requests leave and return by turns: between the two
 // bounds the answer stays what it was.
 func TestHysteresis(t *testing.T) {
--- a/internal/gateway/callers/run.go
+++ b/internal/gateway/callers/run.go
@@ -89,7 +89,8 @@
 		Attempt: c.attempt, Host: c.h.Host, Service: c.ticket.Service,
 		Route: c.routeName(), PromptTokens: c.request.PromptTokens, OutputTokens: c.expectedOutputTokens(), MaxOutputTokens: c.request.MaxOutputTokens,
 		Tier: c.ticket.Tier, ObjectiveMS: c.ticket.Route.LatencyObjective.Milliseconds(),
-		Exclude: c.triedEndpoints, RemainingMS: time.Until(c.ticket.Deadline).Milliseconds(), BodyBytes: len(c.body),
+		AllowedRegions: c.ticket.AllowedRegions, BodyBytes: len(c.body),
+		Exclude: c.triedEndpoints, RemainingMS: time.Until(c.ticket.Deadline).Milliseconds(),
 	})
 	c.lastChoice = placed.Choice
 	return placed, placed.Refusal
--- a/internal/gateway/placement/client.go
+++ b/internal/gateway/placement/client.go
@@ -56,10 +56,13 @@
 // one.
 func (c *Client) Place(ctx context.Context, req Request) Placed {
 	found := c.findTargets(ctx, req)
+	if found.refusal != nil {
+		return Placed{Refusal: found.refusal}
+	}
 	if found.wait > 0 {
 		return Placed{Refusal: core.RefuseWithRetry(core.ReasonShed, "all endpoints want no requests for some time", found.wait)}
 	}
-	req.Exclude = slices.Concat(req.Exclude, found.resting)
+	req.Exclude, req.EvacuatedZones = slices.Concat(req.Exclude, found.resting), found.evacuated
 	var refused *Placed
 	unanswered := 0
 	for _, target := range found.coordinators {
--- a/internal/gateway/placement/directory.go
+++ b/internal/gateway/placement/directory.go
@@ -143,14 +143,14 @@
 // targets returns the coordinators to ask for a request: that of the home shard,
 // and that of another shard in case the first has no room. With zones considered
 // the order follows what is known of the shards' room, and maxWait is how long the
-// request may wait.
-func (d *directory) targets(req Request, maxWait time.Duration, now time.Time) []target {
+// request may wait; isOpen tells to which zones it may go.
+func (d *directory) targets(req Request, maxWait time.Duration, isOpen zoneFilter, now time.Time) []target {
 	s := d.services[req.Service]
 	if s == nil {
 		return []target{{shard: 1}}
 	}
 	if d.zoneAware && len(s.numbers) > 1 {
-		return d.targetsByRoom(s, req, maxWait, now)
+		return d.targetsByRoom(s, req, maxWait, isOpen, now)
 	}
 	found := []target{d.target(req.Service, s.home, now)}
 	if count := len(s.numbers); count > 1 {
@@ -228,11 +228,16 @@
 	// others, the first takes requests again after wait.
 	resting []string
 	wait    time.Duration
+	// evacuated are the availability zones that are being emptied. refusal is set if
+	// no endpoint of the service is left for the request.
+	evacuated []core.AvailabilityZone
+	refusal   *core.Refusal
 }
 
 func (m findTargets) handle(d *Duty, now time.Time) {
-	found := targets{coordinators: d.directory.targets(m.request, d.maxWait(m.request), now)}
+	found := targets{coordinators: d.directory.targets(m.request, d.maxWait(m.request), d.isZoneOpen, now)}
 	found.resting, found.wait = d.resting(m.request.Service, now)
+	found.evacuated, found.refusal = d.evacuations.Zones(), d.noneLeft(m.request.Service, m.request.AllowedRegions)
 	m.Send(found)
 }
 
--- a/internal/gateway/placement/room.go
+++ b/internal/gateway/placement/room.go
@@ -83,10 +83,22 @@
 	return extra
 }
 
-// targetsByRoom returns the coordinators to ask by the room of their shards.
-func (d *directory) targetsByRoom(s *shards, req Request, maxWait time.Duration, now time.Time) []target {
+// zoneFilter reports whether a request may go to an availability zone.
+type zoneFilter func(req Request, zone core.AvailabilityZone) bool
+
+// isZoneOpen is the zoneFilter of the operator's orders.
+func (d *Duty) isZoneOpen(req Request, zone core.AvailabilityZone) bool {
+	return !d.evacuations.Evacuated(zone) && d.zones.Permits(req.AllowedRegions, zone)
+}
+
+// targetsByRoom returns the coordinators to ask by the room of their shards. Shards
+// of zones that are closed to the request are not asked.
+func (d *directory) targetsByRoom(s *shards, req Request, maxWait time.Duration, isOpen zoneFilter, now time.Time) []target {
 	known := make([]spill.Shard, 0, len(s.numbers))
 	for _, shard := range s.numbers {
+		if zone := s.Zones[shard]; zone != "" && !isOpen(req, zone) {
+			continue
+		}
 		known = append(known, spill.Shard{Number: shard, Zone: s.Zones[shard], Room: s.rooms[shard].aged(now)})
 	}
 	steps := s.decider.Order(spill.Request{
@@ -111,7 +123,7 @@
 	room, first := spill.Room{}, true
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Draining || c.NotReady || c.NoTraffic || c.AtVersionShare {
+		if c.Draining || c.Evacuated || c.NotReady || c.NoTraffic || c.AtVersionShare {
 			continue
 		}
 		room.Slots += c.Endpoint.Slots
--- a/internal/gateway/placement/room_test.go
+++ b/internal/gateway/placement/room_test.go
@@ -14,6 +14,7 @@
 	"kingcupcourse/internal/codec"
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/catalog"
+	"kingcupcourse/internal/decision/evacuation"
 	"kingcupcourse/internal/decision/fleet"
 	"kingcupcourse/internal/decision/overload"
 	"kingcupcourse/internal/decision/spill"
@@ -195,7 +196,7 @@
 	}
 	left := 0
 	for i := range 100 {
-		if targets := d.directory.targets(newRequest(1000+i, 0), d.maxWait(newRequest(i, 0)), now); targets[0].shard != home+1 {
+		if targets := d.directory.targets(newRequest(1000+i, 0), d.maxWait(newRequest(i, 0)), d.isZoneOpen, now); targets[0].shard != home+1 {
 			left++
 		}
 	}
@@ -204,6 +205,25 @@
 	}
 }
 
+// Guards against requests of a host in an evacuated zone that are placed without a
+// coordinator, since all shards asked lie in its zone.
+func TestEvacuatedHomeZoneIsNotAsked(t *testing.T) {
+	d, now := newZonedDuty(true, nil), time.Now()
+	d.evacuations.SetOrders(evacuation.Orders{"a": {Zone: "a", Revision: 1, ObservedAt: now}})
+	s := d.directory.services["s"]
+	for i := range 50 {
+		targets := d.directory.targets(newRequest(i, 1000), 300*time.Millisecond, d.isZoneOpen, now)
+		if len(targets) == 0 {
+			t.Fatal("no shard is asked")
+		}
+		for _, target := range targets {
+			if zone := s.Zones[target.shard-1]; zone != "b" {
+				t.Fatalf("shard %d of zone %s is asked", target.shard, zone)
+			}
+		}
+	}
+}
+
 // What is heard later but was counted earlier does not replace what is known, and
 // shards that do not exist are ignored.
 func TestNewestRoomIsKept(t *testing.T) {
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -14,6 +14,7 @@
 
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/overload"
+	"kingcupcourse/internal/decision/residency"
 	"kingcupcourse/internal/gateway/admission"
 	"kingcupcourse/internal/gateway/callers"
 	"kingcupcourse/internal/gateway/catalog"
@@ -77,11 +78,15 @@
 	mirrorDuties.Follow(adapter.Decoder.ConfigurationPrefix(), milliseconds(s.WatchMS), catalogTree.Deliver)
 	mirrorDuties.Follow(adapter.Decoder.EndpointsPrefix(), milliseconds(s.WatchMS), catalogTree.Deliver)
 	mirrorDuties.Follow(adapter.Decoder.OrdersPrefix(), longWatch, catalogTree.Deliver)
+	if s.Evacuations {
+		catalogTree.ExpectEvacuations()
+		mirrorDuties.Follow(adapter.Decoder.EvacuationsPrefix(), milliseconds(s.WatchMS), catalogTree.Deliver)
+	}
 	mirrorDuties.Follow(fleet.HostsPrefix, longWatch, fleetTree.Deliver)
 	fleetTree.OnDiscovery(mirrorDuties.Discovered)
 	placementDuty := placement.New(placement.Config{
 		Host: host, Snapshots: catalogTree.Subscribe(), Hosts: fleetTree.Hosts(), Constraints: movesTree.Subscribe(),
-		Outcomes: movesTree.Inbox(), Overload: overload.NewPolicy(s.WaitShares), ZoneAware: s.ZoneAwarePlacement, Log: env.Log,
+		Outcomes: movesTree.Inbox(), Overload: overload.NewPolicy(s.WaitShares), Zones: knownZones(s), ZoneAware: s.ZoneAwarePlacement, Log: env.Log,
 	})
 	placementClient := placement.NewClient(placementDuty, env.Log)
 	reporter := placement.NewReporter(s.Host, placementDuty, placementClient, env.Log)
@@ -132,6 +137,7 @@
 	registry.MustRegister(callers.Collectors()...)
 	registry.MustRegister(catalog.Collectors()...)
 	registry.MustRegister(connections.Collectors()...)
+	registry.MustRegister(placement.Collectors()...)
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	fleetTree.RegisterHandlers(mux)
@@ -140,4 +146,14 @@
 	return mux
 }
 
+// knownZones returns the regions of the availability zones, the host's own
+// included.
+func knownZones(s *settings.Gateway) residency.Zones {
+	zones := residency.Zones{s.AvailabilityZone: s.Region}
+	for _, zone := range s.Zones {
+		zones[zone.Name] = zone.Region
+	}
+	return zones
+}
+
 func milliseconds(value int64) time.Duration { return time.Duration(value) * time.Millisecond }
