Requests to cold endpoints are limited over all hosts

Cause: an endpoint that comes back cold is idle, so each coordinator prefers it.

Change: decision/warmup limits the requests to an endpoint that is cold by its entry, its answers or its appearance, or that may have restarted since an attempt was lost. Only the first coordinator of an endpoint grants, three tenths of the bound in 1.1 s, and nothing in its first window; stand-ins and hosts that place alone send nothing. The limit doubles for three windows after the cold time, and for an endpoint that was idle beside others. Takes effect only with cold_overage in the settings and a rate of the service.

Ruled out: a share of four tenths. The property test found three owners at once (one cut off, the previous, the next) with 24 of 20.

--- a/internal/decision/catalog/catalog.go
+++ b/internal/decision/catalog/catalog.go
@@ -75,6 +75,11 @@
 	MaxConnections int
 	// Model is set for a service of inference engines.
 	Model *Model
+	// ColdTime is how long an endpoint is cold after it starts, and ColdRate the
+	// requests per second that a cold endpoint bears from all hosts together. A
+	// zero rate means no limit.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Model describes the inference engines of a service.
@@ -117,6 +122,9 @@
 	// StartedAt is the start time by the endpoint's own clock. It changes when
 	// an endpoint restarts under the same name.
 	StartedAt time.Time
+	// ColdUntil is when the endpoint becomes warm, by the clock of this host and
+	// counted from the reading of the entry; zero if it is warm.
+	ColdUntil time.Time
 }
 
 // Snapshot is an immutable view of the configuration and the endpoints,
--- a/internal/decision/placement/filters.go
+++ b/internal/decision/placement/filters.go
@@ -48,6 +48,16 @@
 // Pass implements Filter.
 func (BelowVersionShare) Pass(c *Candidate, _ *Query) bool { return !c.AtVersionShare }
 
+// BelowColdRate rejects endpoints that are cold and have all the requests that
+// they may have at present.
+type BelowColdRate struct{}
+
+// Name implements Filter.
+func (BelowColdRate) Name() string { return "cold" }
+
+// Pass implements Filter.
+func (BelowColdRate) Pass(c *Candidate, _ *Query) bool { return !c.AtColdRate }
+
 // NotExcluded rejects the endpoints on which the request must not run again.
 type NotExcluded struct{}
 
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -46,6 +46,9 @@
 	// AtVersionShare is set if the version has all the traffic that it may
 	// have at present.
 	AtVersionShare bool
+	// AtColdRate is set if the endpoint is cold, or may be, and may get no more
+	// requests at present.
+	AtColdRate bool
 	// Preference is whether the request gives evidence that the trial of an
 	// unproved version needs.
 	Preference Preference
--- a/internal/gateway/callers/dispatch.go
+++ b/internal/gateway/callers/dispatch.go
@@ -62,9 +62,9 @@
 	if info.Leaving {
 		c.leavingIncarnation = endpoint.StartedAt.UnixMilli()
 	}
-	if info.Leaving || info.Rest > 0 || info.Unreadable != "" {
+	if info.Leaving || info.Rest > 0 || info.Cold > 0 || info.Unreadable != "" {
 		c.h.EndpointSaid(context.WithoutCancel(c.r.Context()), placement.EndpointSaid{
-			Endpoint: endpoint, Leaving: info.Leaving, Rest: info.Rest, Unreadable: info.Unreadable,
+			Endpoint: endpoint, Leaving: info.Leaving, Rest: info.Rest, Cold: info.Cold, Unreadable: info.Unreadable,
 		})
 	}
 }
--- a/internal/gateway/fleet/supervisor.go
+++ b/internal/gateway/fleet/supervisor.go
@@ -70,6 +70,10 @@
 // the supervisor runs.
 func (f *Fleet) Hosts() Hosts { return f.members.subscribe() }
 
+// ListedHosts returns a ring that holds only the latest hosts, and nothing until the
+// store's list of them is known.
+func (f *Fleet) ListedHosts() Hosts { return f.members.subscribeListed() }
+
 // Deliver applies an update of the hosts' entries.
 func (f *Fleet) Deliver(ctx context.Context, update platform.Update) error {
 	return f.members.deliver(ctx, update)
--- a/internal/gateway/frontend/frontend.go
+++ b/internal/gateway/frontend/frontend.go
@@ -65,6 +65,8 @@
 	// Rest is how long the endpoint wants no requests of this host, zero if it did
 	// not say so.
 	Rest time.Duration
+	// Cold is how much longer the endpoint is cold, zero if it did not say so.
+	Cold time.Duration
 	// Unreadable describes a header that could not be read, empty if there is none.
 	Unreadable string
 	// Misleading reports that the status would tell the caller that its request
--- a/internal/gateway/placement/candidates.go
+++ b/internal/gateway/placement/candidates.go
@@ -30,6 +30,7 @@
 			Endpoint: e.Endpoint.Endpoint, Version: e.Version, Draining: d.isDraining(e),
 			NotReady: !ignoreEjections && e.health.Ejected(now), SameZone: e.AvailabilityZone == d.host.AvailabilityZone,
 		}
+		c.AtColdRate = d.warmup.holdsBack(e.Endpoint.Name, req.Shard, now)
 		d.predictTimes(&c, e, req, now)
 		candidates = append(candidates, c)
 	}
--- a/internal/gateway/placement/client.go
+++ b/internal/gateway/placement/client.go
@@ -141,7 +141,7 @@
 
 // confirm also counts the attempt in this host's duty.
 func (c *Client) confirm(ctx context.Context, req Request, choice Choice) (Placed, bool) {
-	m := Confirm{Reply: ring.NewReply[Confirmed](), Request: req, Endpoint: choice.Endpoint}
+	m := Confirm{Reply: ring.NewReply[Confirmed](), Request: req, Endpoint: choice.Endpoint, ColdGrant: choice.ColdGrant}
 	if c.local.Put(ctx, m) != nil {
 		return Placed{}, false
 	}
--- a/internal/gateway/placement/directory.go
+++ b/internal/gateway/placement/directory.go
@@ -124,11 +124,7 @@
 
 // coordinator returns the address of a shard's coordinator, empty for this host.
 func (d *directory) coordinator(service string, shard int, now time.Time) string {
-	s := d.services[service]
-	if s.orders[shard] == nil {
-		s.orders[shard] = d.ring.Order(service, shard)
-	}
-	for _, host := range s.orders[shard] {
+	for _, host := range d.order(service, shard) {
 		switch {
 		case host.Name == d.self:
 			return ""
@@ -139,6 +135,22 @@
 	return ""
 }
 
+// order returns the hosts in the order in which they coordinate a shard.
+func (d *directory) order(service string, shard int) []fleet.Host {
+	s := d.services[service]
+	if s.orders[shard] == nil {
+		s.orders[shard] = d.ring.Order(service, shard)
+	}
+	return s.orders[shard]
+}
+
+// owns reports whether this host is the first coordinator of an endpoint, not one
+// that stands in for another.
+func (d *directory) owns(service, endpoint string) bool {
+	s := d.services[service]
+	return s != nil && d.order(service, s.shardOf[endpoint])[0].Name == d.self
+}
+
 // coordinatorOf returns the address of the coordinator of an endpoint, empty for
 // this host.
 func (d *directory) coordinatorOf(service, endpoint string, now time.Time) string {
--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -67,6 +67,7 @@
 	candidateBuffer []placement.Candidate
 	load            load
 	withdrawals     *withdrawal.Tracker
+	warmup          *warmupGate
 	headerLoggedAt  time.Time
 	log             *zap.Logger
 }
@@ -83,6 +84,10 @@
 	Snapshots gatewaycatalog.Subscription
 	// Hosts holds the hosts of the fleet.
 	Hosts *ring.Latest[*fleet.Ring]
+	// ListedHosts holds them only once the list of the store has been read.
+	ListedHosts *ring.Latest[*fleet.Ring]
+	// ColdTolerance is the operator's tolerance for requests to cold endpoints.
+	ColdTolerance ColdTolerance
 	// Constraints holds the placement constraints of the services that are being
 	// moved. Outcomes takes the outcomes of these services' attempts.
 	Constraints moves.Subscription
@@ -95,7 +100,7 @@
 	policy := func(scorer placement.Scorer) *placement.Policy {
 		return &placement.Policy{
 			Filters: []placement.Filter{placement.NotDraining{}, placement.NotExcluded{}, placement.Ready{},
-				placement.VersionInForce{}, placement.BelowVersionShare{}},
+				placement.VersionInForce{}, placement.BelowVersionShare{}, placement.BelowColdRate{}},
 			Scorer: scorer,
 			Picker: &placement.RotatingLowestScore{Offset: int(xxhash.Sum64String(c.Host.Name) % maxInitialOffset)},
 		}
@@ -107,6 +112,7 @@
 		endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, requests: map[string]Request{},
 		tokensPerEvent: map[string]int{}, traffic: newTrafficLimits(c.Constraints, c.Outcomes),
 		directory: newDirectory(c.Host.Name), outgoing: outgoing{}, withdrawals: withdrawal.New(), log: c.Log,
+		warmup: newWarmupGate(c.ColdTolerance, c.ListedHosts, c.Log),
 	}
 }
 
@@ -122,6 +128,7 @@
 		}
 		if hosts, ok := d.hosts.TryTake(); ok {
 			d.directory.setHosts(hosts, d.services)
+			d.updateOwners(time.Now())
 		}
 		d.traffic.refresh()
 		began := time.Now()
@@ -136,6 +143,8 @@
 	now := time.Now()
 	d.nextExpiry = now.Add(expiryPeriod)
 	d.logLoad()
+	d.updateOwners(now)
+	d.warmup.report(now)
 	d.attempts.ApplyHostReport(d.host.Name, nil, false, now)
 	for _, attempt := range d.attempts.ExpireSilentHosts(now) {
 		delete(d.requests, attempt.ID)
@@ -166,6 +175,8 @@
 		d.services[listed.Service] = append(d.services[listed.Service], e)
 	}
 	d.directory.setEndpoints(d.services)
+	d.warmup.setEntries(snapshot, time.Now())
+	d.updateOwners(time.Now())
 }
 
 func (m Choose) handle(d *Duty, now time.Time) {
@@ -202,7 +213,8 @@
 	if req.PromptTokens == 0 {
 		firstToken = c.TimeToFinish()
 	}
-	return Choice{Endpoint: c.Endpoint.Name, Running: c.Running, ExpectedMS: toMilliseconds(firstToken)}
+	coldGrant := d.warmup.grant(c.Endpoint.Name, now)
+	return Choice{Endpoint: c.Endpoint.Name, Running: c.Running, ExpectedMS: toMilliseconds(firstToken), ColdGrant: coldGrant}
 }
 
 // withoutOverload returns the candidates at which the request would not wait too
@@ -248,7 +260,8 @@
 
 func (m Confirm) handle(d *Duty, now time.Time) {
 	e := d.endpoints[m.Endpoint]
-	if e == nil || d.isDraining(e) || e.Service != m.Request.Service || d.withdrawals.RestLeft(incarnation(e.Endpoint), now) > 0 {
+	if e == nil || d.isDraining(e) || e.Service != m.Request.Service || d.withdrawals.RestLeft(incarnation(e.Endpoint), now) > 0 ||
+		d.warmup.refuses(e.Endpoint.Name, m.ColdGrant, now) {
 		m.Send(Confirmed{})
 		return
 	}
--- a/internal/gateway/placement/messages.go
+++ b/internal/gateway/placement/messages.go
@@ -66,6 +66,8 @@
 	// time. It may be retried after RetryAfterMS, in milliseconds.
 	Overload     bool  `json:"overload,omitempty"`
 	RetryAfterMS int64 `json:"retry_ms,omitempty"`
+	// ColdGrant reports that the request counts towards the rate of a cold endpoint.
+	ColdGrant bool `json:"cold,omitempty"`
 }
 
 // Update reports the progress or the end of an attempt.
@@ -138,6 +140,8 @@
 	ring.Reply[Confirmed]
 	Request  Request
 	Endpoint string
+	// ColdGrant is set if the endpoint may be cold.
+	ColdGrant bool
 }
 
 // Confirmed is the response to Confirm: the endpoint as this host knows it.
--- /dev/null
+++ b/internal/gateway/placement/metrics.go
@@ -0,0 +1,23 @@
+package placement
+
+import "github.com/prometheus/client_golang/prometheus"
+
+var (
+	coldEndpoints = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "kingcup_gateway_cold_endpoints",
+		Help: "Endpoints that are cold, or may be after a failure, as this host knows them.",
+	})
+	coldGrantedTotal = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_gateway_cold_granted_total",
+		Help: "Requests placed by this host on endpoints that were not warm, by the endpoint's state.",
+	}, []string{"state"})
+	coldHeldTotal = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_gateway_cold_held_total",
+		Help: "Cold endpoints passed over for a request, by reason (rate, not_owner, alone, other_view).",
+	}, []string{"reason"})
+)
+
+// Collectors returns the metrics of the placement.
+func Collectors() []prometheus.Collector {
+	return []prometheus.Collector{coldEndpoints, coldGrantedTotal, coldHeldTotal}
+}
--- a/internal/gateway/placement/updates.go
+++ b/internal/gateway/placement/updates.go
@@ -48,9 +48,13 @@
 	switch u.Result {
 	case core.ResultOK:
 		e.health.RecordSuccess()
+		d.warmup.succeeded(e.Endpoint.Name, a.GrantedAt, now)
 		d.learnSpeed(e, a, u, now)
 	case core.ResultLost, core.ResultFailed, core.ResultNotDispatched:
 		e.health.RecordFailure(now)
+		if u.Result != core.ResultFailed {
+			d.warmup.failed(e.Endpoint.Name, now)
+		}
 	}
 }
 
--- a/internal/gateway/placement/withdrawals.go
+++ b/internal/gateway/placement/withdrawals.go
@@ -21,6 +21,8 @@
 	Leaving bool
 	// Rest is how long it wants no requests of this host.
 	Rest time.Duration
+	// Cold is how much longer it is cold.
+	Cold time.Duration
 	// Unreadable describes a header that could not be read, empty if there is
 	// none.
 	Unreadable string
@@ -36,6 +38,7 @@
 		d.log.Info("endpoint wants no requests for some time", zap.String("endpoint", m.Endpoint.Name),
 			zap.String("service", m.Endpoint.Service), zap.Duration("asked", m.Rest), zap.Duration("rest", d.withdrawals.RestLeft(i, now)))
 	}
+	d.warmup.saidCold(m.Endpoint, m.Cold, now)
 	if m.Unreadable != "" && now.Sub(d.headerLoggedAt) >= headerLogPeriod {
 		d.headerLoggedAt = now
 		d.log.Warn("endpoint's header ignored", zap.String("endpoint", m.Endpoint.Name), zap.String("header", m.Unreadable))
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -78,8 +78,9 @@
 	mirrorDuties.Follow(fleet.HostsPrefix, longWatch, fleetTree.Deliver)
 	fleetTree.OnDiscovery(mirrorDuties.Discovered)
 	placementDuty := placement.New(placement.Config{
-		Host: host, Snapshots: catalogTree.Subscribe(), Hosts: fleetTree.Hosts(), Constraints: movesTree.Subscribe(),
-		Outcomes: movesTree.Inbox(), Log: env.Log,
+		Host: host, Snapshots: catalogTree.Subscribe(), Hosts: fleetTree.Hosts(), ListedHosts: fleetTree.ListedHosts(), Constraints: movesTree.Subscribe(),
+		ColdTolerance: placement.ColdTolerance{Overage: s.ColdOverage, Slack: s.ColdSlack},
+		Outcomes:      movesTree.Inbox(), Log: env.Log,
 	})
 	placementClient := placement.NewClient(placementDuty, env.Log)
 	reporter := placement.NewReporter(s.Host, placementDuty, placementClient, env.Log)
@@ -127,6 +128,7 @@
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	registry.MustRegister(callers.Collectors()...)
 	registry.MustRegister(catalog.Collectors()...)
+	registry.MustRegister(placement.Collectors()...)
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	fleetTree.RegisterHandlers(mux)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -86,6 +86,9 @@
 	if g.ExposeFree < 0 {
 		report.Add("expose_free", "must not be negative")
 	}
+	if g.ColdOverage < 0 || g.ColdSlack < 0 {
+		report.Add("cold_overage", "must not be negative, and neither may cold_slack")
+	}
 	if g.GraceMS <= g.DrainDelayMS {
 		report.Add("grace_ms", "must be above drain_delay_ms, %d", g.DrainDelayMS)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -126,6 +126,12 @@
 	// requests that it may receive in addition.
 	ExposeShare float64 `json:"expose_share"`
 	ExposeFree  int     `json:"expose_free"`
+	// ColdOverage and ColdSlack are the operator's tolerance for requests to cold
+	// endpoints: in any second, all hosts together may send one its service's rate
+	// times ColdOverage plus ColdSlack requests. Default 0, which means that cold
+	// endpoints are not limited.
+	ColdOverage float64 `json:"cold_overage,omitempty"`
+	ColdSlack   float64 `json:"cold_slack,omitempty"`
 	// GraceMS is the time between SIGTERM and SIGKILL, in milliseconds.
 	GraceMS int64 `json:"grace_ms"`
 	// DrainDelayMS is the time after SIGTERM during which the process still
