A new coordinator learns which endpoints failed before it began

Cause: a coordinator that has just started, or stands in, knew of no failure, and took an endpoint that had restarted under its old entry for warm; only hosts that had seen the failure refused its choices.

Change: the list of running attempts that each host sends every 500 ms names the endpoints that failed, with their age.

Ruled out: a low limit for all endpoints of a new coordinator; at 7.9 requests a second on each that throttles the service for a second at each change.

--- a/internal/gateway/placement/messages.go
+++ b/internal/gateway/placement/messages.go
@@ -111,6 +111,15 @@
 	// Running lists all attempts of the host if Full is set.
 	Running []Running `json:"running,omitempty"`
 	Full    bool      `json:"full,omitempty"`
+	// Failed lists the endpoints that may be cold after a failure that the host saw,
+	// if Full is set. A new coordinator learns them from it.
+	Failed []FailedEndpoint `json:"failed,omitempty"`
+}
+
+// FailedEndpoint is an endpoint that failed some milliseconds ago.
+type FailedEndpoint struct {
+	Endpoint string `json:"endpoint"`
+	AgoMS    int64  `json:"ago_ms"`
 }
 
 // Placed is the endpoint chosen for an attempt, or the refusal if there is none.
--- a/internal/gateway/placement/outgoing.go
+++ b/internal/gateway/placement/outgoing.go
@@ -67,11 +67,13 @@
 	for address := range running {
 		d.outgoing.box(address)
 	}
+	failed := d.failedByCoordinator(now)
 	taken := takenUpdates{running: len(running) > 0}
 	for address, box := range d.outgoing {
 		updates := Updates{Host: d.host.Name, Updates: box.pending}
 		if now.Sub(box.listedAt) >= listPeriod {
 			updates.Running, updates.Full, box.listedAt = running[address], true, now
+			updates.Failed = failed[address]
 		}
 		if updates.Full || len(updates.Updates) > 0 {
 			taken.messages = append(taken.messages, outgoingUpdates{address, updates})
--- a/internal/gateway/placement/updates.go
+++ b/internal/gateway/placement/updates.go
@@ -20,6 +20,7 @@
 	}
 	if m.Updates.Full {
 		d.applyList(m.Updates, now)
+		d.warmup.told(m.Updates.Failed, now)
 	}
 }
 
--- a/internal/gateway/placement/warmup.go
+++ b/internal/gateway/placement/warmup.go
@@ -167,6 +167,26 @@
 	g.limiter.Succeeded(name, granted, now)
 }
 
+// failedByCoordinator returns the endpoints that may be cold after a failure, by the
+// address of their coordinator, without those that this host coordinates.
+func (d *Duty) failedByCoordinator(now time.Time) map[string][]FailedEndpoint {
+	failed := map[string][]FailedEndpoint{}
+	for _, failure := range d.warmup.limiter.Failures(now) {
+		if address := d.directory.coordinatorOf(d.warmup.services[failure.Endpoint], failure.Endpoint, now); address != "" {
+			failed[address] = append(failed[address], FailedEndpoint{failure.Endpoint, failure.Ago.Milliseconds()})
+		}
+	}
+	return failed
+}
+
+// told applies the failures that another host lists.
+func (g *warmupGate) told(failed []FailedEndpoint, now time.Time) {
+	for _, f := range failed {
+		ago := time.Duration(min(max(0, f.AgoMS), warmup.MaxCold.Milliseconds())) * time.Millisecond
+		g.limiter.Told(warmup.Failure{Endpoint: f.Endpoint, Ago: ago}, now)
+	}
+}
+
 // report logs the changes of states since the last second, and what was granted
 // and held back.
 func (g *warmupGate) report(now time.Time) {
