Cold endpoints: a handover instead of a smaller share

Cause: a share of three tenths (6 of 20 in 1.1 s) is below the usual rate of 7.9 a second of an endpoint of the shifted site; the low limit for idle endpoints was also applied by hosts that stand in, to which most are idle.

Change: a new owner of a known endpoint grants nothing for two windows, so that the previous one has stopped; only a host that is cut off may grant beside it, and the share is four tenths. Only the owner takes an endpoint for idle. The limit is doubled for one window after the cold time, not for two.

Ruled out: the share of four tenths without the handover (the property test finds 21 and 24 of 20).

--- a/internal/decision/warmup/warmup.go
+++ b/internal/decision/warmup/warmup.go
@@ -14,13 +14,15 @@
 	// Window is the sliding window of the limit: the operator's second and the
 	// time for which a grant may be on its way to the host that uses it.
 	Window = 1100 * time.Millisecond
-	// ownerShare is the part of the operator's bound that one owner grants. While
-	// the hosts disagree on the owner, three may grant at once: a host that is cut
-	// off from the store, the previous owner and the next. What is left covers
-	// grants that were used late.
-	ownerShare = 0.3
+	// handover is how long a new owner of a known endpoint grants nothing. In that
+	// time the previous owner learns that it is none, and its grants are used.
+	handover = 2 * Window
+	// ownerShare is the part of the operator's bound that one owner grants. Two may
+	// grant at once if one is cut off from the store. What is left covers grants
+	// that were used late.
+	ownerShare = 0.4
 	// rampSteps is the number of windows in which the limit doubles before it ends.
-	rampSteps = 3
+	rampSteps = 2
 	// idleAfter is the time without a grant after which an endpoint may have
 	// restarted or become cold without anybody noticing.
 	idleAfter = 2 * time.Second
@@ -106,8 +108,10 @@
 	// succeeded.
 	failedAt time.Time
 	unproven bool
-	// ownedSince is when this host became the owner, zero if it is not.
-	ownedSince time.Time
+	// ownsFrom is when this host may grant as the owner, zero if it is not.
+	ownsFrom time.Time
+	// listedAt is when the endpoint was first listed.
+	listedAt time.Time
 	// rampFrom is when the limit began to grow.
 	rampFrom time.Time
 	// grants are the times of the grants in the last window. usedAt is the last
@@ -129,11 +133,11 @@
 		isNew := e == nil
 		switch {
 		case isNew:
-			e = &endpoint{usedAt: now}
+			e = &endpoint{usedAt: now, listedAt: now}
 			l.endpoints[name] = e
 		case e.StartedUnixMS != entry.StartedUnixMS:
 			isNew = true
-			*e = endpoint{grants: e.grants, usedAt: e.usedAt, ownedSince: e.ownedSince}
+			*e = endpoint{grants: e.grants, usedAt: e.usedAt, ownsFrom: e.ownsFrom, listedAt: e.listedAt}
 		}
 		if isNew && appeared {
 			e.startUntil = now.Add(entry.Rate.ColdFor)
@@ -144,7 +148,7 @@
 		if _, listed := entries[name]; listed {
 			continue
 		}
-		if e.ownedSince = (time.Time{}); e.unlisted.IsZero() {
+		if e.ownsFrom = (time.Time{}); e.unlisted.IsZero() {
 			e.unlisted = now
 		}
 		if now.Sub(e.unlisted) > rememberFor {
@@ -154,16 +158,18 @@
 }
 
 // SetOwner records whether this host is the endpoint's owner. A new owner grants
-// nothing to a cold endpoint for a window, in which grants of the previous owner
-// may still be used.
+// nothing to a cold endpoint for the time of a handover, or for a window if the
+// endpoint is new and no other host can have granted.
 func (l *Limiter) SetOwner(name string, owner bool, now time.Time) {
 	e := l.endpoints[name]
 	switch {
 	case e == nil:
 	case !owner:
-		e.ownedSince = time.Time{}
-	case e.ownedSince.IsZero():
-		e.ownedSince = now
+		e.ownsFrom = time.Time{}
+	case e.ownsFrom.IsZero() && now.Sub(e.listedAt) < Window:
+		e.ownsFrom = now.Add(Window)
+	case e.ownsFrom.IsZero():
+		e.ownsFrom = now.Add(handover)
 	}
 }
 
@@ -217,7 +223,7 @@
 	e := l.endpoints[name]
 	switch state, _ := l.StateOf(name, now); state {
 	case Cold, Suspect:
-		if e.ownedSince.IsZero() || now.Sub(e.ownedSince) < Window {
+		if !e.owned(now) {
 			return 0, true
 		}
 		return e.Rate.Share(), true
@@ -254,6 +260,9 @@
 	e.usedAt, l.grantedAt = now, now
 }
 
+// owned reports whether this host may grant as the owner.
+func (e *endpoint) owned(now time.Time) bool { return !e.ownsFrom.IsZero() && !now.Before(e.ownsFrom) }
+
 // inWindow drops the grants before the window, and returns the number of those
 // in it.
 func (e *endpoint) inWindow(now time.Time) int {
@@ -279,10 +288,10 @@
 }
 
 // idle reports whether the endpoint got no request for some time while others
-// did. A host that has granted requests for a short time does not know that.
+// did. Only its owner knows that, once it has granted requests for some time.
 func (l *Limiter) idle(e *endpoint, now time.Time) bool {
 	granting := now.Sub(l.grantedAt) <= idleAfter && l.grantedAt.Sub(l.grantedSince) > idleAfter
-	return granting && now.Sub(e.usedAt) > idleAfter
+	return granting && e.owned(now) && now.Sub(e.usedAt) > idleAfter
 }
 
 func later(a, b time.Time) time.Time {
