Entries that come back to the list are not taken for cold endpoints

Change: an incarnation that appears is cold only if it started a short time ago by its entry; what the entry says of the cold time holds as before.

--- a/internal/decision/warmup/warmup.go
+++ b/internal/decision/warmup/warmup.go
@@ -31,6 +31,9 @@
 	maxDowntime = 5 * time.Second
 	// MaxCold bounds how long an endpoint can be cold by its own word.
 	MaxCold = 5 * time.Minute
+	// clockMargin is by how much the endpoint's time of day and this host's may
+	// differ when the endpoint's start is judged to be recent.
+	clockMargin = 10 * time.Second
 	// rememberFor is how long an endpoint without an entry is remembered.
 	rememberFor = time.Minute
 )
@@ -124,9 +127,10 @@
 // New returns a limiter without endpoints.
 func New() *Limiter { return &Limiter{endpoints: map[string]*endpoint{}} }
 
-// SetEntries replaces the listed endpoints. A new incarnation is cold for its
-// service's time unless it was running before this host had a list, which
-// appeared reports.
+// SetEntries replaces the listed endpoints. A new incarnation that has started a
+// short time ago is cold for its service's time, unless it was running before this
+// host had a list, which appeared reports. Older ones have only come back to the
+// list, as all do after an outage of the store.
 func (l *Limiter) SetEntries(entries map[string]Entry, appeared bool, now time.Time) {
 	for name, entry := range entries {
 		e := l.endpoints[name]
@@ -139,7 +143,7 @@
 			isNew = true
 			*e = endpoint{grants: e.grants, usedAt: e.usedAt, ownsFrom: e.ownsFrom, listedAt: e.listedAt}
 		}
-		if isNew && appeared {
+		if isNew && appeared && now.Sub(time.UnixMilli(entry.StartedUnixMS)) < entry.Rate.ColdFor+clockMargin {
 			e.startUntil = now.Add(entry.Rate.ColdFor)
 		}
 		e.Entry, e.unlisted = entry, time.Time{}
