--- a/internal/gateway/placement/candidates.go
+++ b/internal/gateway/placement/candidates.go
@@ -35,6 +35,7 @@
 			NotReady: !ignoreEjections && e.health.Ejected(now), SameZone: e.AvailabilityZone == d.host.AvailabilityZone,
 			Evacuated: d.isEvacuated(e, req), RegionNotAllowed: !d.isRegionAllowed(e, req),
 		}
+		c.AtColdRate = d.warmup.holdsBack(e.Endpoint.Name, req.Shard, now)
 		d.predictTimes(&c, e, req, now)
 		candidates = append(candidates, c)
 	}
--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -65,6 +65,7 @@
 	load            load
 	withdrawals     *withdrawal.Tracker
 	overload        overload.Policy
+	warmup          *warmupGate
 	headerLoggedAt  time.Time
 	evacuations     evacuation.Tracker
 	zones           residency.Zones
@@ -83,6 +84,10 @@
 	Snapshots gatewaycatalog.Subscription
 	// Hosts holds the hosts of the fleet.
 	Hosts *ring.Latest[*fleet.Ring]
+	// ListedHosts holds them only once the list of the store has been read.
+	ListedHosts *ring.Latest[*fleet.Ring]
+	// ColdTolerance is the operator's tolerance for requests to cold endpoints.
+	ColdTolerance ColdTolerance
 	// Constraints holds the placement constraints of the services that are being
 	// moved. Outcomes takes the outcomes of these services' attempts.
 	Constraints moves.Subscription
@@ -99,7 +104,7 @@
 	policy := func(scorer placement.Scorer) *placement.Policy {
 		return &placement.Policy{
 			Filters: []placement.Filter{placement.NotDraining{}, placement.NotExcluded{}, placement.NotEvacuated{}, placement.RegionAllowed{}, placement.Ready{},
-				placement.VersionInForce{}, placement.BelowVersionShare{}},
+				placement.VersionInForce{}, placement.BelowVersionShare{}, placement.BelowColdRate{}},
 			Scorer: scorer,
 			Picker: &placement.RotatingLowestScore{Offset: int(xxhash.Sum64String(c.Host.Name) % maxInitialOffset)},
 		}
@@ -111,7 +116,7 @@
 		endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, requests: map[string]Request{},
 		tokensPerEvent: map[string]int{}, traffic: newTrafficLimits(c.Constraints, c.Outcomes),
 		directory: newDirectory(c.Host.Name), outgoing: outgoing{}, withdrawals: withdrawal.New(), overload: c.Overload,
-		zones: c.Zones, log: c.Log,
+		zones: c.Zones, warmup: newWarmupGate(c.ColdTolerance, c.ListedHosts, c.Log), log: c.Log,
 	}
 }
 
@@ -125,6 +130,7 @@
 		d.takeSnapshot()
 		if hosts, ok := d.hosts.TryTake(); ok {
 			d.directory.setHosts(hosts, d.services)
+			d.updateOwners(time.Now())
 		}
 		d.traffic.refresh()
 		began := time.Now()
@@ -147,6 +153,8 @@
 	d.takeSnapshot()
 	d.logLoad()
 	d.reportEvacuations(now)
+	d.updateOwners(now)
+	d.warmup.report(now)
 	d.attempts.ApplyHostReport(d.host.Name, nil, false, now)
 	for _, attempt := range d.attempts.ExpireSilentHosts(now) {
 		delete(d.requests, attempt.ID)
@@ -178,6 +186,8 @@
 	}
 	d.directory.setEndpoints(d.services)
 	d.updateEvacuations(snapshot.Evacuations, time.Now())
+	d.warmup.setEntries(snapshot, time.Now())
+	d.updateOwners(time.Now())
 }
 
 func (m Choose) handle(d *Duty, now time.Time) {
@@ -215,7 +225,8 @@
 	if req.PromptTokens == 0 {
 		firstToken = c.TimeToFinish()
 	}
-	return Choice{Endpoint: c.Endpoint.Name, Running: c.Running, ExpectedMS: toMilliseconds(firstToken)}
+	coldGrant := d.warmup.grant(c.Endpoint.Name, now)
+	return Choice{Endpoint: c.Endpoint.Name, Running: c.Running, ExpectedMS: toMilliseconds(firstToken), ColdGrant: coldGrant}
 }
 
 // withoutOverload returns the candidates at which the request would not wait too
@@ -261,7 +272,8 @@
 
 func (m Confirm) handle(d *Duty, now time.Time) {
 	e := d.endpoints[m.Endpoint]
-	if e == nil || d.isDraining(e) || !d.isOpen(e, m.Request) || e.Service != m.Request.Service || d.withdrawals.RestLeft(incarnation(e.Endpoint), now) > 0 {
+	if e == nil || d.isDraining(e) || !d.isOpen(e, m.Request) || e.Service != m.Request.Service ||
+		d.withdrawals.RestLeft(incarnation(e.Endpoint), now) > 0 || d.warmup.refuses(e.Endpoint.Name, m.ColdGrant, now) {
 		m.Send(Confirmed{})
 		return
 	}
--- a/internal/gateway/placement/messages.go
+++ b/internal/gateway/placement/messages.go
@@ -74,6 +74,8 @@
 	// time. It may be retried after RetryAfterMS, in milliseconds.
 	Overload     bool  `json:"overload,omitempty"`
 	RetryAfterMS int64 `json:"retry_ms,omitempty"`
+	// ColdGrant reports that the request counts towards the rate of a cold endpoint.
+	ColdGrant bool `json:"cold,omitempty"`
 }
 
 // Update reports the progress or the end of an attempt.
@@ -117,6 +119,15 @@
 	// Running lists all attempts of the host if Full is set.
 	Running []Running `json:"running,omitempty"`
 	Full    bool      `json:"full,omitempty"`
+	// Failed lists the endpoints that may be cold after a failure that the host saw,
+	// if Full is set. A new coordinator learns them from it.
+	Failed []FailedEndpoint `json:"failed,omitempty"`
+}
+
+// FailedEndpoint is an endpoint that failed some milliseconds ago.
+type FailedEndpoint struct {
+	Endpoint string `json:"endpoint"`
+	AgoMS    int64  `json:"ago_ms"`
 }
 
 // Placed is the endpoint chosen for an attempt, or the refusal if there is none.
@@ -146,6 +157,8 @@
 	ring.Reply[Confirmed]
 	Request  Request
 	Endpoint string
+	// ColdGrant is set if the endpoint may be cold.
+	ColdGrant bool
 }
 
 // Confirmed is the response to Confirm: the endpoint as this host knows it.
--- a/internal/gateway/placement/updates.go
+++ b/internal/gateway/placement/updates.go
@@ -20,6 +20,7 @@
 	}
 	if m.Updates.Full {
 		d.applyList(m.Updates, now)
+		d.warmup.told(m.Updates.Failed, now)
 	}
 }
 
@@ -48,9 +49,13 @@
 	switch u.Result {
 	case core.ResultOK:
 		e.health.RecordSuccess()
+		d.warmup.succeeded(e.Endpoint.Name, a.GrantedAt, now)
 		d.learnSpeed(e, a, u, now)
 	case core.ResultLost, core.ResultFailed, core.ResultNotDispatched:
 		e.health.RecordFailure(now)
+		if u.Result != core.ResultFailed {
+			d.warmup.failed(e.Endpoint.Name, now)
+		}
 	}
 }
 
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -85,8 +85,9 @@
 	mirrorDuties.Follow(fleet.HostsPrefix, longWatch, fleetTree.Deliver)
 	fleetTree.OnDiscovery(mirrorDuties.Discovered)
 	placementDuty := placement.New(placement.Config{
-		Host: host, Snapshots: catalogTree.Subscribe(), Hosts: fleetTree.Hosts(), Constraints: movesTree.Subscribe(),
-		Outcomes: movesTree.Inbox(), Overload: overload.NewPolicy(s.WaitShares), Zones: knownZones(s), Log: env.Log,
+		Host: host, Snapshots: catalogTree.Subscribe(), Hosts: fleetTree.Hosts(), ListedHosts: fleetTree.ListedHosts(), Constraints: movesTree.Subscribe(),
+		ColdTolerance: placement.ColdTolerance{Overage: s.ColdOverage, Slack: s.ColdSlack},
+		Outcomes:      movesTree.Inbox(), Overload: overload.NewPolicy(s.WaitShares), Zones: knownZones(s), Log: env.Log,
 	})
 	placementClient := placement.NewClient(placementDuty, env.Log)
 	reporter := placement.NewReporter(s.Host, placementDuty, placementClient, env.Log)
