Accounts above their share of the endpoints wait shorter

Cause: requests of one tier are taken in arrival order, so an account with many times its usual demand takes the room of the others while it is within its limit.

Free slots go to whoever asks. Switched on by account_shares of the settings.

--- a/internal/decision/overload/overload.go
+++ b/internal/decision/overload/overload.go
@@ -42,6 +42,10 @@
 	// Objective is the time to the first token within which the response has its
 	// full value, zero if there is none.
 	Objective time.Duration
+	// WaitPart is the part that is due to the request of the wait beyond that of the
+	// next tier, from 0 to 1; zero counts as 1. So no request waits shorter than one
+	// of a less important tier.
+	WaitPart float64
 }
 
 // MaxWait returns how long the request may be predicted to wait at an engine. It
@@ -51,7 +55,14 @@
 		return 0, false
 	}
 	tier := min(max(r.Tier, 0), len(p.waitShares)-1)
-	return time.Duration(p.waitShares[tier] * float64(r.Objective)), true
+	share, nextTier := p.waitShares[tier], 0.0
+	if tier+1 < len(p.waitShares) {
+		nextTier = p.waitShares[tier+1]
+	}
+	if r.WaitPart > 0 {
+		share = nextTier + r.WaitPart*(share-nextTier)
+	}
+	return time.Duration(share * float64(r.Objective)), true
 }
 
 // Refuses reports whether an engine with the predicted wait is too busy for the
--- a/internal/decision/overload/overload_test.go
+++ b/internal/decision/overload/overload_test.go
@@ -24,10 +24,16 @@
 		{byTier, 2, 100 * time.Millisecond},
 		{byTier, 9, 100 * time.Millisecond},
 	} {
-		if got, bounded := NewPolicy(test.shares).MaxWait(Request{test.tier, objective}); !bounded || got != test.want {
+		if got, bounded := NewPolicy(test.shares).MaxWait(Request{Tier: test.tier, Objective: objective}); !bounded || got != test.want {
 			t.Errorf("%v, tier %d: %v, want %v", test.shares, test.tier, got, test.want)
 		}
 	}
+	for tier, want := range []time.Duration{210, 110, 10} {
+		got, _ := NewPolicy(byTier).MaxWait(Request{Tier: tier, Objective: objective, WaitPart: 0.1})
+		if (got - want*time.Millisecond).Abs() > time.Microsecond {
+			t.Errorf("a tenth of the wait of tier %d: %v, want %v", tier, got, want*time.Millisecond)
+		}
+	}
 	if NewPolicy(nil).Refuses(Request{}, time.Hour) {
 		t.Error("a request without an objective was refused")
 	}
@@ -66,7 +72,7 @@
 		for step := range tiers {
 			tier := tiers - 1 - step // the least important ones come first
 			wait := max(0, engine.busyUntil-now)
-			if policy.Refuses(Request{tier, objective}, wait) {
+			if policy.Refuses(Request{Tier: tier, Objective: objective}, wait) {
 				continue
 			}
 			engine.busyUntil = now + wait + service
--- a/internal/gateway/admission/duty.go
+++ b/internal/gateway/admission/duty.go
@@ -51,6 +51,8 @@
 	// Acquire is set if the coordinator must be asked whether the account's limit
 	// allows the request.
 	Acquire *fleet.AcquireRequest
+	// AccountWeight is the rate of the account's limit, zero if it has none.
+	AccountWeight float64
 	// Units is the request's cost against its account's limit, zero if the account
 	// has none.
 	Units float64
@@ -208,7 +210,7 @@
 		return
 	}
 	cost := quotaUnits(account, request)
-	ticket.Units = cost
+	ticket.Units, ticket.AccountWeight = cost, limit.Rate
 	switch decision, retryAfter := d.share.Admit(account.Name, limit, cost, now); decision {
 	case quota.OverLimit:
 		ticket.Refusal = core.RefuseWithRetry(core.ReasonRateLimited, "the account is above its limit", retryAfter)
--- a/internal/gateway/callers/run.go
+++ b/internal/gateway/callers/run.go
@@ -88,7 +88,8 @@
 	placed := c.h.Place(ctx, placement.Request{
 		Attempt: c.attempt, Host: c.h.Host, Service: c.ticket.Service,
 		Route: c.routeName(), PromptTokens: c.request.PromptTokens, OutputTokens: c.expectedOutputTokens(), MaxOutputTokens: c.request.MaxOutputTokens,
-		Tier: c.ticket.Tier, ObjectiveMS: c.ticket.Route.LatencyObjective.Milliseconds(),
+		Account: c.ticket.Account, AccountWeight: c.ticket.AccountWeight, Tier: c.ticket.Tier,
+		ObjectiveMS:    c.ticket.Route.LatencyObjective.Milliseconds(),
 		AllowedRegions: c.ticket.AllowedRegions,
 		Exclude:        c.triedEndpoints, RemainingMS: time.Until(c.ticket.Deadline).Milliseconds(),
 	})
--- a/internal/gateway/placement/client.go
+++ b/internal/gateway/placement/client.go
@@ -177,8 +177,11 @@
 }
 
 func overloaded(choice Choice, byCoordinator bool) Placed {
-	return Placed{Choice: choice, ByCoordinator: byCoordinator, Refusal: core.RefuseWithRetry(core.ReasonShed,
-		"the endpoints have too much work", time.Duration(choice.RetryAfterMS)*time.Millisecond)}
+	detail := "the endpoints have too much work"
+	if choice.BlockedReason == blockedByShare {
+		detail = "the endpoints have too much work, and the account uses more than its share of them"
+	}
+	return Placed{Choice: choice, ByCoordinator: byCoordinator, Refusal: core.RefuseWithRetry(core.ReasonShed, detail, time.Duration(choice.RetryAfterMS)*time.Millisecond)}
 }
 
 // RegisterHandlers adds the handlers for placement requests and updates of other
--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -66,6 +66,7 @@
 	withdrawals     *withdrawal.Tracker
 	overload        overload.Policy
 	warmup          *warmupGate
+	shares          *accountShares
 	headerLoggedAt  time.Time
 	evacuations     evacuation.Tracker
 	zones           residency.Zones
@@ -94,6 +95,8 @@
 	Outcomes    *ring.Ring[moves.Message]
 	// Overload bounds the predicted wait of requests by tier.
 	Overload overload.Policy
+	// AccountShares lets accounts that use more than their share wait shorter.
+	AccountShares bool
 	// Zones holds the region of each availability zone.
 	Zones residency.Zones
 	Log   *zap.Logger
@@ -116,7 +119,7 @@
 		endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, requests: map[string]Request{},
 		tokensPerEvent: map[string]int{}, traffic: newTrafficLimits(c.Constraints, c.Outcomes),
 		directory: newDirectory(c.Host.Name), outgoing: outgoing{}, withdrawals: withdrawal.New(), overload: c.Overload,
-		zones: c.Zones, warmup: newWarmupGate(c.ColdTolerance, c.ListedHosts, c.Log), log: c.Log,
+		shares: newAccountShares(c.AccountShares), zones: c.Zones, warmup: newWarmupGate(c.ColdTolerance, c.ListedHosts, c.Log), log: c.Log,
 	}
 }
 
@@ -200,6 +203,7 @@
 
 // choose selects an endpoint and counts the attempt on it.
 func (d *Duty) choose(req Request, now time.Time) Choice {
+	req.waitPart = d.waitPart(req, now)
 	candidates := d.candidates(req, now)
 	request := &core.Request{Exclude: req.Exclude, Deadline: now.Add(time.Duration(req.RemainingMS) * time.Millisecond)}
 	policy := d.plainPolicy
@@ -218,7 +222,12 @@
 	firstToken := c.PendingPrefill + c.FirstToken
 	if d.overloaded(req, c) {
 		retryAfter := d.overload.RetryAfter(req.demand(), c.PendingPrefill)
-		return Choice{BlockedReason: "overload", Overload: true, RetryAfterMS: retryAfter.Milliseconds(), Running: c.Running,
+		reason := blockedByOverload
+		if req.waitPart = 1; !d.overloaded(req, c) {
+			reason = blockedByShare
+			refusedAboveShare.Inc()
+		}
+		return Choice{BlockedReason: reason, Overload: true, RetryAfterMS: retryAfter.Milliseconds(), Running: c.Running,
 			ExpectedMS: toMilliseconds(firstToken)}
 	}
 	d.countAttempt(req, c, now)
@@ -252,7 +261,7 @@
 
 // demand returns what the overload policy needs to know of the request.
 func (r *Request) demand() overload.Request {
-	return overload.Request{Tier: r.Tier, Objective: time.Duration(r.ObjectiveMS) * time.Millisecond}
+	return overload.Request{Tier: r.Tier, Objective: time.Duration(r.ObjectiveMS) * time.Millisecond, WaitPart: r.waitPart}
 }
 
 // countAttempt counts an attempt on a candidate.
--- a/internal/gateway/placement/messages.go
+++ b/internal/gateway/placement/messages.go
@@ -27,6 +27,10 @@
 	OutputTokens int `json:"output_tokens,omitempty"`
 	// MaxOutputTokens is the limit of the output length, zero if it is unknown.
 	MaxOutputTokens int `json:"output_bound,omitempty"`
+	// Account is the client account, empty on a public route, and AccountWeight its
+	// weight against other accounts, zero if it has no limit.
+	Account       string  `json:"account,omitempty"`
+	AccountWeight float64 `json:"account_weight,omitempty"`
 	// Tier is 0 for the most important requests.
 	Tier int `json:"tier,omitempty"`
 	// ObjectiveMS is the time to the first part of the response within which it
@@ -42,6 +46,9 @@
 	EvacuatedZones []core.AvailabilityZone `json:"evacuated_zones,omitempty"`
 	// RemainingMS is the time to the deadline, in milliseconds.
 	RemainingMS int64 `json:"left_ms"`
+	// waitPart is the part that is due to the request of the wait beyond that of the
+	// next tier, zero for all of it.
+	waitPart float64
 	// Shard is the shard of the service in which to place the attempt, from 1, or
 	// 0 for the whole service.
 	Shard int `json:"shard,omitempty"`
@@ -60,6 +67,14 @@
 	return estimate
 }
 
+// Reasons of a refusal for want of room.
+const (
+	blockedByOverload = "overload"
+	// blockedByShare: the account uses more than its share, and a request of another
+	// account would have been placed.
+	blockedByShare = "account_share"
+)
+
 // Choice is the response to a Request.
 type Choice struct {
 	Endpoint string `json:"endpoint,omitempty"`
--- a/internal/gateway/placement/metrics.go
+++ b/internal/gateway/placement/metrics.go
@@ -3,6 +3,10 @@
 import "github.com/prometheus/client_golang/prometheus"
 
 var (
+	refusedAboveShare = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "kingcup_gateway_refused_above_share_total",
+		Help: "Placements refused because the account uses more than its share of the endpoints.",
+	})
 	coldEndpoints = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "kingcup_gateway_cold_endpoints",
 		Help: "Endpoints that are cold, or may be after a failure, as this host knows them.",
@@ -27,5 +31,5 @@
 
 // Collectors returns the metrics of the placement.
 func Collectors() []prometheus.Collector {
-	return []prometheus.Collector{coldEndpoints, coldGrantedTotal, coldHeldTotal, evacuationSince, evacuationRunning}
+	return []prometheus.Collector{refusedAboveShare, coldEndpoints, coldGrantedTotal, coldHeldTotal, evacuationSince, evacuationRunning}
 }
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -87,7 +87,7 @@
 	placementDuty := placement.New(placement.Config{
 		Host: host, Snapshots: catalogTree.Subscribe(), Hosts: fleetTree.Hosts(), ListedHosts: fleetTree.ListedHosts(), Constraints: movesTree.Subscribe(),
 		ColdTolerance: placement.ColdTolerance{Overage: s.ColdOverage, Slack: s.ColdSlack},
-		Outcomes:      movesTree.Inbox(), Overload: overload.NewPolicy(s.WaitShares), Zones: knownZones(s), Log: env.Log,
+		Outcomes:      movesTree.Inbox(), Overload: overload.NewPolicy(s.WaitShares), AccountShares: s.AccountShares, Zones: knownZones(s), Log: env.Log,
 	})
 	placementClient := placement.NewClient(placementDuty, env.Log)
 	reporter := placement.NewReporter(s.Host, placementDuty, placementClient, env.Log)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -142,6 +142,9 @@
 	// Above that it is refused as not run. The last share holds for all further
 	// tiers. Default 0.6 for all tiers.
 	WaitShares []float64 `json:"wait_shares,omitempty"`
+	// AccountShares lets requests of a client account that uses more than its share
+	// of a service's endpoints wait shorter. The shares follow the accounts' limits.
+	AccountShares bool `json:"account_shares,omitempty"`
 	// ExposeShare is the maximum fraction of a service's requests that a
 	// candidate version may receive, from 0 to 1, and ExposeFree the number of
 	// requests that it may receive in addition.
