One budget for what all callers of a process hold

Cause: each request was within its limits, and nothing counted what all callers hold together. A head of 16 KiB in short lines takes some 300 KB once parsed, a body up to twice its size while its buffer grows, a connection a descriptor and up to 80 KB.

Change: a decision package counts bytes and connections, says who has to go and what a head costs; a duty owns the counts and the connections ask it by its ring before they hold more: a fixed part when accepted, each line of a head before net/http parses it, a body or held answer before its buffer grows. Under pressure the connection that has made no progress for the longest time, at least a second, is closed; a byte now and then is no progress; callers that wait for the host stay; new ones get a true 503 with Retry-After. The same for kingcup-entry, and a smaller budget for the listeners of other processes, metrics and readiness of all programs. A rest of a body that no handler has read no longer keeps its connection for good: it has a second.

Two tests for the inner listener are new.

Ruled out: returning an end of file alone for a refused head. net/http then added its own 400 after the refusal (found by TestHeadWithoutRoomIsRefused); what it writes is now dropped.

--- a/cmd/kingcup-host/main.go
+++ b/cmd/kingcup-host/main.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"kingcupcourse/internal/budget"
 	"kingcupcourse/internal/gateway"
 	"kingcupcourse/internal/process"
 	"kingcupcourse/internal/settings"
@@ -23,6 +24,7 @@
 			return process.ShutdownConfig{DrainDelay: time.Duration(s.DrainDelayMS) * time.Millisecond}
 		},
 		Build: func(env process.ProgramEnvironment, s *settings.Gateway) ([]supervisor.Child, error) {
+			budget.LimitHeap(s.MemoryMB << 20)
 			return gateway.Build(platform.Adapter(), env, s)
 		},
 	})
--- a/integration/crowd/crowd_test.go
+++ b/integration/crowd/crowd_test.go
@@ -74,6 +74,8 @@
 type target struct {
 	*program
 	address string
+	// inner is the address for other hosts and metrics, if the program has one.
+	inner string
 	// ordinary sends an ordinary request and reports whether it got its answer.
 	ordinary func(address string) bool
 }
@@ -93,6 +95,18 @@
 	t.t.Error("an ordinary caller got no answer")
 }
 
+// checkMetrics checks that the metrics can be read at the inner address.
+func (t *target) checkMetrics() {
+	t.t.Helper()
+	for range ordinaryTries {
+		if status, _, err := call(t.inner, "GET", "/metrics", "", nil); err == nil && status == http.StatusOK {
+			return
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	t.t.Error("the metrics could not be read")
+}
+
 // checkCrowd runs a crowd against the target.
 func checkCrowd(target *target, size int, send script) {
 	target.t.Helper()
--- a/integration/crowd/entry_test.go
+++ b/integration/crowd/entry_test.go
@@ -28,6 +28,7 @@
 	p := startProgram(t, "kingcup-entry", map[string]any{
 		"host": "host-1", "region": "r", "availability_zone": "a", "platform": platformURL,
 		"control": addresses[3], "admin": addresses[4], "callers": addresses[5],
+		"memory_mb": machineMemoryKB >> 10, "max_files": machineFiles,
 	})
 	target := &target{program: p, address: addresses[5], ordinary: func(address string) bool {
 		status, _, err := call(address, "GET", "/v1/balances/1", "", nil)
--- a/integration/crowd/host_test.go
+++ b/integration/crowd/host_test.go
@@ -33,8 +33,9 @@
 		"callers": addresses[0], "readiness": addresses[1], "peers": addresses[2], "store": store,
 		"limit_overage": 0.1, "limit_slack": 1000, "limit_window_ms": 8000, "repeat_share": 0.2, "repeat_burst": 54,
 		"expose_share": 0.1, "expose_free": 50, "grace_ms": 8000,
+		"memory_mb": machineMemoryKB >> 10, "max_files": machineFiles,
 	})
-	target := &target{program: p, address: addresses[0], ordinary: func(address string) bool {
+	target := &target{program: p, address: addresses[0], inner: addresses[2], ordinary: func(address string) bool {
 		status, body, err := call(address, "POST", "/read/1", "hello", nil)
 		return err == nil && status == http.StatusOK && body == "read 5"
 	}}
@@ -107,3 +108,22 @@
 	}
 	host.checkBounds()
 }
+
+// Guards the listener for other hosts and metrics, which a fault in the network may open
+// to others, as TestEndlessHeads does that of the callers.
+func TestInnerEndlessHeads(t *testing.T) {
+	host := startHost(t)
+	assemble(t, host.inner, connectionCrowd, sendEndlessHead)
+	host.checkMetrics()
+	host.checkOrdinaryCaller()
+	host.checkBounds()
+}
+
+// Like TestInnerEndlessHeads, with messages of legal size that stop short of their end.
+func TestInnerLargeMessages(t *testing.T) {
+	host := startHost(t)
+	assemble(t, host.inner, bodyCrowd, sendLargeBody("/v1/fleet/report"))
+	host.checkMetrics()
+	host.checkOrdinaryCaller()
+	host.checkBounds()
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -141,6 +141,7 @@
 	ReasonJournalUnavailable Reason = "journal_unavailable"
 	ReasonDraining           Reason = "draining"
 	ReasonNotReady           Reason = "not_ready"
+	ReasonNoRoom             Reason = "no_room"
 	ReasonEndpointFailed     Reason = "endpoint_failed"
 	ReasonResponseIncomplete Reason = "answer_incomplete"
 	ReasonCallerGone         Reason = "caller_gone"
--- a/internal/entry/callers/buffered.go
+++ b/internal/entry/callers/buffered.go
@@ -4,13 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"kingcupcourse/internal/budget"
 	"kingcupcourse/internal/core"
 )
 
@@ -23,6 +23,7 @@
 
 var (
 	errResponseTooLarge  = eris.New("the endpoint's answer is too large")
+	errNoRoomForResponse = eris.New("no room to hold the endpoint's answer")
 	errResponseMalformed = eris.New("the endpoint's answer is not whole JSON")
 )
 
@@ -40,7 +41,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return c.endCancelled(grant)
-	case errors.Is(err, errResponseTooLarge), errors.Is(err, errResponseMalformed):
+	case errors.Is(err, errResponseTooLarge), errors.Is(err, errNoRoomForResponse), errors.Is(err, errResponseMalformed):
 		return attemptEnd{result: core.ResultFailed, reason: core.ReasonResponseIncomplete, detail: err.Error()}
 	case err != nil:
 		return c.endLost(ctx, grant, err)
@@ -57,12 +58,14 @@
 
 func readResponse(response *http.Response) ([]byte, error) {
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	body, complete, err := budget.ReadAnswer(response.Request.Context(), response.Body, response.ContentLength, maxAnswerBytes)
 	switch {
 	case err != nil:
 		return nil, err
-	case len(body) > maxAnswerBytes:
+	case !complete && len(body) > maxAnswerBytes:
 		return nil, errResponseTooLarge
+	case !complete:
+		return nil, errNoRoomForResponse
 	case response.Request.Method != http.MethodHead && isJSON(response.Header) && len(body) > 0 && !json.Valid(body):
 		return nil, errResponseMalformed
 	}
--- a/internal/entry/supervisor.go
+++ b/internal/entry/supervisor.go
@@ -9,7 +9,9 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"kingcupcourse/internal/budget"
 	"kingcupcourse/internal/control"
+	decision "kingcupcourse/internal/decision/budget"
 	"kingcupcourse/internal/entry/admission"
 	"kingcupcourse/internal/entry/callers"
 	"kingcupcourse/internal/entry/fallback"
@@ -45,7 +47,7 @@
 // New binds the callers' listener and returns the supervisor, which is not
 // running yet.
 //
-// The children start in this order: reports, fallback, admission, callers.
+// The children start in this order: callers-budget, reports, fallback, admission, callers.
 // They stop in reverse: the callers' listener accepts no new connections and
 // waits for the requests in progress, which still need the other duties;
 // reports flushes the remaining outcomes last. A failed child is restarted
@@ -60,11 +62,14 @@
 		Schedulers: peers, PublishFact: publishFact(c, log), Log: log,
 	})
 	drain := time.Duration(s.DrainMS) * time.Millisecond
-	listener, err := supervisor.Listen(s.Callers, handler, drain)
+	callersBudget := budget.New("callers", decision.LimitsFor(s.MemoryMB<<20, s.MaxFiles), log)
+	listener, err := supervisor.Listen(s.Callers, budget.Handler(handler), drain)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for callers")
 	}
+	listener.WrapConnections(callersBudget.Accept)
 	tree := supervisor.New(supervisor.Spec{Name: "entry", Children: []supervisor.Child{
+		{Name: "callers-budget", Duty: callersBudget},
 		{Name: "reports", Duty: reporting.Supervisor, StopTimeout: reportsStopTimeout},
 		{Name: "fallback", Duty: fallbackDuty},
 		{Name: "admission", Duty: admissionDuty},
--- a/internal/gateway/callers/admit.go
+++ b/internal/gateway/callers/admit.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
+	"kingcupcourse/internal/budget"
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/catalog"
 	"kingcupcourse/internal/gateway/admission"
@@ -23,6 +23,9 @@
 // not respond.
 const coordinatorRetryAfter = 200 * time.Millisecond
 
+// noRoomRetryAfter is the retry delay for a request whose body the host has no room for.
+const noRoomRetryAfter = time.Second
+
 // stopRetryAfter is the retry delay for a request that another host can serve at once.
 const stopRetryAfter = 10 * time.Millisecond
 
@@ -148,16 +151,19 @@
 		body = http.MaxBytesReader(c.w, body, limit)
 	}
 	var err error
-	c.body, err = io.ReadAll(body)
-	_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
+	c.body, err = budget.ReadBody(c.r.Context(), body, c.r.ContentLength)
+	if err == nil {
+		_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
+		return nil
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return core.Refuse(core.ReasonTooLarge, "the body is larger than allowed")
-	case err != nil:
-		return core.Refuse(core.ReasonBadRequest, "the body did not come whole: "+err.Error())
+	case errors.Is(err, budget.ErrNoRoom):
+		return core.RefuseWithRetry(core.ReasonNoRoom, err.Error(), noRoomRetryAfter)
 	}
-	return nil
+	return core.Refuse(core.ReasonBadRequest, "the body did not come whole: "+err.Error())
 }
 
 // repeatable reports whether the request may run more than once.
--- a/internal/gateway/callers/refuse.go
+++ b/internal/gateway/callers/refuse.go
@@ -13,7 +13,9 @@
 
 // refuse responds to the caller with a refusal.
 func (c *call) refuse(refusal *core.Refusal) {
-	c.logRefusal(refusal)
+	if refusal.Reason != core.ReasonNoRoom { // logged by the budget, a line a second
+		c.logRefusal(refusal)
+	}
 	refusalsTotal.WithLabelValues(string(refusal.Disposition), string(refusal.Reason)).Inc()
 	c.h.Protocol.WriteRefusal(c.w, c.request, refusal)
 }
--- a/internal/gateway/callers/response.go
+++ b/internal/gateway/callers/response.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"kingcupcourse/internal/budget"
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/gateway/frontend"
 	"kingcupcourse/internal/gateway/placement"
@@ -26,16 +27,18 @@
 )
 
 // relayBuffered relays a response once it has arrived completely, so that a
-// truncated response can be retried or refused.
+// truncated response can be retried or refused. A response that is too large, or for
+// which the host has no room, is relayed as it arrives.
 func (c *call) relayBuffered(ctx context.Context, response *http.Response, info frontend.ResponseInfo) attemptOutcome {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	body, complete, err := budget.ReadAnswer(ctx, response.Body, response.ContentLength, maxBufferedBytes)
 	switch {
 	case err != nil:
 		return c.incompleteResponse(ctx, err)
-	case len(body) > maxBufferedBytes:
+	case !complete:
 		if writeErr := c.writePart(response, body); writeErr != nil {
 			return callerWriteFailed(writeErr)
 		}
+		budget.GiveBack(ctx, body)
 		return c.relayRaw(ctx, response)
 	}
 	c.h.Protocol.CopyHeader(c.w.Header(), response)
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -12,7 +12,9 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
 
+	"kingcupcourse/internal/budget"
 	"kingcupcourse/internal/core"
+	decisionbudget "kingcupcourse/internal/decision/budget"
 	"kingcupcourse/internal/gateway/admission"
 	"kingcupcourse/internal/gateway/callers"
 	"kingcupcourse/internal/gateway/catalog"
@@ -89,23 +91,31 @@
 		AcquireQuota: fleetTree.Acquire, Log: env.Log,
 		Stop: callers.Stop{DrainingSince: env.DrainingSince, DrainDelay: milliseconds(s.DrainDelayMS), CutAfter: milliseconds(s.GraceMS) - stopMargin},
 	})
-	peerListener, err := supervisor.Listen(s.Peers, newPeerMux(fleetTree, placementClient, mirrorDuties), listenerStopGrace)
+	memory := s.MemoryMB << 20
+	callersBudget := budget.New("callers", decisionbudget.LimitsFor(memory, s.MaxFiles), env.Log)
+	peersBudget := budget.New("peers", decisionbudget.PeerLimitsFor(memory, s.MaxFiles), env.Log)
+	peerListener, err := supervisor.Listen(s.Peers, budget.MessageHandler(newPeerMux(fleetTree, placementClient, mirrorDuties)), listenerStopGrace)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for peers")
 	}
+	peerListener.WrapConnections(peersBudget.Accept)
 	drain := milliseconds(s.GraceMS-s.DrainDelayMS) - stopMargin
-	callerListener, err := supervisor.Listen(s.Callers, handler, drain)
+	callerListener, err := supervisor.Listen(s.Callers, budget.Handler(handler), drain)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for callers")
 	}
+	callerListener.WrapConnections(callersBudget.Accept)
 	readinessMux := http.NewServeMux()
 	readinessMux.Handle("GET "+adapter.ReadyPath, &readiness{admission: admissionDuty.Inbox(), drainingSince: env.DrainingSince})
-	balancerListener, err := supervisor.Listen(s.Readiness, readinessMux, listenerStopGrace)
+	balancerListener, err := supervisor.Listen(s.Readiness, budget.MessageHandler(readinessMux), listenerStopGrace)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for the balancer")
 	}
+	balancerListener.WrapConnections(peersBudget.Accept)
 	return []supervisor.Child{{Name: "gateway", Duty: supervisor.New(supervisor.Spec{
 		Name: "gateway", Children: []supervisor.Child{
+			{Name: "callers-budget", Duty: callersBudget},
+			{Name: "peers-budget", Duty: peersBudget},
 			{Name: "catalog", Duty: catalogTree.Supervisor},
 			{Name: "moves", Duty: movesTree.Supervisor},
 			{Name: "admission", Duty: admissionDuty},
@@ -125,6 +135,7 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(ring.Collector{}, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(budget.Collectors()...)
 	registry.MustRegister(callers.Collectors()...)
 	registry.MustRegister(catalog.Collectors()...)
 	mux := http.NewServeMux()
--- a/internal/process/supervisor.go
+++ b/internal/process/supervisor.go
@@ -12,7 +12,9 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"kingcupcourse/internal/budget"
 	"kingcupcourse/internal/control"
+	decision "kingcupcourse/internal/decision/budget"
 	"kingcupcourse/internal/platform"
 	"kingcupcourse/internal/ring"
 	"kingcupcourse/internal/settings"
@@ -41,6 +43,7 @@
 func serve[T any](ctx context.Context, role Role[T], loaded *T, log *zap.Logger) int {
 	treeCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	budget.LimitHeap(role.Common(loaded).MemoryMB << 20)
 	t := &processTree{stop: stop}
 	if err := buildTree(ctx, t, role, loaded, log); err != nil {
 		log.Error("start failed", zap.String("error", eris.ToString(err, false)))
@@ -73,17 +76,21 @@
 	if err != nil {
 		return eris.Wrap(err, "build duties")
 	}
-	adminListener, err := supervisor.Listen(common.Admin, t.adminHandler(env), listenerGrace)
+	peersBudget := budget.New("peers", decision.PeerLimitsFor(common.MemoryMB<<20, common.MaxFiles), log)
+	adminListener, err := supervisor.Listen(common.Admin, budget.MessageHandler(t.adminHandler(env)), listenerGrace)
 	if err != nil {
 		return eris.Wrap(err, "listen on the admin address")
 	}
-	controlListener, err := supervisor.Listen(common.Control, env.ControlMux, listenerGrace)
+	adminListener.WrapConnections(peersBudget.Accept)
+	controlListener, err := supervisor.Listen(common.Control, budget.MessageHandler(env.ControlMux), listenerGrace)
 	if err != nil {
 		return eris.Wrap(err, "listen on the control address")
 	}
+	controlListener.WrapConnections(peersBudget.Accept)
 	stopTimeout := time.Duration(common.DrainMS)*time.Millisecond + stopMargin
 	t.root = supervisor.New(supervisor.Spec{Name: role.Program, Children: slices.Concat(
 		[]supervisor.Child{
+			{Name: "peers-budget", Duty: peersBudget},
 			{Name: "admin", Duty: adminListener},
 			{Name: "control", Duty: env.Control.Supervisor()},
 		},
@@ -99,6 +106,7 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(ring.Collector{}, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(budget.Collectors()...)
 	env := &Environment{
 		Settings:   common,
 		Log:        log,
--- a/internal/reference/limits.go
+++ b/internal/reference/limits.go
@@ -13,6 +13,9 @@
 func limits() []limit {
 	return []limit{
 		{"internal/supervisor", []string{"headerTimeout", "idleTimeout", "maxHeaderBytes"}},
+		{"internal/decision/budget", []string{"memoryShare", "minBytes", "filesPerCaller", "reservedFiles", "minConnections", "keptShare",
+			"peerMemoryShare", "filesPerPeer", "MinStall", "maxStall", "bytesPerLine"}},
+		{"internal/budget", []string{"connectionBytes", "restTimeout", "heapShare"}},
 		{"internal/entry/callers", []string{"bodyTimeout", "answerTimeout", "endpointDialTimeout",
 			"maxAnswerHeaderBytes", "maxAnswerBytes"}},
 		{"internal/gateway/callers", []string{"maxResponseHeaderBytes", "maxBufferedBytes"}},
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -19,6 +19,9 @@
 	DefaultLeaseMS        = 5_000 // milliseconds
 	minLeaseMS            = 1_000 // milliseconds
 
+	DefaultMemoryMB = 1_024 // MB
+	DefaultMaxFiles = 4_096
+
 	DefaultWatchMS             = 1_500 // milliseconds
 	DefaultStoreTimeoutMS      = 1_000 // milliseconds
 	DefaultGatewayDrainDelayMS = 2_500 // milliseconds
@@ -28,6 +31,8 @@
 func (c *Common) setDefaults() {
 	setDefault(&c.DrainMS, DefaultDrainMS)
 	setDefault(&c.DrainDelayMS, DefaultDrainDelayMS)
+	setDefault(&c.MemoryMB, DefaultMemoryMB)
+	setDefault(&c.MaxFiles, DefaultMaxFiles)
 	setDefault(&c.Log.Level, DefaultLogLevel)
 	setDefault(&c.Log.Format, DefaultLogFormat)
 }
@@ -50,6 +55,8 @@
 func (g *Gateway) setDefaults() {
 	setDefault(&g.ProcessorShare, DefaultProcessor)
 	setDefault(&g.ProcessorSpeed, DefaultProcessor)
+	setDefault(&g.MemoryMB, DefaultMemoryMB)
+	setDefault(&g.MaxFiles, DefaultMaxFiles)
 	setDefault(&g.WatchMS, DefaultWatchMS)
 	setDefault(&g.StoreTimeoutMS, DefaultStoreTimeoutMS)
 	setDefault(&g.DrainDelayMS, DefaultGatewayDrainDelayMS)
@@ -70,6 +77,8 @@
 	if g.ProcessorShare < 0 || g.ProcessorSpeed < 0 {
 		report.Add("processor_share", "must not be negative, and neither may processor_speed")
 	}
+	checkNotNegative(report, "memory_mb", g.MemoryMB)
+	checkNotNegative(report, "max_files", int64(g.MaxFiles))
 	checkNotNegative(report, "watch_ms", g.WatchMS)
 	checkNotNegative(report, "store_timeout_ms", g.StoreTimeoutMS)
 	checkNotNegative(report, "drain_delay_ms", g.DrainDelayMS)
@@ -115,6 +124,8 @@
 	}
 	checkBaseURL(report, "platform", c.Platform)
 	checkLog(report, c.Log)
+	checkNotNegative(report, "memory_mb", c.MemoryMB)
+	checkNotNegative(report, "max_files", int64(c.MaxFiles))
 	checkNotNegative(report, "drain_ms", c.DrainMS)
 	checkNotNegative(report, "drain_delay_ms", c.DrainDelayMS)
 	checkDistinct(report, "admin", c.Admin, "control", c.Control)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,12 @@
 	// accepts work while the load balancer sees it as unready and its peers
 	// learn that it drains, in milliseconds. Default 2,000.
 	DrainDelayMS int64 `json:"drain_delay_ms,omitempty"`
+	// MemoryMB is the memory that the process must not exceed, in MB. What all
+	// callers and peers together may hold follows from it. Default 1,024.
+	MemoryMB int64 `json:"memory_mb,omitempty"`
+	// MaxFiles is the number of descriptors that the process may have open. How many
+	// connections it accepts follows from it. Default 4,096.
+	MaxFiles int `json:"max_files,omitempty"`
 	// FaultInjection enables POST /debug/kill?child=PATH on the admin
 	// listener. Never enable it in production. Default false.
 	FaultInjection bool `json:"fault_injection,omitempty"`
@@ -99,6 +105,12 @@
 	// coordinate the others. Default 1.
 	ProcessorShare float64 `json:"processor_share,omitempty"`
 	ProcessorSpeed float64 `json:"processor_speed,omitempty"`
+	// MemoryMB is the memory that the process must not exceed, in MB. What all
+	// callers together may hold follows from it. Default 1,024.
+	MemoryMB int64 `json:"memory_mb,omitempty"`
+	// MaxFiles is the number of descriptors that the process may have open. How many
+	// connections it accepts follows from it. Default 4,096.
+	MaxFiles int `json:"max_files,omitempty"`
 	// Store is the base URL of the platform's store.
 	Store string `json:"store"`
 	// WatchMS is how long a watch call to the store waits for a change, in
--- a/internal/supervisor/http.go
+++ b/internal/supervisor/http.go
@@ -46,7 +46,8 @@
 func (h *HTTP) Address() string { return h.address }
 
 // WrapConnections makes the duty serve wrap(connection) instead of each accepted
-// connection. It must be called before Serve.
+// connection, or nothing if that is nil: wrap has then closed the connection. It must be
+// called before Serve.
 func (h *HTTP) WrapConnections(wrap func(net.Conn) net.Conn) { h.wrap = wrap }
 
 // CloseOnStop makes the next stop close all open connections without a grace
@@ -67,6 +68,9 @@
 	}
 	open := newOpenConnections()
 	server.ConnState = open.track
+	server.ConnContext = func(ctx context.Context, connection net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, connection)
+	}
 	listener := h.listener
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
@@ -116,7 +120,10 @@
 }
 
 // track is a hook for http.Server.ConnState.
-func (o *openConnections) track(_ net.Conn, state http.ConnState) {
+func (o *openConnections) track(connection net.Conn, state http.ConnState) {
+	if observer, ok := connection.(StateObserver); ok {
+		observer.StateChanged(state)
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch state {
@@ -157,9 +164,27 @@
 
 // Accept implements net.Listener.
 func (l *wrappingListener) Accept() (net.Conn, error) {
-	connection, err := l.Listener.Accept()
-	if err != nil || l.wrap == nil {
-		return connection, err
+	for {
+		connection, err := l.Listener.Accept()
+		if err != nil || l.wrap == nil {
+			return connection, err
+		}
+		if wrapped := l.wrap(connection); wrapped != nil {
+			return wrapped, nil
+		}
 	}
-	return l.wrap(connection), nil
+}
+
+// StateObserver is a connection that is told of the state in which net/http sees it. Idle
+// is told before anything of the next request is read.
+type StateObserver interface{ StateChanged(http.ConnState) }
+
+// connectionKey is the key of the connection in the context of its requests.
+type connectionKey struct{}
+
+// ConnectionOf returns the connection of a request by the request's context, nil if it did
+// not come by an HTTP duty.
+func ConnectionOf(ctx context.Context) net.Conn {
+	connection, _ := ctx.Value(connectionKey{}).(net.Conn)
+	return connection
 }
