A machine of unknown size gets the default budget

Change: zero stands for the default in the decision itself; the runtime's memory limit is set only if memory_mb is given. The tests of crowds take their ports from below the kernel's ephemeral ones.

--- a/integration/crowd/process_test.go
+++ b/integration/crowd/process_test.go
@@ -153,17 +153,34 @@
 	}
 }
 
+const (
+	// firstPort is the first of the ports that the tests use. They lie below the
+	// kernel's ephemeral ports, so that no outgoing connection takes one of them before
+	// its program listens.
+	firstPort = 12000
+	// Each run of the tests begins in its own slot of the range.
+	portSlots, portsPerSlot = 40, 200
+)
+
+// lastPort is the last port tried, zero before the first.
+var lastPort int
+
 // freeAddresses returns loopback addresses on which nothing listens.
 func freeAddresses(t testing.TB, count int) []string {
 	t.Helper()
+	if lastPort == 0 {
+		lastPort = firstPort + os.Getpid()%portSlots*portsPerSlot
+	}
 	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for len(addresses) < count {
+		lastPort++
+		address := fmt.Sprintf("127.0.0.1:%d", lastPort)
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
+		_ = listener.Close()
+		addresses = append(addresses, address)
 	}
 	return addresses
 }
--- a/internal/budget/memory.go
+++ b/internal/budget/memory.go
@@ -7,5 +7,9 @@
 const heapShare = 0.75
 
 // LimitHeap makes the runtime collect garbage before the process fills the memory of its
-// machine, in bytes.
-func LimitHeap(memory int64) { debug.SetMemoryLimit(int64(heapShare * float64(memory))) }
+// machine, in bytes. Zero leaves the runtime as it is.
+func LimitHeap(memory int64) {
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(memory)))
+	}
+}
--- a/internal/decision/budget/budget.go
+++ b/internal/decision/budget/budget.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// defaultMemory and defaultFiles describe the machine if nothing is known of it.
+	defaultMemory = 1 << 30
+	defaultFiles  = 4096
 	// memoryShare is the share of the machine's memory that callers may hold. The rest
 	// is for what the process knows, and for garbage until it is collected.
 	memoryShare = 0.35
@@ -78,8 +81,9 @@
 }
 
 // LimitsFor returns the limits on a machine with this memory, in bytes, and this number of
-// descriptors.
+// descriptors; zero stands for the default.
 func LimitsFor(memory int64, files int) Limits {
+	memory, files = cmp.Or(memory, defaultMemory), cmp.Or(files, defaultFiles)
 	return Limits{
 		Bytes:       max(minBytes, int64(float64(memory)*memoryShare)),
 		Connections: max(minConnections, (files-reservedFiles)/filesPerCaller),
@@ -89,6 +93,7 @@
 // PeerLimitsFor is LimitsFor for the connections of other processes, which have a budget of
 // their own.
 func PeerLimitsFor(memory int64, files int) Limits {
+	memory, files = cmp.Or(memory, defaultMemory), cmp.Or(files, defaultFiles)
 	return Limits{
 		Bytes:       max(minBytes, int64(float64(memory)*peerMemoryShare)),
 		Connections: max(minConnections, (files-reservedFiles)/filesPerPeer),
--- a/internal/decision/budget/budget_test.go
+++ b/internal/decision/budget/budget_test.go
@@ -122,6 +122,7 @@
 	}{
 		{96 << 20, 800, Limits{Bytes: 35232153, Connections: 300}},
 		{284 << 20, 4100, Limits{Bytes: 104228454, Connections: 1950}},
+		{0, 0, Limits{Bytes: 375809638, Connections: 1948}},
 		{1 << 20, 10, Limits{Bytes: minBytes, Connections: minConnections}},
 	} {
 		if got := LimitsFor(c.memory, c.files); got != c.want {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -19,9 +19,6 @@
 	DefaultLeaseMS        = 5_000 // milliseconds
 	minLeaseMS            = 1_000 // milliseconds
 
-	DefaultMemoryMB = 1_024 // MB
-	DefaultMaxFiles = 4_096
-
 	DefaultWatchMS             = 1_500 // milliseconds
 	DefaultStoreTimeoutMS      = 1_000 // milliseconds
 	DefaultGatewayDrainDelayMS = 2_500 // milliseconds
@@ -31,8 +28,6 @@
 func (c *Common) setDefaults() {
 	setDefault(&c.DrainMS, DefaultDrainMS)
 	setDefault(&c.DrainDelayMS, DefaultDrainDelayMS)
-	setDefault(&c.MemoryMB, DefaultMemoryMB)
-	setDefault(&c.MaxFiles, DefaultMaxFiles)
 	setDefault(&c.Log.Level, DefaultLogLevel)
 	setDefault(&c.Log.Format, DefaultLogFormat)
 }
@@ -55,8 +50,6 @@
 func (g *Gateway) setDefaults() {
 	setDefault(&g.ProcessorShare, DefaultProcessor)
 	setDefault(&g.ProcessorSpeed, DefaultProcessor)
-	setDefault(&g.MemoryMB, DefaultMemoryMB)
-	setDefault(&g.MaxFiles, DefaultMaxFiles)
 	setDefault(&g.WatchMS, DefaultWatchMS)
 	setDefault(&g.StoreTimeoutMS, DefaultStoreTimeoutMS)
 	setDefault(&g.DrainDelayMS, DefaultGatewayDrainDelayMS)
