--- a/internal/gateway/placement/client.go
+++ b/internal/gateway/placement/client.go
@@ -165,7 +165,7 @@
 
 // confirm also counts the attempt in this host's duty.
 func (c *Client) confirm(ctx context.Context, req Request, choice Choice) (Placed, bool) {
-	m := Confirm{Reply: ring.NewReply[Confirmed](), Request: req, Endpoint: choice.Endpoint}
+	m := Confirm{Reply: ring.NewReply[Confirmed](), Request: req, Endpoint: choice.Endpoint, ColdGrant: choice.ColdGrant}
 	if c.local.Put(ctx, m) != nil {
 		return Placed{}, false
 	}
@@ -199,8 +199,11 @@
 }
 
 func overloaded(choice Choice, byCoordinator bool) Placed {
-	return Placed{Choice: choice, ByCoordinator: byCoordinator, Refusal: core.RefuseWithRetry(core.ReasonShed,
-		"the endpoints have too much work", time.Duration(choice.RetryAfterMS)*time.Millisecond)}
+	detail := "the endpoints have too much work"
+	if choice.BlockedReason == blockedByShare {
+		detail = "the endpoints have too much work, and the account uses more than its share of them"
+	}
+	return Placed{Choice: choice, ByCoordinator: byCoordinator, Refusal: core.RefuseWithRetry(core.ReasonShed, detail, time.Duration(choice.RetryAfterMS)*time.Millisecond)}
 }
 
 // RegisterHandlers adds the handlers for placement requests and updates of other
--- a/internal/gateway/placement/directory.go
+++ b/internal/gateway/placement/directory.go
@@ -169,11 +169,8 @@
 // coordinator returns the host that coordinates a shard, without an address if that
 // is this host.
 func (d *directory) coordinator(service string, shard int, now time.Time) fleet.Host {
-	s, self := d.services[service], fleet.Host{AvailabilityZone: d.self.AvailabilityZone}
-	if s.orders[shard] == nil {
-		s.orders[shard] = d.ring.OrderInZone(service, shard, s.Zones[shard])
-	}
-	for _, host := range s.orders[shard] {
+	self := fleet.Host{AvailabilityZone: d.self.AvailabilityZone}
+	for _, host := range d.order(service, shard) {
 		switch {
 		case host.Name == d.self.Name:
 			return self
@@ -184,6 +181,22 @@
 	return self
 }
 
+// order returns the hosts in the order in which they coordinate a shard.
+func (d *directory) order(service string, shard int) []fleet.Host {
+	s := d.services[service]
+	if s.orders[shard] == nil {
+		s.orders[shard] = d.ring.OrderInZone(service, shard, s.Zones[shard])
+	}
+	return s.orders[shard]
+}
+
+// owns reports whether this host is the first coordinator of an endpoint, not one
+// that stands in for another.
+func (d *directory) owns(service, endpoint string) bool {
+	s := d.services[service]
+	return s != nil && d.order(service, s.ShardOf[endpoint])[0].Name == d.self.Name
+}
+
 // coordinatorOf returns the address of the coordinator of an endpoint, empty for
 // this host.
 func (d *directory) coordinatorOf(service, endpoint string, now time.Time) string {
--- a/internal/gateway/placement/duty.go
+++ b/internal/gateway/placement/duty.go
@@ -65,6 +65,8 @@
 	load            load
 	withdrawals     *withdrawal.Tracker
 	overload        overload.Policy
+	warmup          *warmupGate
+	shares          *accountShares
 	headerLoggedAt  time.Time
 	evacuations     evacuation.Tracker
 	zones           residency.Zones
@@ -83,12 +85,18 @@
 	Snapshots gatewaycatalog.Subscription
 	// Hosts holds the hosts of the fleet.
 	Hosts *ring.Latest[*fleet.Ring]
+	// ListedHosts holds them only once the list of the store has been read.
+	ListedHosts *ring.Latest[*fleet.Ring]
+	// ColdTolerance is the operator's tolerance for requests to cold endpoints.
+	ColdTolerance ColdTolerance
 	// Constraints holds the placement constraints of the services that are being
 	// moved. Outcomes takes the outcomes of these services' attempts.
 	Constraints moves.Subscription
 	Outcomes    *ring.Ring[moves.Message]
 	// Overload bounds the predicted wait of requests by tier.
 	Overload overload.Policy
+	// AccountShares lets accounts that use more than their share wait shorter.
+	AccountShares bool
 	// Zones holds the region of each availability zone.
 	Zones residency.Zones
 	// ZoneAware divides endpoints by zone and sends requests to other zones only
@@ -102,7 +110,7 @@
 	policy := func(scorer placement.Scorer) *placement.Policy {
 		return &placement.Policy{
 			Filters: []placement.Filter{placement.NotDraining{}, placement.NotExcluded{}, placement.NotEvacuated{}, placement.RegionAllowed{}, placement.Ready{},
-				placement.VersionInForce{}, placement.BelowVersionShare{}},
+				placement.VersionInForce{}, placement.BelowVersionShare{}, placement.BelowColdRate{}},
 			Scorer: scorer,
 			Picker: &placement.RotatingLowestScore{Offset: int(xxhash.Sum64String(c.Host.Name) % maxInitialOffset)},
 		}
@@ -114,7 +122,7 @@
 		endpoints: map[string]*endpoint{}, services: map[string][]*endpoint{}, requests: map[string]Request{},
 		tokensPerEvent: map[string]int{}, traffic: newTrafficLimits(c.Constraints, c.Outcomes),
 		directory: newDirectory(c.Host, c.ZoneAware), outgoing: outgoing{}, withdrawals: withdrawal.New(), overload: c.Overload,
-		zones: c.Zones, log: c.Log,
+		shares: newAccountShares(c.AccountShares), zones: c.Zones, warmup: newWarmupGate(c.ColdTolerance, c.ListedHosts, c.Log), log: c.Log,
 	}
 }
 
@@ -128,6 +136,7 @@
 		d.takeSnapshot()
 		if hosts, ok := d.hosts.TryTake(); ok {
 			d.directory.setHosts(hosts, d.services)
+			d.updateOwners(time.Now())
 		}
 		d.traffic.refresh()
 		began := time.Now()
@@ -150,6 +159,8 @@
 	d.takeSnapshot()
 	d.logLoad()
 	d.reportEvacuations(now)
+	d.updateOwners(now)
+	d.warmup.report(now)
 	d.attempts.ApplyHostReport(d.host.Name, nil, false, now)
 	for _, attempt := range d.attempts.ExpireSilentHosts(now) {
 		delete(d.requests, attempt.ID)
@@ -181,6 +192,8 @@
 	}
 	d.directory.setEndpoints(d.services)
 	d.updateEvacuations(snapshot.Evacuations, time.Now())
+	d.warmup.setEntries(snapshot, time.Now())
+	d.updateOwners(time.Now())
 }
 
 func (m Choose) handle(d *Duty, now time.Time) {
@@ -195,6 +208,7 @@
 
 // choose selects an endpoint and counts the attempt on it.
 func (d *Duty) choose(req Request, now time.Time) Choice {
+	req.waitPart = d.waitPart(req, now)
 	candidates := d.candidates(req, now)
 	d.recordRoom(req, candidates, now)
 	request := &core.Request{Exclude: req.Exclude, Deadline: now.Add(time.Duration(req.RemainingMS) * time.Millisecond)}
@@ -214,14 +228,20 @@
 	firstToken := c.PendingPrefill + c.FirstToken
 	if d.overloaded(req, c) {
 		retryAfter := d.overload.RetryAfter(req.demand(), c.PendingPrefill)
-		return Choice{BlockedReason: "overload", Overload: true, RetryAfterMS: retryAfter.Milliseconds(), Running: c.Running,
+		reason := blockedByOverload
+		if req.waitPart = 1; !d.overloaded(req, c) {
+			reason = blockedByShare
+			refusedAboveShare.Inc()
+		}
+		return Choice{BlockedReason: reason, Overload: true, RetryAfterMS: retryAfter.Milliseconds(), Running: c.Running,
 			ExpectedMS: toMilliseconds(firstToken)}
 	}
 	d.countAttempt(req, c, now)
 	if req.PromptTokens == 0 {
 		firstToken = c.TimeToFinish()
 	}
-	return Choice{Endpoint: c.Endpoint.Name, Running: c.Running, ExpectedMS: toMilliseconds(firstToken)}
+	coldGrant := d.warmup.grant(c.Endpoint.Name, now)
+	return Choice{Endpoint: c.Endpoint.Name, Running: c.Running, ExpectedMS: toMilliseconds(firstToken), ColdGrant: coldGrant}
 }
 
 // withoutOverload returns the candidates at which the request would not wait too
@@ -247,7 +267,7 @@
 
 // demand returns what the overload policy needs to know of the request.
 func (r *Request) demand() overload.Request {
-	return overload.Request{Tier: r.Tier, Objective: time.Duration(r.ObjectiveMS) * time.Millisecond}
+	return overload.Request{Tier: r.Tier, Objective: time.Duration(r.ObjectiveMS) * time.Millisecond, WaitPart: r.waitPart}
 }
 
 // maxWait returns how long a request may be predicted to wait at an endpoint, zero
@@ -278,7 +298,8 @@
 
 func (m Confirm) handle(d *Duty, now time.Time) {
 	e := d.endpoints[m.Endpoint]
-	if e == nil || d.isDraining(e) || !d.isOpen(e, m.Request) || e.Service != m.Request.Service || d.withdrawals.RestLeft(incarnation(e.Endpoint), now) > 0 {
+	if e == nil || d.isDraining(e) || !d.isOpen(e, m.Request) || e.Service != m.Request.Service ||
+		d.withdrawals.RestLeft(incarnation(e.Endpoint), now) > 0 || d.warmup.refuses(e.Endpoint.Name, m.ColdGrant, now) {
 		m.Send(Confirmed{})
 		return
 	}
--- a/internal/gateway/placement/evacuation.go
+++ b/internal/gateway/placement/evacuation.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"kingcupcourse/internal/core"
@@ -15,22 +14,6 @@
 // evacuated availability zones. They come back by an operator's hand only.
 const evacuatedRetryAfter = time.Second
 
-var (
-	evacuationSince = prometheus.NewGaugeVec(prometheus.GaugeOpts{
-		Name: "kingcup_gateway_evacuation_since_seconds",
-		Help: "Unix time since when this host sends nothing new to an evacuated availability zone.",
-	}, []string{"availability_zone"})
-	evacuationRunning = prometheus.NewGaugeVec(prometheus.GaugeOpts{
-		Name: "kingcup_gateway_evacuation_running",
-		Help: "Attempts of this host that still run in an evacuated availability zone.",
-	}, []string{"availability_zone"})
-)
-
-// Collectors returns the metrics of the placement duty.
-func Collectors() []prometheus.Collector {
-	return []prometheus.Collector{evacuationSince, evacuationRunning}
-}
-
 // isEvacuated reports whether an endpoint gets no new requests since its
 // availability zone is being emptied. Of this host and the one that asks, one may
 // have learned of that first.
--- a/internal/gateway/placement/messages.go
+++ b/internal/gateway/placement/messages.go
@@ -28,6 +28,10 @@
 	OutputTokens int `json:"output_tokens,omitempty"`
 	// MaxOutputTokens is the limit of the output length, zero if it is unknown.
 	MaxOutputTokens int `json:"output_bound,omitempty"`
+	// Account is the client account, empty on a public route, and AccountWeight its
+	// weight against other accounts, zero if it has no limit.
+	Account       string  `json:"account,omitempty"`
+	AccountWeight float64 `json:"account_weight,omitempty"`
 	// Tier is 0 for the most important requests.
 	Tier int `json:"tier,omitempty"`
 	// ObjectiveMS is the time to the first part of the response within which it
@@ -43,6 +47,9 @@
 	EvacuatedZones []core.AvailabilityZone `json:"evacuated_zones,omitempty"`
 	// RemainingMS is the time to the deadline, in milliseconds.
 	RemainingMS int64 `json:"left_ms"`
+	// waitPart is the part that is due to the request of the wait beyond that of the
+	// next tier, zero for all of it.
+	waitPart float64
 	// Shard is the shard of the service in which to place the attempt, from 1, or
 	// 0 for the whole service.
 	Shard int `json:"shard,omitempty"`
@@ -63,6 +70,14 @@
 	return estimate
 }
 
+// Reasons of a refusal for want of room.
+const (
+	blockedByOverload = "overload"
+	// blockedByShare: the account uses more than its share, and a request of another
+	// account would have been placed.
+	blockedByShare = "account_share"
+)
+
 // Choice is the response to a Request.
 type Choice struct {
 	Endpoint string `json:"endpoint,omitempty"`
@@ -77,6 +92,8 @@
 	// time. It may be retried after RetryAfterMS, in milliseconds.
 	Overload     bool  `json:"overload,omitempty"`
 	RetryAfterMS int64 `json:"retry_ms,omitempty"`
+	// ColdGrant reports that the request counts towards the rate of a cold endpoint.
+	ColdGrant bool `json:"cold,omitempty"`
 	// Rooms is the room of the shard, and what its coordinator knows of others.
 	Rooms []ShardRoom `json:"rooms,omitempty"`
 }
@@ -135,6 +152,15 @@
 	// Running lists all attempts of the host if Full is set.
 	Running []Running `json:"running,omitempty"`
 	Full    bool      `json:"full,omitempty"`
+	// Failed lists the endpoints that may be cold after a failure that the host saw,
+	// if Full is set. A new coordinator learns them from it.
+	Failed []FailedEndpoint `json:"failed,omitempty"`
+}
+
+// FailedEndpoint is an endpoint that failed some milliseconds ago.
+type FailedEndpoint struct {
+	Endpoint string `json:"endpoint"`
+	AgoMS    int64  `json:"ago_ms"`
 }
 
 // UpdatesAnswer is the response to Updates.
@@ -173,6 +199,8 @@
 	ring.Reply[Confirmed]
 	Request  Request
 	Endpoint string
+	// ColdGrant is set if the endpoint may be cold.
+	ColdGrant bool
 }
 
 // Confirmed is the response to Confirm: the endpoint as this host knows it.
--- a/internal/gateway/placement/room.go
+++ b/internal/gateway/placement/room.go
@@ -123,7 +123,7 @@
 	room, first := spill.Room{}, true
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Draining || c.Evacuated || c.NotReady || c.NoTraffic || c.AtVersionShare {
+		if c.Draining || c.Evacuated || c.NotReady || c.NoTraffic || c.AtVersionShare || c.AtColdRate {
 			continue
 		}
 		room.Slots += c.Endpoint.Slots
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -12,7 +12,9 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
 
+	"kingcupcourse/internal/budget"
 	"kingcupcourse/internal/core"
+	decisionbudget "kingcupcourse/internal/decision/budget"
 	"kingcupcourse/internal/decision/overload"
 	"kingcupcourse/internal/decision/residency"
 	"kingcupcourse/internal/gateway/admission"
@@ -85,8 +87,10 @@
 	mirrorDuties.Follow(fleet.HostsPrefix, longWatch, fleetTree.Deliver)
 	fleetTree.OnDiscovery(mirrorDuties.Discovered)
 	placementDuty := placement.New(placement.Config{
-		Host: host, Snapshots: catalogTree.Subscribe(), Hosts: fleetTree.Hosts(), Constraints: movesTree.Subscribe(),
-		Outcomes: movesTree.Inbox(), Overload: overload.NewPolicy(s.WaitShares), Zones: knownZones(s), ZoneAware: s.ZoneAwarePlacement, Log: env.Log,
+		Host: host, Snapshots: catalogTree.Subscribe(), Hosts: fleetTree.Hosts(), ListedHosts: fleetTree.ListedHosts(), Constraints: movesTree.Subscribe(),
+		ColdTolerance: placement.ColdTolerance{Overage: s.ColdOverage, Slack: s.ColdSlack},
+		Outcomes:      movesTree.Inbox(), Overload: overload.NewPolicy(s.WaitShares), AccountShares: s.AccountShares, Zones: knownZones(s),
+		ZoneAware: s.ZoneAwarePlacement, Log: env.Log,
 	})
 	placementClient := placement.NewClient(placementDuty, env.Log)
 	reporter := placement.NewReporter(s.Host, placementDuty, placementClient, env.Log)
@@ -97,23 +101,31 @@
 		AcquireQuota: fleetTree.Acquire, Log: env.Log,
 		Stop: callers.Stop{DrainingSince: env.DrainingSince, DrainDelay: milliseconds(s.DrainDelayMS), CutAfter: milliseconds(s.GraceMS) - stopMargin},
 	})
-	peerListener, err := supervisor.Listen(s.Peers, newPeerMux(fleetTree, placementClient, mirrorDuties), listenerStopGrace)
+	memory := s.MemoryMB << 20
+	callersBudget := budget.New("callers", decisionbudget.LimitsFor(memory, s.MaxFiles), env.Log)
+	peersBudget := budget.New("peers", decisionbudget.PeerLimitsFor(memory, s.MaxFiles), env.Log)
+	peerListener, err := supervisor.Listen(s.Peers, budget.MessageHandler(newPeerMux(fleetTree, placementClient, mirrorDuties)), listenerStopGrace)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for peers")
 	}
+	peerListener.WrapConnections(peersBudget.Accept)
 	drain := milliseconds(s.GraceMS-s.DrainDelayMS) - stopMargin
-	callerListener, err := supervisor.Listen(s.Callers, handler, drain)
+	callerListener, err := supervisor.Listen(s.Callers, budget.Handler(handler), drain)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for callers")
 	}
+	callerListener.WrapConnections(callersBudget.Accept)
 	readinessMux := http.NewServeMux()
 	readinessMux.Handle("GET "+adapter.ReadyPath, &readiness{admission: admissionDuty.Inbox(), drainingSince: env.DrainingSince})
-	balancerListener, err := supervisor.Listen(s.Readiness, readinessMux, listenerStopGrace)
+	balancerListener, err := supervisor.Listen(s.Readiness, budget.MessageHandler(readinessMux), listenerStopGrace)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for the balancer")
 	}
+	balancerListener.WrapConnections(peersBudget.Accept)
 	return []supervisor.Child{{Name: "gateway", Duty: supervisor.New(supervisor.Spec{
 		Name: "gateway", Children: []supervisor.Child{
+			{Name: "callers-budget", Duty: callersBudget},
+			{Name: "peers-budget", Duty: peersBudget},
 			{Name: "catalog", Duty: catalogTree.Supervisor},
 			{Name: "moves", Duty: movesTree.Supervisor},
 			{Name: "admission", Duty: admissionDuty},
@@ -134,6 +146,7 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(ring.Collector{}, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(budget.Collectors()...)
 	registry.MustRegister(callers.Collectors()...)
 	registry.MustRegister(catalog.Collectors()...)
 	registry.MustRegister(connections.Collectors()...)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -73,6 +73,8 @@
 	if g.ProcessorShare < 0 || g.ProcessorSpeed < 0 {
 		report.Add("processor_share", "must not be negative, and neither may processor_speed")
 	}
+	checkNotNegative(report, "memory_mb", g.MemoryMB)
+	checkNotNegative(report, "max_files", int64(g.MaxFiles))
 	checkNotNegative(report, "watch_ms", g.WatchMS)
 	checkNotNegative(report, "store_timeout_ms", g.StoreTimeoutMS)
 	checkNotNegative(report, "drain_delay_ms", g.DrainDelayMS)
@@ -94,6 +96,9 @@
 	if g.ExposeFree < 0 {
 		report.Add("expose_free", "must not be negative")
 	}
+	if g.ColdOverage < 0 || g.ColdSlack < 0 {
+		report.Add("cold_overage", "must not be negative, and neither may cold_slack")
+	}
 	if g.GraceMS <= g.DrainDelayMS {
 		report.Add("grace_ms", "must be above drain_delay_ms, %d", g.DrainDelayMS)
 	}
@@ -137,6 +142,8 @@
 	}
 	checkBaseURL(report, "platform", c.Platform)
 	checkLog(report, c.Log)
+	checkNotNegative(report, "memory_mb", c.MemoryMB)
+	checkNotNegative(report, "max_files", int64(c.MaxFiles))
 	checkNotNegative(report, "drain_ms", c.DrainMS)
 	checkNotNegative(report, "drain_delay_ms", c.DrainDelayMS)
 	checkDistinct(report, "admin", c.Admin, "control", c.Control)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,12 @@
 	// accepts work while the load balancer sees it as unready and its peers
 	// learn that it drains, in milliseconds. Default 2,000.
 	DrainDelayMS int64 `json:"drain_delay_ms,omitempty"`
+	// MemoryMB is the memory that the process must not exceed, in MB. What all
+	// callers and peers together may hold follows from it. Default 1,024.
+	MemoryMB int64 `json:"memory_mb,omitempty"`
+	// MaxFiles is the number of descriptors that the process may have open. How many
+	// connections it accepts follows from it. Default 4,096.
+	MaxFiles int `json:"max_files,omitempty"`
 	// FaultInjection enables POST /debug/kill?child=PATH on the admin
 	// listener. Never enable it in production. Default false.
 	FaultInjection bool `json:"fault_injection,omitempty"`
@@ -115,6 +121,12 @@
 	// coordinate the others. Default 1.
 	ProcessorShare float64 `json:"processor_share,omitempty"`
 	ProcessorSpeed float64 `json:"processor_speed,omitempty"`
+	// MemoryMB is the memory that the process must not exceed, in MB. What all
+	// callers together may hold follows from it. Default 1,024.
+	MemoryMB int64 `json:"memory_mb,omitempty"`
+	// MaxFiles is the number of descriptors that the process may have open. How many
+	// connections it accepts follows from it. Default 4,096.
+	MaxFiles int `json:"max_files,omitempty"`
 	// Store is the base URL of the platform's store.
 	Store string `json:"store"`
 	// WatchMS is how long a watch call to the store waits for a change, in
@@ -142,6 +154,9 @@
 	// Above that it is refused as not run. The last share holds for all further
 	// tiers. Default 0.6 for all tiers.
 	WaitShares []float64 `json:"wait_shares,omitempty"`
+	// AccountShares lets requests of a client account that uses more than its share
+	// of a service's endpoints wait shorter. The shares follow the accounts' limits.
+	AccountShares bool `json:"account_shares,omitempty"`
 	// ExposeShare is the maximum fraction of a service's requests that a
 	// candidate version may receive, from 0 to 1, and ExposeFree the number of
 	// requests that it may receive in addition.
@@ -151,6 +166,12 @@
 	// while its endpoints have room, and sends them to other zones by the room
 	// there. Without it zones are not considered. All hosts need the same value.
 	ZoneAwarePlacement bool `json:"zone_aware_placement,omitempty"`
+	// ColdOverage and ColdSlack are the operator's tolerance for requests to cold
+	// endpoints: in any second, all hosts together may send one its service's rate
+	// times ColdOverage plus ColdSlack requests. Default 0, which means that cold
+	// endpoints are not limited.
+	ColdOverage float64 `json:"cold_overage,omitempty"`
+	ColdSlack   float64 `json:"cold_slack,omitempty"`
 	// GraceMS is the time between SIGTERM and SIGKILL, in milliseconds.
 	GraceMS int64 `json:"grace_ms"`
 	// DrainDelayMS is the time after SIGTERM during which the process still
