Test of dropped log lines begins when the output is blocked

Cause: the writer's duty reports and resets the count with each line that it writes. If it was scheduled only after lines had been dropped, the test saw the rest of them.

Change: the test waits until the output holds the duty up, and expects the exact number.

--- a/internal/process/program_test.go
+++ b/internal/process/program_test.go
@@ -99,10 +99,15 @@
 	}
 }
 
-// blockedOutput blocks every write until unblock is closed.
-type blockedOutput struct{ unblock chan struct{} }
+// blockedOutput blocks every write until unblock is closed. The first one closes
+// blocked.
+type blockedOutput struct {
+	once             sync.Once
+	blocked, unblock chan struct{}
+}
 
 func (b *blockedOutput) Write(p []byte) (int, error) {
+	b.once.Do(func() { close(b.blocked) })
 	<-b.unblock
 	return len(p), nil
 }
@@ -110,11 +115,13 @@
 // If nobody reads the log, no duty is blocked by it: lines are dropped and
 // counted.
 func TestBlockedLogOutputDropsLines(t *testing.T) {
-	out := &blockedOutput{unblock: make(chan struct{})}
+	out := &blockedOutput{blocked: make(chan struct{}), unblock: make(chan struct{})}
 	w := newLogWriter(out)
 	ctx, cancel := context.WithCancel(t.Context())
 	stopped := make(chan struct{})
 	go func() { defer close(stopped); _ = w.Serve(ctx) }()
+	_, _ = w.Write([]byte("line\n"))
+	<-out.blocked // a line that is written begins the count of dropped lines anew
 	start := time.Now()
 	for range 3 * logCapacity {
 		if _, err := w.Write([]byte("line\n")); err != nil {
@@ -124,8 +131,8 @@
 	if took := time.Since(start); took > time.Second {
 		t.Errorf("the writers were blocked for %v", took)
 	}
-	if w.dropped.Load() < logCapacity {
-		t.Errorf("%d lines dropped", w.dropped.Load())
+	if dropped := w.dropped.Load(); dropped != 2*logCapacity {
+		t.Errorf("%d lines dropped, want %d", dropped, 2*logCapacity)
 	}
 	close(out.unblock)
 	cancel()
