Tests of the budget: a refusal doesn't depend on how fast connections open

Cause: opening 16 connections took longer than the second after which the first counts as stalled, so it was closed for the 17th, as it should be. With a second of rest before the 17th the test fails each time.

Change: the refusal has a test of its own, in which all 16 have a request in progress and none may be closed; the other test keeps its checks of the oldest connection.

--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -131,18 +131,43 @@
 	}
 }
 
-// A connection above the limit must get a refusal that promises that nothing has run, and
-// the oldest that makes no progress must go for a later one.
-func TestOldestConnectionGoes(t *testing.T) {
+// A connection above the limit must get a refusal that promises that nothing has run,
+// while all others wait for the host.
+func TestConnectionAboveTheLimitIsRefused(t *testing.T) {
 	const connections = 16
-	address := serveWith(t, decision.Limits{Bytes: 64 << 20, Connections: connections}, echoLength)
+	started, release := make(chan struct{}, connections), make(chan struct{})
+	address := serveWith(t, decision.Limits{Bytes: 64 << 20, Connections: connections}, Handler(http.HandlerFunc(
+		func(w http.ResponseWriter, _ *http.Request) {
+			started <- struct{}{}
+			<-release
+			w.WriteHeader(http.StatusNoContent)
+		})))
 	var open []net.Conn
 	for range connections {
-		open = append(open, dial(t, address, "GET / HTTP/1.1\r\nHost"))
+		open = append(open, dial(t, address, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"))
+	}
+	for range connections {
+		<-started
 	}
 	if got := readAll(t, dial(t, address, "")); got != refusalText {
 		t.Errorf("got %q, want the refusal", got)
 	}
+	close(release)
+	for _, c := range open {
+		if got := readAll(t, c); !strings.HasPrefix(got, "HTTP/1.1 204 ") {
+			t.Errorf("a request that had arrived got %q", got)
+		}
+	}
+}
+
+// The oldest connection that makes no progress must go for a later one.
+func TestOldestConnectionGoes(t *testing.T) {
+	const connections = 16
+	address := serveWith(t, decision.Limits{Bytes: 64 << 20, Connections: connections}, echoLength)
+	var open []net.Conn
+	for range connections {
+		open = append(open, dial(t, address, "GET / HTTP/1.1\r\nHost"))
+	}
 	time.Sleep(decision.MinStall)
 	if status, got := post(t, address, strings.NewReader("hello")); status != http.StatusOK {
 		t.Errorf("got %d %s", status, got)
