Log and count what hosts learn of deaths of endpoints

The logs of the incident could not tell its hypotheses apart: no line says that a lost attempt was not taken for a death, since the endpoint's port still accepted connections, nor when and by whose evidence a host refuses a part of prompts or accepts it again.

New: 'endpoint taken for alive after a lost attempt' with what the port showed, 'prompt part refused', 'prompt part accepted again', kingcup_gateway_lost_attempts_total by what the port showed and kingcup_gateway_evidence_total by kind and origin. Decisions are as before.

--- a/internal/decision/poison/register.go
+++ b/internal/decision/poison/register.go
@@ -75,6 +75,17 @@
 	return r.parts.Poisonous(part, now) && !r.answered.lately(part, now)
 }
 
+// PoisonousParts returns those parts on which too many endpoints have died.
+func (r *Register) PoisonousParts(parts []string, now time.Time) []string {
+	var poisonous []string
+	for _, part := range parts {
+		if r.isPartPoisonous(part, now) {
+			poisonous = append(poisonous, part)
+		}
+	}
+	return poisonous
+}
+
 // Suspects returns those parts for which deaths are recorded.
 func (r *Register) Suspects(parts []string) []string {
 	var suspects []string
--- a/internal/gateway/admission/duty.go
+++ b/internal/gateway/admission/duty.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/decision/catalog"
@@ -85,6 +86,7 @@
 	// the number of retries that all hosts together may make beyond that in a
 	// window.
 	RetryShare, RetryBurst float64
+	Log                    *zap.Logger
 }
 
 // Duty implements supervisor.Duty.
--- a/internal/gateway/admission/fleet.go
+++ b/internal/gateway/admission/fleet.go
@@ -19,7 +19,7 @@
 
 // addEvidence records what this host has observed, and keeps it for the next report.
 func (d *Duty) addEvidence(e poison.Evidence, now time.Time) {
-	d.poisonMarks.Record(e, now)
+	d.recordEvidence(e, originHost, now)
 	if len(d.unreportedEvidence) < maxUnreportedEvidence {
 		d.unreportedEvidence = append(d.unreportedEvidence, e)
 	}
@@ -45,7 +45,7 @@
 	if suspects := d.poisonMarks.Suspects(m.Parts); len(suspects) > 0 {
 		d.addEvidence(poison.Evidence{Parts: suspects}, now)
 	}
-	d.poisonMarks.Record(poison.Evidence{Parts: m.Parts}, now)
+	d.recordEvidence(poison.Evidence{Parts: m.Parts}, originHost, now)
 }
 
 // Succeeded reports that a request succeeded, which clears its fingerprint.
@@ -102,7 +102,7 @@
 	}
 	d.retries.setHosts(m.Hosts)
 	for _, e := range m.Evidence {
-		d.poisonMarks.Record(e, now)
+		d.recordEvidence(e, originPeer, now)
 	}
 	d.unreportedEvidence, d.evidenceInReport = d.unreportedEvidence[d.evidenceInReport:], 0
 	if m.EvidenceListID != d.evidenceListID { // a new list lacks what this host knows
--- a/internal/gateway/callers/metrics.go
+++ b/internal/gateway/callers/metrics.go
@@ -19,6 +19,10 @@
 		Name: "kingcup_gateway_broken_off_total",
 		Help: "Answers that ended after a part had been passed on.",
 	})
+	lostAttemptsTotal = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_gateway_lost_attempts_total",
+		Help: "Attempts whose answers were lost, by what a new connection to the endpoint showed (accepts, refuses or silent).",
+	}, []string{"port"})
 	firstPartSeconds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name:    "kingcup_gateway_first_part_seconds",
 		Help:    "Time from the receipt of a request to the first part of its answer, by priority.",
@@ -37,6 +41,6 @@
 
 // Collectors returns the metrics of the callers' handler.
 func Collectors() []prometheus.Collector {
-	return []prometheus.Collector{attemptsTotal, refusalsTotal, refundedUnits, abortedTotal, firstPartSeconds, responseSeconds,
+	return []prometheus.Collector{attemptsTotal, refusalsTotal, refundedUnits, abortedTotal, lostAttemptsTotal, firstPartSeconds, responseSeconds,
 		crossZoneAttempts, crossZoneBytes}
 }
--- a/internal/gateway/callers/poison.go
+++ b/internal/gateway/callers/poison.go
@@ -53,17 +53,16 @@
 // are suspected only if the endpoint died as it began the answer: it had worked on
 // answers that have events, and on those that it had not begun, without dying.
 func (c *call) reportDeath(endpoint core.Endpoint) {
-	connection, err := net.DialTimeout("tcp", endpoint.Address, connections.DialTimeout)
-	if err == nil {
-		_ = connection.Close()
-		return
-	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	check := checkPort(endpoint.Address)
+	lostAttemptsTotal.WithLabelValues(string(check)).Inc()
+	fields := []zap.Field{zap.String("endpoint", endpoint.Name), zap.String("request", c.request.ID),
+		zap.String("route", c.routeName()), zap.Strings("prompt_parts", c.request.SharedPromptParts),
+		zap.Bool("answer_begun", c.answerBegun), zap.Int("events", c.eventCount.Events)}
+	if check != portRefuses {
+		c.h.Log.Info("endpoint taken for alive after a lost attempt", append(fields, zap.String("port", string(check)))...)
 		return
 	}
-	c.h.Log.Warn("endpoint died", zap.String("endpoint", endpoint.Name), zap.String("request", c.request.ID),
-		zap.String("route", c.routeName()), zap.Strings("prompt_parts", c.request.SharedPromptParts),
-		zap.Bool("answer_begun", c.answerBegun), zap.Int("events", c.eventCount.Events))
+	c.h.Log.Warn("endpoint died", fields...)
 	evidence := poison.Evidence{Fingerprint: c.fingerprint(), Endpoint: endpoint.Name}
 	if c.answerBegun && c.eventCount.Events == 0 {
 		evidence.Parts = c.request.SharedPromptParts
@@ -72,6 +71,27 @@
 	c.ticket.CheckPoison = true // before the next attempt
 }
 
+// portCheck is what a new connection to an endpoint shows, as in logs and metrics.
+type portCheck string
+
+const (
+	portAccepts portCheck = "accepts"
+	portRefuses portCheck = "refuses"
+	portSilent  portCheck = "silent"
+)
+
+func checkPort(address string) portCheck {
+	connection, err := net.DialTimeout("tcp", address, connections.DialTimeout)
+	switch {
+	case err == nil:
+		_ = connection.Close()
+		return portAccepts
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return portRefuses
+	}
+	return portSilent
+}
+
 // reportAnswered reports the first event of an answer, which clears the parts of its
 // prompt of suspicion.
 func (c *call) reportAnswered() {
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -66,6 +66,7 @@
 	tolerance := fleet.Tolerance{Share: s.LimitOverage, Units: s.LimitSlack, Window: milliseconds(s.LimitWindowMS)}
 	admissionDuty := admission.New(admission.Config{
 		Snapshots: catalogTree.Subscribe(), Tolerance: tolerance, RetryShare: s.RepeatShare / 2, RetryBurst: s.RepeatBurst / 2,
+		Log: env.Log,
 	})
 	movesTree := moves.New(moves.Config{
 		Host: s.Host, Store: store, Decoder: adapter.Decoder, Snapshots: catalogTree.Subscribe(),
@@ -147,6 +148,7 @@
 	registry.MustRegister(ring.Collector{}, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	registry.MustRegister(budget.Collectors()...)
+	registry.MustRegister(admission.Collectors()...)
 	registry.MustRegister(callers.Collectors()...)
 	registry.MustRegister(catalog.Collectors()...)
 	registry.MustRegister(connections.Collectors()...)
