--- a/integration/crowd/host_test.go
+++ b/integration/crowd/host_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"kingcupcourse/internal/settings"
 )
 
 // What the configuration in force allows a caller to send.
@@ -20,6 +22,18 @@
 	"Limits":{"MaxHeaderBytes":%d,"MaxBodyBytes":%d,"HeaderTimeoutMs":5000,"IdleTimeoutMs":10000},
 	"Tenants":[{"Name":"uni","ApiKeys":["key"],"RatePerS":0,"Burst":0}]}`
 
+// hostSettings returns the settings of a host that listens on the addresses for callers,
+// the readiness probe and other hosts.
+func hostSettings(name string, store *store, addresses []string) settings.Gateway {
+	return settings.Gateway{
+		Host: name, Region: "r", AvailabilityZone: "a",
+		Callers: addresses[0], Readiness: addresses[1], Peers: addresses[2], Store: store.url,
+		LimitOverage: 0.1, LimitSlack: 1000, LimitWindowMS: 8000, RepeatShare: 0.2, RepeatBurst: 54,
+		ExposeShare: 0.1, ExposeFree: 50, GraceMS: 8000,
+		MemoryMB: machineMemoryKB >> 10, MaxFiles: machineFiles,
+	}
+}
+
 // startHost runs a kingcup-host with one endpoint.
 func startHost(t *testing.T) *target {
 	t.Helper()
@@ -27,15 +41,9 @@
 		"config/main": fmt.Sprintf(hostConfiguration, maxHeaderBytes, maxBodyBytes),
 		"servers/i-1": fmt.Sprintf(`{"Service":"ledger","Address":%q,"Zone":"a","Version":"v1","Slots":2000,"State":"ready","born":1}`, startEndpoint(t)),
 	})
-	addresses := freeAddresses(t, 3)
-	p := startProgram(t, "kingcup-host", map[string]any{
-		"host": "host-1", "region": "r", "availability_zone": "a",
-		"callers": addresses[0], "readiness": addresses[1], "peers": addresses[2], "store": store,
-		"limit_overage": 0.1, "limit_slack": 1000, "limit_window_ms": 8000, "repeat_share": 0.2, "repeat_burst": 54,
-		"expose_share": 0.1, "expose_free": 50, "grace_ms": 8000,
-		"memory_mb": machineMemoryKB >> 10, "max_files": machineFiles,
-	})
-	target := &target{program: p, address: addresses[0], inner: addresses[2], ordinary: func(address string) bool {
+	s := hostSettings("host-1", store, freeAddresses(t, 3))
+	p := startProgram(t, "kingcup-host", s)
+	target := &target{program: p, address: s.Callers, inner: s.Peers, ordinary: func(address string) bool {
 		status, body, err := call(address, "POST", "/read/1", "hello", nil)
 		return err == nil && status == http.StatusOK && body == "read 5"
 	}}
--- a/integration/crowd/process_test.go
+++ b/integration/crowd/process_test.go
@@ -25,7 +25,13 @@
 // binaryFolder is the folder into which TestMain builds the programs.
 var binaryFolder string
 
-func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+func TestMain(m *testing.M) {
+	if text := os.Getenv(endpointVariable); text != "" {
+		runEndpoint(text)
+		return
+	}
+	os.Exit(buildAndRun(m))
+}
 
 // buildAndRun builds the programs without the race detector, which would multiply
 // their memory.
@@ -49,38 +55,29 @@
 
 // program is a running program under test.
 type program struct {
-	t       testing.TB
-	cmd     *exec.Cmd
-	log     string
-	ended   chan struct{}
-	watched sync.WaitGroup
-	stop    chan struct{}
+	t        testing.TB
+	name     string // of the binary
+	cmd      *exec.Cmd
+	log      string // its path, as is settings
+	settings string
+	ended    chan struct{}
+	watched  sync.WaitGroup
+	stop     chan struct{}
 	// maxFiles is the largest number of open descriptors that was seen.
 	maxFiles int
 }
 
 // startProgram runs a program with a settings file and watches its descriptors.
-func startProgram(t testing.TB, name string, settings map[string]any) *program {
+func startProgram(t testing.TB, name string, settings any) *program {
 	t.Helper()
 	folder := t.TempDir()
 	path := filepath.Join(folder, "settings.json")
 	writeJSON(t, path, settings)
-	p := &program{t: t, log: filepath.Join(folder, "log"), ended: make(chan struct{}), stop: make(chan struct{})}
-	log, err := os.Create(p.log)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = log.Close() }()
-	p.cmd = exec.Command(filepath.Join(binaryFolder, name), "--settings", path)
-	p.cmd.Stdout, p.cmd.Stderr = log, log
-	if err := p.cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = p.cmd.Wait(); close(p.ended) }()
+	p := &program{t: t, name: name, log: filepath.Join(folder, "log"), settings: path, stop: make(chan struct{})}
+	p.start()
 	p.watched.Go(p.watchFiles)
 	t.Cleanup(func() {
-		_ = p.cmd.Process.Signal(syscall.SIGKILL)
-		<-p.ended
+		p.kill()
 		if t.Failed() {
 			text, _ := os.ReadFile(p.log)
 			t.Logf("end of the log:\n%s", text[max(0, len(text)-1500):])
@@ -89,6 +86,29 @@
 	return p
 }
 
+// start runs the program, again after it was killed. Its log goes on.
+func (p *program) start() {
+	p.t.Helper()
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer func() { _ = log.Close() }()
+	p.cmd = exec.Command(filepath.Join(binaryFolder, p.name), "--settings", p.settings)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	ended, cmd := make(chan struct{}), p.cmd
+	p.ended = ended
+	go func() { _ = cmd.Wait(); close(ended) }()
+}
+
+// kill ends the program without a chance to stop in order.
+func (p *program) kill() {
+	_ = p.cmd.Process.Signal(syscall.SIGKILL)
+	<-p.ended
+}
 func (p *program) watchFiles() {
 	for {
 		entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
--- a/integration/crowd/store_test.go
+++ b/integration/crowd/store_test.go
@@ -13,53 +13,106 @@
 	"time"
 )
 
-// store is the platform's store, with as much of it as a single host needs.
+// store is the platform's store, with as much of it as hosts need that read and write
+// objects and watch them.
 type store struct {
+	url string
+
 	mu       sync.Mutex
 	revision int
-	objects  map[string]map[string]any // by kind/name
+	objects  map[string]storedObject // by kind/name
+	events   []storeEvent
+	// changed is closed at the next change.
+	changed chan struct{}
+}
+
+type storedObject struct {
+	Metadata struct {
+		Name              string
+		Revision, Created int
+	}
+	Spec json.RawMessage
+}
+
+// storeEvent is a change as a watch tells of it.
+type storeEvent struct {
+	key     string
+	Object  storedObject
+	Deleted bool
 }
 
 // startStore serves a store that holds the objects, given as specs by kind/name.
-func startStore(t testing.TB, specs map[string]string) string {
+func startStore(t testing.TB, specs map[string]string) *store {
 	t.Helper()
-	s := &store{objects: map[string]map[string]any{}}
+	s := &store{objects: map[string]storedObject{}, changed: make(chan struct{})}
 	for key, spec := range specs {
-		s.write(key, json.RawMessage(spec))
+		s.put(key, spec)
 	}
 	server := httptest.NewServer(s)
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
-	return server.URL
+	s.url = server.URL
+	return s
 }
 
-func (s *store) write(key string, spec json.RawMessage) map[string]any {
-	s.revision++
-	_, name, _ := strings.Cut(key, "/")
-	s.objects[key] = map[string]any{"Spec": spec, "Metadata": map[string]any{"Name": name, "Revision": s.revision, "Created": s.revision}}
+// put writes an object.
+func (s *store) put(key, spec string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(key, json.RawMessage(spec))
+}
+
+// remove removes an object.
+func (s *store) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	object := s.objects[key]
+	delete(s.objects, key)
+	s.record(key, object, true)
+}
+
+func (s *store) write(key string, spec json.RawMessage) storedObject {
+	object, exists := s.objects[key]
+	_, object.Metadata.Name, _ = strings.Cut(key, "/")
+	if object.Spec = spec; !exists {
+		object.Metadata.Created = s.revision + 1
+	}
+	s.objects[key] = s.record(key, object, false)
 	return s.objects[key]
 }
 
-// ServeHTTP implements http.Handler. A watch waits as long as it may and then tells of no
-// change.
+// record gives the object the next revision and tells the watches.
+func (s *store) record(key string, object storedObject, deleted bool) storedObject {
+	s.revision++
+	object.Metadata.Revision = s.revision
+	s.events = append(s.events, storeEvent{key: key, Object: object, Deleted: deleted})
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return object
+}
+
+// ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/kingcupcourse/objects/"), "/")
 	if query := r.URL.Query(); query.Has("Watch") {
-		s.watch(w, r, query)
+		s.watch(w, r, kind, query)
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case r.Method != http.MethodGet:
-		var sent struct {
-			Metadata struct{ Name string }
-			Spec     json.RawMessage
-		}
+		var sent storedObject
 		if json.NewDecoder(r.Body).Decode(&sent) != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		answer(w, s.write(kind+"/"+sent.Metadata.Name, sent.Spec))
+		key := kind + "/" + sent.Metadata.Name
+		if known := s.objects[key]; known.Metadata.Revision != sent.Metadata.Revision {
+			w.WriteHeader(http.StatusConflict)
+			answer(w, known)
+			return
+		}
+		answer(w, s.write(key, sent.Spec))
 	case name == "":
 		items := []any{}
 		for key, object := range s.objects {
@@ -68,22 +121,47 @@
 			}
 		}
 		answer(w, map[string]any{"Items": items, "HasMore": false, "AsOf": s.revision})
-	case s.objects[kind+"/"+name] == nil:
+	case s.objects[kind+"/"+name].Spec == nil:
 		w.WriteHeader(http.StatusNotFound)
 	default:
 		answer(w, s.objects[kind+"/"+name])
 	}
 }
 
-func (s *store) watch(w http.ResponseWriter, r *http.Request, query url.Values) {
+// watch answers as soon as there is a change of the kind after the revision, or after the
+// wait that the caller asks for.
+func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string, query url.Values) {
 	wait, _ := strconv.Atoi(query.Get("WaitMs"))
-	revision, _ := strconv.Atoi(query.Get("Watch"))
-	select {
-	case <-time.After(time.Duration(wait) * time.Millisecond):
-	case <-r.Context().Done():
-		return
+	after, _ := strconv.Atoi(query.Get("Watch"))
+	expired := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		events, revision, changed := s.since(kind, after)
+		if len(events) > 0 {
+			answer(w, map[string]any{"events": events, "AsOf": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-expired:
+			answer(w, map[string]any{"events": []storeEvent{}, "AsOf": revision})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// since returns the changes of the kind after the revision, the present revision, and a
+// channel that is closed at the next change.
+func (s *store) since(kind string, after int) (events []storeEvent, revision int, changed chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, event := range s.events {
+		if strings.HasPrefix(event.key, kind+"/") && event.Object.Metadata.Revision > after {
+			events = append(events, event)
+		}
 	}
-	answer(w, map[string]any{"events": []int{}, "AsOf": revision})
+	return events, s.revision, s.changed
 }
 
 func answer(w http.ResponseWriter, body any) {
