Deaths of an endpoint that starts again under its name count each

Callers saw endpoints crash without an end (BUDGET) where endpoints keep their names: the register kept deaths by the name of the endpoint, so that three different names were needed, and two endpoints that start again never gave them. Ruled out: deaths that are not noticed; 'endpoint died' tells of each of them. Evidence: TestCrashingPartIsRefusedHoweverEndpointsEnd/under_the_same_name, two endpoints: 69 crashes in 8 s, 41 requests with the part reached endpoints late; with the change it passes. A death now names the run of the endpoint, by its start time.

--- a/internal/decision/poison/register.go
+++ b/internal/decision/poison/register.go
@@ -16,7 +16,7 @@
 type Evidence struct {
 	// Fingerprint identifies the request if it is sent again.
 	Fingerprint string `json:"fingerprint,omitempty"`
-	// Endpoint is the endpoint that died, empty if an endpoint has answered.
+	// Endpoint is the run of the endpoint that died, empty if an endpoint has answered.
 	Endpoint string `json:"endpoint,omitempty"`
 	// Parts are the parts of the prompt that may have caused the death, or that have
 	// been answered.
--- a/internal/gateway/callers/poison.go
+++ b/internal/gateway/callers/poison.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"errors"
 	"net"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -12,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"kingcupcourse/internal/core"
+	"kingcupcourse/internal/decision/catalog"
 	"kingcupcourse/internal/decision/poison"
 	"kingcupcourse/internal/gateway/admission"
 	"kingcupcourse/internal/gateway/connections"
@@ -52,7 +54,7 @@
 // the request, which a refused connection to its port shows. The parts of the prompt
 // are suspected only if the endpoint died as it began the answer: it had worked on
 // answers that have events, and on those that it had not begun, without dying.
-func (c *call) reportDeath(endpoint core.Endpoint) {
+func (c *call) reportDeath(endpoint catalog.Endpoint) {
 	check := checkPort(endpoint.Address)
 	lostAttemptsTotal.WithLabelValues(string(check)).Inc()
 	fields := []zap.Field{zap.String("endpoint", endpoint.Name), zap.String("request", c.request.ID),
@@ -63,7 +65,7 @@
 		return
 	}
 	c.h.Log.Warn("endpoint died", fields...)
-	evidence := poison.Evidence{Fingerprint: c.fingerprint(), Endpoint: endpoint.Name}
+	evidence := poison.Evidence{Fingerprint: c.fingerprint(), Endpoint: incarnation(endpoint)}
 	if c.answerBegun && c.eventCount.Events == 0 {
 		evidence.Parts = c.request.SharedPromptParts
 	}
@@ -71,6 +73,11 @@
 	c.ticket.CheckPoison = true // before the next attempt
 }
 
+// incarnation names one run of an endpoint, which may start again under its name.
+func incarnation(endpoint catalog.Endpoint) string {
+	return endpoint.Name + "@" + strconv.FormatInt(endpoint.StartedAt.UnixMilli(), 10)
+}
+
 // portCheck is what a new connection to an endpoint shows, as in logs and metrics.
 type portCheck string
 
--- a/internal/gateway/callers/run.go
+++ b/internal/gateway/callers/run.go
@@ -114,7 +114,7 @@
 	}
 	switch outcome.result {
 	case core.ResultLost:
-		c.reportDeath(placed.Endpoint.Endpoint)
+		c.reportDeath(placed.Endpoint)
 	case core.ResultOK:
 		if c.ticket.CheckPoison {
 			c.sendToAdmission(admission.Succeeded{Fingerprint: c.fingerprint()})
