Endpoints that die before the head of an answer count against parts of prompts

Callers saw endpoints crash without an end (BUDGET) where a crashing endpoint sends no head first. Ruled out: deaths that are not noticed ('endpoint died' with answer_begun false for each).

A request without a head may have waited for its turn, so its endpoint's death is weaker evidence: it counts half, and six such deaths without an answer refuse a part.

--- a/internal/decision/poison/poison.go
+++ b/internal/decision/poison/poison.go
@@ -17,26 +17,60 @@
 	maxRequests = 1024
 )
 
+// weight is how strongly a death speaks against a request, or against what it shares with
+// others.
+type weight int
+
+const (
+	noWeight   weight = 0
+	halfWeight weight = 1
+	fullWeight weight = 2
+)
+
+// death is the death of an endpoint.
+type death struct {
+	weight weight
+	until  time.Time
+}
+
+// stage returns a stage that gives a death its weight against parts of prompts.
+func (d death) stage() Stage {
+	if d.weight == fullWeight {
+		return Begun
+	}
+	return Unanswered
+}
+
 // Tracker holds the deaths by request fingerprint, or by what else the requests share.
 type Tracker struct {
-	limit     int
-	byRequest map[string]map[string]time.Time // fingerprint, endpoint: expiry
+	limit     weight
+	byRequest map[string]map[string]death // by fingerprint and endpoint
 }
 
 // NewTracker returns an empty tracker of requests.
 func NewTracker() *Tracker { return newTracker(DeathLimit) }
 
 func newTracker(limit int) *Tracker {
-	return &Tracker{limit: limit, byRequest: map[string]map[string]time.Time{}}
+	return &Tracker{limit: weight(limit) * fullWeight, byRequest: map[string]map[string]death{}}
 }
 
 // RecordDeath records that an endpoint died while it ran a request.
 func (t *Tracker) RecordDeath(fingerprint, endpoint string, now time.Time) {
+	t.record(fingerprint, endpoint, fullWeight, now)
+}
+
+// record records a death. Of several requests on an endpoint, the one against which its
+// death speaks most counts.
+func (t *Tracker) record(fingerprint, endpoint string, w weight, now time.Time) {
+	if w == noWeight {
+		return
+	}
 	if t.byRequest[fingerprint] == nil {
 		t.evict(now)
-		t.byRequest[fingerprint] = map[string]time.Time{}
+		t.byRequest[fingerprint] = map[string]death{}
 	}
-	t.byRequest[fingerprint][endpoint] = now.Add(Retention)
+	deaths := t.byRequest[fingerprint]
+	deaths[endpoint] = death{weight: max(w, deaths[endpoint].weight), until: now.Add(Retention)}
 }
 
 // Empty reports whether no deaths are recorded.
@@ -47,13 +81,13 @@
 
 // Poisonous reports whether too many endpoints have died running the request.
 func (t *Tracker) Poisonous(fingerprint string, now time.Time) bool {
-	deaths := 0
-	for _, until := range t.byRequest[fingerprint] {
-		if now.Before(until) {
-			deaths++
+	sum := noWeight
+	for _, death := range t.byRequest[fingerprint] {
+		if now.Before(death.until) {
+			sum += death.weight
 		}
 	}
-	return deaths >= t.limit
+	return sum >= t.limit
 }
 
 // evict drops what has expired, and the request that expires first if that is
@@ -77,11 +111,11 @@
 	}
 }
 
-func latestExpiry(deaths map[string]time.Time) time.Time {
+func latestExpiry(deaths map[string]death) time.Time {
 	var last time.Time
-	for _, until := range deaths {
-		if until.After(last) {
-			last = until
+	for _, death := range deaths {
+		if death.until.After(last) {
+			last = death.until
 		}
 	}
 	return last
--- a/internal/decision/poison/register.go
+++ b/internal/decision/poison/register.go
@@ -8,9 +8,34 @@
 // PartDeathLimit is how many endpoints may die as they begin the answers to requests
 // that share a part of their prompts, without one answer between, before requests with
 // that part are refused. It is higher than DeathLimit, as the refusal concerns more
-// requests.
+// requests. Weaker evidence counts half.
 const PartDeathLimit = 3
 
+// Stage is how far the answer to a request had come when its endpoint died.
+type Stage string
+
+const (
+	// Begun is between the head of the answer and its first event. The endpoint had
+	// worked on answers that have events without dying.
+	Begun Stage = ""
+	// Unanswered is before the head: the request may have waited for its turn.
+	Unanswered Stage = "unanswered"
+	// Underway is after an event.
+	Underway Stage = "underway"
+)
+
+// partWeight returns how strongly a death at the stage speaks against the parts of the
+// prompt.
+func (s Stage) partWeight() weight {
+	switch s {
+	case Begun:
+		return fullWeight
+	case Unanswered:
+		return halfWeight
+	}
+	return noWeight
+}
+
 // Evidence is what a host has observed of a request: the death of an endpoint that ran
 // it, or an answer.
 type Evidence struct {
@@ -18,14 +43,15 @@
 	Fingerprint string `json:"fingerprint,omitempty"`
 	// Endpoint is the run of the endpoint that died, empty if an endpoint has answered.
 	Endpoint string `json:"endpoint,omitempty"`
-	// Parts are the parts of the prompt that may have caused the death, or that have
-	// been answered.
+	// Parts are the parts of the prompt that others may share.
 	Parts []string `json:"parts,omitempty"`
+	// Stage is how far the answer had come if an endpoint died.
+	Stage Stage `json:"stage,omitempty"`
 }
 
 // Equal reports whether two hosts have observed the same.
 func (e Evidence) Equal(other Evidence) bool {
-	return e.Fingerprint == other.Fingerprint && e.Endpoint == other.Endpoint && slices.Equal(e.Parts, other.Parts)
+	return e.Fingerprint == other.Fingerprint && e.Endpoint == other.Endpoint && e.Stage == other.Stage && slices.Equal(e.Parts, other.Parts)
 }
 
 // Register holds the evidence about requests and about the parts of their prompts.
@@ -53,7 +79,7 @@
 		r.requests.RecordDeath(e.Fingerprint, e.Endpoint, now)
 	}
 	for _, part := range e.Parts {
-		r.parts.RecordDeath(part, e.Endpoint, now)
+		r.parts.record(part, e.Endpoint, e.Stage.partWeight(), now)
 	}
 }
 
@@ -108,9 +134,9 @@
 		}
 	}
 	for part, deaths := range r.parts.byRequest {
-		for endpoint := range deaths {
+		for endpoint, death := range deaths {
 			if r.isPartPoisonous(part, now) {
-				verdicts = append(verdicts, Evidence{Endpoint: endpoint, Parts: []string{part}})
+				verdicts = append(verdicts, Evidence{Endpoint: endpoint, Parts: []string{part}, Stage: death.stage()})
 			}
 		}
 	}
--- a/internal/decision/poison/register_test.go
+++ b/internal/decision/poison/register_test.go
@@ -11,9 +11,12 @@
 
 // crash records that endpoints died as they began the answers to different requests with
 // the parts.
-func crash(r *Register, from, count int, parts ...string) {
+func crash(r *Register, from, count int, parts ...string) { crashAt(r, Begun, from, count, parts...) }
+
+// crashAt is like crash at another stage of the answers.
+func crashAt(r *Register, stage Stage, from, count int, parts ...string) {
 	for i := from; i < from+count; i++ {
-		r.Record(Evidence{Fingerprint: fmt.Sprint("f", i), Endpoint: fmt.Sprint("e", i), Parts: parts}, start)
+		r.Record(Evidence{Fingerprint: fmt.Sprint("f", i), Endpoint: fmt.Sprint("e", i), Parts: parts, Stage: stage}, start)
 	}
 }
 
@@ -36,6 +39,9 @@
 			r.Record(Evidence{Parts: []string{"p"}}, start)
 			crash(r, 10, 1, "p")
 		}, false},
+		{"requests without an answer", func(r *Register) { crashAt(r, Unanswered, 0, 2*PartDeathLimit-1, "p") }, false},
+		{"more requests without an answer", func(r *Register) { crashAt(r, Unanswered, 0, 2*PartDeathLimit, "p") }, true},
+		{"answers underway", func(r *Register) { crashAt(r, Underway, 0, 10*PartDeathLimit, "p") }, false},
 		{"an answer to another part", func(r *Register) {
 			crash(r, 0, PartDeathLimit, "p", "q")
 			r.Record(Evidence{Parts: []string{"q"}}, start)
--- a/internal/gateway/callers/poison.go
+++ b/internal/gateway/callers/poison.go
@@ -51,9 +51,7 @@
 }
 
 // reportDeath reports the endpoint to the admission duty if it died while it ran
-// the request, which a refused connection to its port shows. The parts of the prompt
-// are suspected only if the endpoint died as it began the answer: it had worked on
-// answers that have events, and on those that it had not begun, without dying.
+// the request, which a refused connection to its port shows.
 func (c *call) reportDeath(endpoint catalog.Endpoint) {
 	check := checkPort(endpoint.Address)
 	lostAttemptsTotal.WithLabelValues(string(check)).Inc()
@@ -65,14 +63,23 @@
 		return
 	}
 	c.h.Log.Warn("endpoint died", fields...)
-	evidence := poison.Evidence{Fingerprint: c.fingerprint(), Endpoint: incarnation(endpoint)}
-	if c.answerBegun && c.eventCount.Events == 0 {
-		evidence.Parts = c.request.SharedPromptParts
-	}
-	c.sendToAdmission(admission.EndpointDied{Evidence: evidence})
+	c.sendToAdmission(admission.EndpointDied{Evidence: poison.Evidence{
+		Fingerprint: c.fingerprint(), Endpoint: incarnation(endpoint), Parts: c.request.SharedPromptParts, Stage: c.answerStage(),
+	}})
 	c.ticket.CheckPoison = true // before the next attempt
 }
 
+// answerStage returns how far the answer to the attempt in progress has come.
+func (c *call) answerStage() poison.Stage {
+	switch {
+	case !c.answerBegun:
+		return poison.Unanswered
+	case c.eventCount.Events > 0:
+		return poison.Underway
+	}
+	return poison.Begun
+}
+
 // incarnation names one run of an endpoint, which may start again under its name.
 func incarnation(endpoint catalog.Endpoint) string {
 	return endpoint.Name + "@" + strconv.FormatInt(endpoint.StartedAt.UnixMilli(), 10)
