An answer clears the parts of its prompt once it goes on past its first event

Callers saw endpoints crash without an end (BUDGET) where an endpoint sends the first event and dies: that event cleared the parts of the prompt on all hosts and kept them from blame for a minute, and the death did not count, as the answer had an event. Ruled out: deaths that are not noticed, as before.

An answer with one event counts half when its endpoint dies, and clears nothing; the second event, or a complete answer, clears.

--- a/internal/decision/poison/register.go
+++ b/internal/decision/poison/register.go
@@ -20,17 +20,33 @@
 	Begun Stage = ""
 	// Unanswered is before the head: the request may have waited for its turn.
 	Unanswered Stage = "unanswered"
-	// Underway is after an event.
+	// FirstEvent is after one event, which the endpoint may have sent as it died.
+	FirstEvent Stage = "first_event"
+	// Underway is after more events.
 	Underway Stage = "underway"
 )
 
+// StageAfter returns the stage of an answer by whether its head has come, and the number
+// of its events.
+func StageAfter(head bool, events int) Stage {
+	switch {
+	case !head:
+		return Unanswered
+	case events == 0:
+		return Begun
+	case events == 1:
+		return FirstEvent
+	}
+	return Underway
+}
+
 // partWeight returns how strongly a death at the stage speaks against the parts of the
 // prompt.
 func (s Stage) partWeight() weight {
 	switch s {
 	case Begun:
 		return fullWeight
-	case Unanswered:
+	case Unanswered, FirstEvent:
 		return halfWeight
 	}
 	return noWeight
--- a/internal/decision/poison/register_test.go
+++ b/internal/decision/poison/register_test.go
@@ -41,6 +41,7 @@
 		}, false},
 		{"requests without an answer", func(r *Register) { crashAt(r, Unanswered, 0, 2*PartDeathLimit-1, "p") }, false},
 		{"more requests without an answer", func(r *Register) { crashAt(r, Unanswered, 0, 2*PartDeathLimit, "p") }, true},
+		{"answers of one event", func(r *Register) { crashAt(r, FirstEvent, 0, 2*PartDeathLimit, "p") }, true},
 		{"answers underway", func(r *Register) { crashAt(r, Underway, 0, 10*PartDeathLimit, "p") }, false},
 		{"an answer to another part", func(r *Register) {
 			crash(r, 0, PartDeathLimit, "p", "q")
--- a/internal/gateway/callers/poison.go
+++ b/internal/gateway/callers/poison.go
@@ -64,22 +64,12 @@
 	}
 	c.h.Log.Warn("endpoint died", fields...)
 	c.sendToAdmission(admission.EndpointDied{Evidence: poison.Evidence{
-		Fingerprint: c.fingerprint(), Endpoint: incarnation(endpoint), Parts: c.request.SharedPromptParts, Stage: c.answerStage(),
+		Fingerprint: c.fingerprint(), Endpoint: incarnation(endpoint), Parts: c.request.SharedPromptParts,
+		Stage: poison.StageAfter(c.answerBegun, c.eventCount.Events),
 	}})
 	c.ticket.CheckPoison = true // before the next attempt
 }
 
-// answerStage returns how far the answer to the attempt in progress has come.
-func (c *call) answerStage() poison.Stage {
-	switch {
-	case !c.answerBegun:
-		return poison.Unanswered
-	case c.eventCount.Events > 0:
-		return poison.Underway
-	}
-	return poison.Begun
-}
-
 // incarnation names one run of an endpoint, which may start again under its name.
 func incarnation(endpoint catalog.Endpoint) string {
 	return endpoint.Name + "@" + strconv.FormatInt(endpoint.StartedAt.UnixMilli(), 10)
@@ -106,8 +96,14 @@
 	return portSilent
 }
 
-// reportAnswered reports the first event of an answer, which clears the parts of its
-// prompt of suspicion.
+// answerUnderway reports whether the answer to the attempt in progress shows that its
+// request does not crash the endpoint as it begins.
+func (c *call) answerUnderway() bool {
+	return poison.StageAfter(c.answerBegun, c.eventCount.Events) == poison.Underway
+}
+
+// reportAnswered reports an answer that is underway or complete, which clears the parts
+// of its prompt of suspicion.
 func (c *call) reportAnswered() {
 	if len(c.request.SharedPromptParts) > 0 {
 		c.sendToAdmission(admission.Answered{Parts: c.request.SharedPromptParts})
--- a/internal/gateway/callers/response.go
+++ b/internal/gateway/callers/response.go
@@ -139,8 +139,8 @@
 // writePart writes a part of a response to the caller and flushes it.
 func (c *call) writePart(response *http.Response, part []byte) error {
 	c.recordFirstPart()
-	events := c.eventCount.Events
-	if c.eventCount.Add(part); events == 0 && c.eventCount.Events > 0 {
+	wasUnderway := c.answerUnderway()
+	if c.eventCount.Add(part); !wasUnderway && c.answerUnderway() {
 		c.reportAnswered()
 	}
 	c.writeHeader(response)
--- a/internal/gateway/callers/run.go
+++ b/internal/gateway/callers/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -116,6 +117,9 @@
 	case core.ResultLost:
 		c.reportDeath(placed.Endpoint)
 	case core.ResultOK:
+		if !c.answerUnderway() && outcome.status < http.StatusMultipleChoices {
+			c.reportAnswered()
+		}
 		if c.ticket.CheckPoison {
 			c.sendToAdmission(admission.Succeeded{Fingerprint: c.fingerprint()})
 		}
