Endpoints that lost an answer are watched for a later sign of their end

Callers saw endpoints crash without an end (BUDGET) where the port of a crashing endpoint still accepts connections when the host checks it, once, as the answer is lost: a process may close its connections before its port, and a supervisor keeps the port open for the next run. The losses were no evidence then. Ruled out: parts that are cleared (no answer with the part came).

A new duty checks the port again 50 and 500 ms after a loss, and for 8 s whether a later run is listed at the endpoint's address. Either is the death of the endpoint, for all answers that it lost. An endpoint that is leaving as planned is not watched on.

--- a/internal/gateway/callers/handler.go
+++ b/internal/gateway/callers/handler.go
@@ -14,6 +14,7 @@
 
 	"kingcupcourse/internal/gateway/admission"
 	"kingcupcourse/internal/gateway/connections"
+	"kingcupcourse/internal/gateway/deaths"
 	"kingcupcourse/internal/gateway/fleet"
 	"kingcupcourse/internal/gateway/frontend"
 	"kingcupcourse/internal/gateway/placement"
@@ -32,6 +33,8 @@
 	Connections *connections.Pool
 	// Reports receives the updates on attempts.
 	Reports *ring.Ring[placement.Update]
+	// Losses receives the answers that were lost at endpoints which may have ended.
+	Losses *ring.Ring[deaths.Loss]
 	// EndpointSaid takes what an endpoint says about itself in a response.
 	EndpointSaid func(context.Context, placement.EndpointSaid)
 	// AcquireQuota asks the coordinator for quota for a request.
--- a/internal/gateway/callers/poison.go
+++ b/internal/gateway/callers/poison.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
-	"errors"
-	"net"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,7 +13,7 @@
 	"kingcupcourse/internal/decision/catalog"
 	"kingcupcourse/internal/decision/poison"
 	"kingcupcourse/internal/gateway/admission"
-	"kingcupcourse/internal/gateway/connections"
+	"kingcupcourse/internal/gateway/deaths"
 	"kingcupcourse/internal/ring"
 )
 
@@ -51,23 +48,27 @@
 }
 
 // reportDeath reports the endpoint to the admission duty if it died while it ran
-// the request, which a refused connection to its port shows.
+// the request, which a refused connection to its port shows. Otherwise the endpoint is
+// watched, as the port may close later or be kept open for its successor.
 func (c *call) reportDeath(endpoint catalog.Endpoint) {
-	check := checkPort(endpoint.Address)
-	lostAttemptsTotal.WithLabelValues(string(check)).Inc()
+	evidence := poison.Evidence{
+		Fingerprint: c.fingerprint(), Endpoint: incarnation(endpoint), Parts: c.request.SharedPromptParts,
+		Stage: poison.StageAfter(c.answerBegun, c.eventCount.Events),
+	}
+	c.ticket.CheckPoison = true // before the next attempt
+	port := deaths.CheckPort(endpoint.Address)
+	lostAttemptsTotal.WithLabelValues(string(port)).Inc()
 	fields := []zap.Field{zap.String("endpoint", endpoint.Name), zap.String("request", c.request.ID),
 		zap.String("route", c.routeName()), zap.Strings("prompt_parts", c.request.SharedPromptParts),
-		zap.Bool("answer_begun", c.answerBegun), zap.Int("events", c.eventCount.Events)}
-	if check != portRefuses {
-		c.h.Log.Info("endpoint taken for alive after a lost attempt", append(fields, zap.String("port", string(check)))...)
+		zap.Bool("answer_begun", c.answerBegun), zap.Int("events", c.eventCount.Events), zap.String("port", string(port))}
+	if port == deaths.PortRefuses {
+		c.h.Log.Warn("endpoint died", fields...)
+		c.sendToAdmission(admission.EndpointDied{Evidence: evidence})
 		return
 	}
-	c.h.Log.Warn("endpoint died", fields...)
-	c.sendToAdmission(admission.EndpointDied{Evidence: poison.Evidence{
-		Fingerprint: c.fingerprint(), Endpoint: incarnation(endpoint), Parts: c.request.SharedPromptParts,
-		Stage: poison.StageAfter(c.answerBegun, c.eventCount.Events),
-	}})
-	c.ticket.CheckPoison = true // before the next attempt
+	c.h.Log.Info("answer lost, endpoint watched", fields...)
+	// A loss that finds the ring full is no evidence; the ring's metrics count it.
+	_ = c.h.Losses.TryPut(deaths.Loss{Endpoint: endpoint, Evidence: evidence})
 }
 
 // incarnation names one run of an endpoint, which may start again under its name.
@@ -75,27 +76,6 @@
 	return endpoint.Name + "@" + strconv.FormatInt(endpoint.StartedAt.UnixMilli(), 10)
 }
 
-// portCheck is what a new connection to an endpoint shows, as in logs and metrics.
-type portCheck string
-
-const (
-	portAccepts portCheck = "accepts"
-	portRefuses portCheck = "refuses"
-	portSilent  portCheck = "silent"
-)
-
-func checkPort(address string) portCheck {
-	connection, err := net.DialTimeout("tcp", address, connections.DialTimeout)
-	switch {
-	case err == nil:
-		_ = connection.Close()
-		return portAccepts
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return portRefuses
-	}
-	return portSilent
-}
-
 // answerUnderway reports whether the answer to the attempt in progress shows that its
 // request does not crash the endpoint as it begins.
 func (c *call) answerUnderway() bool {
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -21,6 +21,7 @@
 	"kingcupcourse/internal/gateway/callers"
 	"kingcupcourse/internal/gateway/catalog"
 	"kingcupcourse/internal/gateway/connections"
+	"kingcupcourse/internal/gateway/deaths"
 	"kingcupcourse/internal/gateway/fleet"
 	"kingcupcourse/internal/gateway/frontend"
 	"kingcupcourse/internal/gateway/mirror"
@@ -96,9 +97,10 @@
 	placementClient := placement.NewClient(placementDuty, env.Log)
 	reporter := placement.NewReporter(s.Host, placementDuty, placementClient, env.Log)
 	pool := connections.New(connections.Config{Snapshots: catalogTree.Subscribe(), Hosts: fleetTree.Hosts(), Log: env.Log})
+	deathsDuty := deaths.New(deaths.Config{Snapshots: catalogTree.Subscribe(), Admission: admissionDuty.Inbox(), Log: env.Log})
 	handler := callers.NewHandler(callers.Config{
 		Host: s.Host, Protocol: adapter.Protocol, Admission: admissionDuty.Inbox(), Place: placementClient.Place, Reports: reporter.Inbox(),
-		EndpointSaid: placementClient.EndpointSaid, Connections: pool,
+		EndpointSaid: placementClient.EndpointSaid, Connections: pool, Losses: deathsDuty.Inbox(),
 		AcquireQuota: fleetTree.Acquire, Log: env.Log,
 		Stop: callers.Stop{DrainingSince: env.DrainingSince, DrainDelay: milliseconds(s.DrainDelayMS), CutAfter: milliseconds(s.GraceMS) - stopMargin},
 	})
@@ -137,6 +139,7 @@
 			{Name: "peers", Duty: peerListener},
 			{Name: "balancer", Duty: balancerListener},
 			{Name: "connections", Duty: pool},
+			{Name: "deaths", Duty: deathsDuty},
 			{Name: "callers", Duty: callerListener, StopTimeout: drain + stopMargin},
 		}}, env.Log)}}, nil
 }
