Deaths count against the last shared part of a prompt, not against its beginning

Callers saw sound requests refused as poison, and later LOST, as they began with the same part as those that crash endpoints: each death counted against all parts of the prompt alike. Ruled out: overload; the refusals have the reason 'poison', and hosts that had seen the beginning answered within a minute did not refuse it.

Prompts that share a part share all parts before it, so the last suspect part is the most likely cause. Deaths that a refused part explains count against nothing else, neither the beginning nor other requests on those endpoints; they do again if the part is answered.

TestVerdictsRestoreARegister takes two other endpoints for its request: those of the refused part explain their deaths now.

--- a/internal/decision/poison/poison.go
+++ b/internal/decision/poison/poison.go
@@ -3,7 +3,12 @@
 // requests that share the part of their prompts that crashes endpoints.
 package poison
 
-import "time"
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// DeathLimit is how many endpoints may die while they run a request before
@@ -31,14 +36,8 @@
 type death struct {
 	weight weight
 	until  time.Time
-}
-
-// stage returns a stage that gives a death its weight against parts of prompts.
-func (d death) stage() Stage {
-	if d.weight == fullWeight {
-		return Begun
-	}
-	return Unanswered
+	// position is that of the part in the prompt, counted from its beginning.
+	position int
 }
 
 // Tracker holds the deaths by request fingerprint, or by what else the requests share.
@@ -56,13 +55,13 @@
 
 // RecordDeath records that an endpoint died while it ran a request.
 func (t *Tracker) RecordDeath(fingerprint, endpoint string, now time.Time) {
-	t.record(fingerprint, endpoint, fullWeight, now)
+	t.record(fingerprint, endpoint, death{weight: fullWeight}, now)
 }
 
 // record records a death. Of several requests on an endpoint, the one against which its
 // death speaks most counts.
-func (t *Tracker) record(fingerprint, endpoint string, w weight, now time.Time) {
-	if w == noWeight {
+func (t *Tracker) record(fingerprint, endpoint string, d death, now time.Time) {
+	if d.weight == noWeight {
 		return
 	}
 	if t.byRequest[fingerprint] == nil {
@@ -70,7 +69,8 @@
 		t.byRequest[fingerprint] = map[string]death{}
 	}
 	deaths := t.byRequest[fingerprint]
-	deaths[endpoint] = death{weight: max(w, deaths[endpoint].weight), until: now.Add(Retention)}
+	d.weight, d.until = max(d.weight, deaths[endpoint].weight), now.Add(Retention)
+	deaths[endpoint] = d
 }
 
 // Empty reports whether no deaths are recorded.
@@ -81,13 +81,33 @@
 
 // Poisonous reports whether too many endpoints have died running the request.
 func (t *Tracker) Poisonous(fingerprint string, now time.Time) bool {
+	return t.sum(fingerprint, now, func(string) bool { return false }) >= t.limit
+}
+
+// sum adds up the deaths that are not excluded.
+func (t *Tracker) sum(fingerprint string, now time.Time, excluded func(endpoint string) bool) weight {
 	sum := noWeight
-	for _, death := range t.byRequest[fingerprint] {
-		if now.Before(death.until) {
+	for endpoint, death := range t.byRequest[fingerprint] {
+		if now.Before(death.until) && !excluded(endpoint) {
 			sum += death.weight
 		}
 	}
-	return sum >= t.limit
+	return sum
+}
+
+// causesOf returns what the deaths of the endpoints are recorded for, by position.
+func (t *Tracker) causesOf(endpoints map[string]bool) []string {
+	positions := map[string]int{}
+	for cause, deaths := range t.byRequest {
+		for endpoint, death := range deaths {
+			if endpoints[endpoint] {
+				positions[cause] = max(positions[cause], death.position)
+			}
+		}
+	}
+	return slices.SortedFunc(maps.Keys(positions), func(a, b string) int {
+		return cmp.Or(cmp.Compare(positions[a], positions[b]), cmp.Compare(a, b))
+	})
 }
 
 // evict drops what has expired, and the request that expires first if that is
--- a/internal/decision/poison/register.go
+++ b/internal/decision/poison/register.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -70,69 +71,154 @@
 	return e.Fingerprint == other.Fingerprint && e.Endpoint == other.Endpoint && e.Stage == other.Stage && slices.Equal(e.Parts, other.Parts)
 }
 
+// maxRefusedParts bounds the parts that are refused at a time.
+const maxRefusedParts = 256
+
 // Register holds the evidence about requests and about the parts of their prompts.
 type Register struct {
 	requests, parts *Tracker
 	answered        answeredParts
+	refused         map[string]*refusal // by part
+}
+
+// refusal is the verdict on a part. The endpoints are those whose deaths it explains.
+type refusal struct {
+	until     time.Time
+	endpoints map[string]bool
 }
 
 // NewRegister returns a register without evidence.
 func NewRegister() *Register {
-	return &Register{requests: NewTracker(), parts: newTracker(PartDeathLimit), answered: newAnsweredParts()}
+	return &Register{requests: NewTracker(), parts: newTracker(PartDeathLimit), answered: newAnsweredParts(), refused: map[string]*refusal{}}
 }
 
 // Record adds evidence. An answer clears the parts of its prompt: a part that crashes
 // endpoints gets none.
 func (r *Register) Record(e Evidence, now time.Time) {
 	if e.Endpoint == "" {
-		for _, part := range e.Parts {
-			r.parts.Clear(part)
-			r.answered.add(part, now)
-		}
+		r.clear(e.Parts, now)
 		return
 	}
 	if e.Fingerprint != "" {
 		r.requests.RecordDeath(e.Fingerprint, e.Endpoint, now)
 	}
-	for _, part := range e.Parts {
-		r.parts.record(part, e.Endpoint, e.Stage.partWeight(), now)
+	for position, part := range e.Parts {
+		r.parts.record(part, e.Endpoint, death{weight: e.Stage.partWeight(), position: position}, now)
+		if r.isRefused(part, now) {
+			r.refused[part].endpoints[e.Endpoint], r.refused[part].until = true, now.Add(Retention)
+		}
+	}
+	r.judge(e.Parts, now)
+}
+
+// clear clears parts of suspicion. Deaths that were explained by them may count against
+// the parts before them now.
+func (r *Register) clear(parts []string, now time.Time) {
+	unexplained := map[string]bool{}
+	for _, part := range parts {
+		r.answered.add(part, now)
+		r.parts.Clear(part)
+		if refusal := r.refused[part]; refusal != nil {
+			maps.Copy(unexplained, refusal.endpoints)
+			delete(r.refused, part)
+		}
+	}
+	if len(unexplained) > 0 {
+		r.judge(r.parts.causesOf(unexplained), now)
+	}
+}
+
+// judge refuses those parts on which too many endpoints have died. Prompts that share a
+// part share all parts before it too, so a later one is the more likely cause.
+func (r *Register) judge(parts []string, now time.Time) {
+	for _, part := range slices.Backward(parts) {
+		if !r.isRefused(part, now) && r.isSuspect(part, now) {
+			r.refuse(part, now)
+		}
+	}
+}
+
+// isSuspect reports whether a part is to be refused. Several endpoints may die at once of
+// another cause, so a part that was answered lately is not blamed.
+func (r *Register) isSuspect(part string, now time.Time) bool {
+	return r.parts.sum(part, now, r.isExplained) >= r.parts.limit && !r.answered.lately(part, now)
+}
+
+// isExplained reports whether a refused part explains the death of an endpoint.
+func (r *Register) isExplained(endpoint string) bool {
+	for _, refusal := range r.refused {
+		if refusal.endpoints[endpoint] {
+			return true
+		}
+	}
+	return false
+}
+
+// refuse refuses a part. The deaths that it explains count against nothing else.
+func (r *Register) refuse(part string, now time.Time) {
+	refusal := &refusal{until: now.Add(Retention), endpoints: map[string]bool{}}
+	for endpoint := range r.parts.byRequest[part] {
+		if !r.isExplained(endpoint) {
+			refusal.endpoints[endpoint] = true
+		}
+	}
+	r.evictRefused(now)
+	r.refused[part] = refusal
+}
+
+// evictRefused drops what has expired, and what expires first if that is not enough.
+func (r *Register) evictRefused(now time.Time) {
+	first := ""
+	for part, refusal := range r.refused {
+		switch {
+		case !now.Before(refusal.until):
+			delete(r.refused, part)
+		case first == "" || refusal.until.Before(r.refused[first].until):
+			first = part
+		}
+	}
+	if len(r.refused) >= maxRefusedParts {
+		delete(r.refused, first)
 	}
 }
 
 // Empty reports whether no deaths are recorded.
-func (r *Register) Empty() bool { return r.requests.Empty() && r.parts.Empty() }
+func (r *Register) Empty() bool {
+	return r.requests.Empty() && r.parts.Empty() && len(r.refused) == 0
+}
 
 // ClearRequest drops the deaths recorded for a request that has since succeeded.
 func (r *Register) ClearRequest(fingerprint string) { r.requests.Clear(fingerprint) }
 
 // Poisonous reports whether too many endpoints have died running the request, or
-// requests that share a part of its prompt. Several endpoints may die at once of another
-// cause, so a part that was answered lately is not blamed.
+// requests that share a part of its prompt.
 func (r *Register) Poisonous(fingerprint string, parts []string, now time.Time) bool {
-	return r.requests.Poisonous(fingerprint, now) ||
-		slices.ContainsFunc(parts, func(part string) bool { return r.isPartPoisonous(part, now) })
+	r.judge(parts, now)
+	return r.requests.sum(fingerprint, now, r.isExplained) >= r.requests.limit ||
+		slices.ContainsFunc(parts, func(part string) bool { return r.isRefused(part, now) })
 }
 
-func (r *Register) isPartPoisonous(part string, now time.Time) bool {
-	return r.parts.Poisonous(part, now) && !r.answered.lately(part, now)
+func (r *Register) isRefused(part string, now time.Time) bool {
+	refusal := r.refused[part]
+	return refusal != nil && now.Before(refusal.until)
 }
 
-// PoisonousParts returns those parts on which too many endpoints have died.
-func (r *Register) PoisonousParts(parts []string, now time.Time) []string {
-	var poisonous []string
+// RefusedParts returns those parts that are refused.
+func (r *Register) RefusedParts(parts []string, now time.Time) []string {
+	var refused []string
 	for _, part := range parts {
-		if r.isPartPoisonous(part, now) {
-			poisonous = append(poisonous, part)
+		if r.isRefused(part, now) {
+			refused = append(refused, part)
 		}
 	}
-	return poisonous
+	return refused
 }
 
 // Suspects returns those parts for which deaths are recorded.
 func (r *Register) Suspects(parts []string) []string {
 	var suspects []string
 	for _, part := range parts {
-		if len(r.parts.byRequest[part]) > 0 {
+		if len(r.parts.byRequest[part]) > 0 || r.refused[part] != nil {
 			suspects = append(suspects, part)
 		}
 	}
@@ -144,15 +230,15 @@
 	var verdicts []Evidence
 	for fingerprint, deaths := range r.requests.byRequest {
 		for endpoint := range deaths {
-			if r.requests.Poisonous(fingerprint, now) {
+			if r.Poisonous(fingerprint, nil, now) {
 				verdicts = append(verdicts, Evidence{Fingerprint: fingerprint, Endpoint: endpoint})
 			}
 		}
 	}
-	for part, deaths := range r.parts.byRequest {
-		for endpoint, death := range deaths {
-			if r.isPartPoisonous(part, now) {
-				verdicts = append(verdicts, Evidence{Endpoint: endpoint, Parts: []string{part}, Stage: death.stage()})
+	for part, refusal := range r.refused {
+		for endpoint := range refusal.endpoints {
+			if r.isRefused(part, now) {
+				verdicts = append(verdicts, Evidence{Endpoint: endpoint, Parts: []string{part}})
 			}
 		}
 	}
--- a/internal/decision/poison/register_test.go
+++ b/internal/decision/poison/register_test.go
@@ -73,6 +73,39 @@
 	}
 }
 
+// Guards against refusing sound requests that begin like those which crash endpoints. All
+// of these have the beginning too, and it may not have been answered yet.
+func TestDeathsCountAgainstTheLastSharedPartOnly(t *testing.T) {
+	r := NewRegister()
+	crash(r, 0, PartDeathLimit, "beginning", "p")
+	crash(r, PartDeathLimit, 10, "beginning", "p")
+	// Other requests on the endpoints that died.
+	for range 2 {
+		crashAt(r, Begun, 0, PartDeathLimit+10, "beginning", "q")
+	}
+	if !r.Poisonous("", []string{"beginning", "p"}, start) {
+		t.Error("the part is not refused")
+	}
+	if r.Poisonous("", []string{"beginning", "q"}, start) {
+		t.Error("requests with the same beginning are refused")
+	}
+	crash(r, 100, PartDeathLimit-1, "beginning", "x")
+	crash(r, 200, 1, "beginning", "y")
+	if !r.Poisonous("", []string{"beginning", "z"}, start) {
+		t.Error("a beginning that crashes endpoints with all that follows is not refused")
+	}
+}
+
+func TestRefusedPartsAreBounded(t *testing.T) {
+	r := NewRegister()
+	for i := range 2 * maxRefusedParts {
+		crash(r, i*PartDeathLimit, PartDeathLimit, fmt.Sprint("p", i))
+	}
+	if len(r.refused) > maxRefusedParts {
+		t.Errorf("%d parts are refused, more than maxRefusedParts", len(r.refused))
+	}
+}
+
 func TestAnsweredPartsAreBounded(t *testing.T) {
 	a := newAnsweredParts()
 	for i := range 5 * maxAnswered {
@@ -91,8 +124,8 @@
 	r, restored := NewRegister(), NewRegister()
 	crash(r, 0, PartDeathLimit, "p")
 	crash(r, 10, 1, "q")
-	r.Record(Evidence{Fingerprint: "f", Endpoint: "e1"}, start)
-	r.Record(Evidence{Fingerprint: "f", Endpoint: "e2"}, start)
+	r.Record(Evidence{Fingerprint: "f", Endpoint: "other1"}, start)
+	r.Record(Evidence{Fingerprint: "f", Endpoint: "other2"}, start)
 	for _, e := range r.Verdicts(start) {
 		restored.Record(e, start)
 	}
--- a/internal/gateway/admission/evidence.go
+++ b/internal/gateway/admission/evidence.go
@@ -36,9 +36,9 @@
 		kind = "answer"
 	}
 	evidenceTotal.WithLabelValues(kind, string(origin)).Inc()
-	before := d.poisonMarks.PoisonousParts(e.Parts, now)
+	before := d.poisonMarks.RefusedParts(e.Parts, now)
 	d.poisonMarks.Record(e, now)
-	after := d.poisonMarks.PoisonousParts(e.Parts, now)
+	after := d.poisonMarks.RefusedParts(e.Parts, now)
 	for _, part := range e.Parts {
 		switch was, is := slices.Contains(before, part), slices.Contains(after, part); {
 		case is && !was:
