A long answer that lost its endpoint is weak evidence against its request

Ruled out: the request as the cause; 'endpoint died' has 28, 6 and 3 events for it, and exactly one other request without events on each of the endpoints.

A death after the second event counts half against the request: four of them refuse it.

--- a/internal/decision/poison/poison.go
+++ b/internal/decision/poison/poison.go
@@ -40,6 +40,14 @@
 	position int
 }
 
+// requestStage returns a stage that gives a death its weight against requests.
+func (d death) requestStage() Stage {
+	if d.weight == fullWeight {
+		return Begun
+	}
+	return Underway
+}
+
 // Tracker holds the deaths by request fingerprint, or by what else the requests share.
 type Tracker struct {
 	limit     weight
--- a/internal/decision/poison/register.go
+++ b/internal/decision/poison/register.go
@@ -53,6 +53,16 @@
 	return noWeight
 }
 
+// requestWeight returns how strongly a death at the stage speaks against the request if it
+// is sent again. An endpoint that has worked on an answer for a while rather died of
+// another request.
+func (s Stage) requestWeight() weight {
+	if s == Underway {
+		return halfWeight
+	}
+	return fullWeight
+}
+
 // Evidence is what a host has observed of a request: the death of an endpoint that ran
 // it, or an answer.
 type Evidence struct {
@@ -100,7 +110,7 @@
 		return
 	}
 	if e.Fingerprint != "" {
-		r.requests.RecordDeath(e.Fingerprint, e.Endpoint, now)
+		r.requests.record(e.Fingerprint, e.Endpoint, death{weight: e.Stage.requestWeight()}, now)
 	}
 	for position, part := range e.Parts {
 		r.parts.record(part, e.Endpoint, death{weight: e.Stage.partWeight(), position: position}, now)
@@ -229,9 +239,9 @@
 func (r *Register) Verdicts(now time.Time) []Evidence {
 	var verdicts []Evidence
 	for fingerprint, deaths := range r.requests.byRequest {
-		for endpoint := range deaths {
+		for endpoint, death := range deaths {
 			if r.Poisonous(fingerprint, nil, now) {
-				verdicts = append(verdicts, Evidence{Fingerprint: fingerprint, Endpoint: endpoint})
+				verdicts = append(verdicts, Evidence{Fingerprint: fingerprint, Endpoint: endpoint, Stage: death.requestStage()})
 			}
 		}
 	}
--- a/internal/decision/poison/register_test.go
+++ b/internal/decision/poison/register_test.go
@@ -96,6 +96,25 @@
 	}
 }
 
+// Guards against breaking off long answers that lost their endpoints twice, as another
+// request crashed these.
+func TestAnswersUnderwayAreWeakEvidenceAgainstTheirRequest(t *testing.T) {
+	r := NewRegister()
+	record := func(stage Stage, endpoints ...string) {
+		for _, endpoint := range endpoints {
+			r.Record(Evidence{Fingerprint: "f", Endpoint: endpoint, Stage: stage}, start)
+		}
+	}
+	record(Underway, "e1", "e2", "e3")
+	if r.Poisonous("f", nil, start) {
+		t.Error("refused after three endpoints died under long answers")
+	}
+	record(Unanswered, "e4")
+	if !r.Poisonous("f", nil, start) {
+		t.Error("not refused although a fourth endpoint died before it answered")
+	}
+}
+
 func TestRefusedPartsAreBounded(t *testing.T) {
 	r := NewRegister()
 	for i := range 2 * maxRefusedParts {
