A part that was answered lately is refused if endpoints go on dying

Hosts that exchange a list again also took each old answer for a new one, so that the minute began anew. Ruled out: deaths that are not noticed; each has its line in the log.

The minute is there because several endpoints may die at once of another cause. Such a part now needs twice the deaths, at three times at least a second apart, with no answer between. Evidence carries its age, so that it does not become new when it is passed on.

--- a/internal/decision/poison/answered.go
+++ b/internal/decision/poison/answered.go
@@ -18,11 +18,16 @@
 
 func newAnsweredParts() answeredParts { return answeredParts{current: map[string]time.Time{}} }
 
-func (a *answeredParts) add(part string, now time.Time) {
-	if _, known := a.current[part]; !known && len(a.current) == maxAnswered {
+// add records an answer, unless a later one is known.
+func (a *answeredParts) add(part string, at time.Time) {
+	last, known := a.current[part]
+	if last.After(at) {
+		return
+	}
+	if !known && len(a.current) == maxAnswered {
 		a.current, a.previous = map[string]time.Time{}, a.current
 	}
-	a.current[part] = now
+	a.current[part] = at
 }
 
 // lately reports whether the part was answered within answeredMemory.
--- a/internal/decision/poison/poison.go
+++ b/internal/decision/poison/poison.go
@@ -40,6 +40,9 @@
 	position int
 }
 
+// at returns when the endpoint died.
+func (d death) at() time.Time { return d.until.Add(-Retention) }
+
 // requestStage returns a stage that gives a death its weight against requests.
 func (d death) requestStage() Stage {
 	if d.weight == fullWeight {
@@ -67,17 +70,20 @@
 }
 
 // record records a death. Of several requests on an endpoint, the one against which its
-// death speaks most counts.
-func (t *Tracker) record(fingerprint, endpoint string, d death, now time.Time) {
+// death speaks most counts. The first report tells the time.
+func (t *Tracker) record(fingerprint, endpoint string, d death, at time.Time) {
 	if d.weight == noWeight {
 		return
 	}
 	if t.byRequest[fingerprint] == nil {
-		t.evict(now)
+		t.evict(at)
 		t.byRequest[fingerprint] = map[string]death{}
 	}
 	deaths := t.byRequest[fingerprint]
-	d.weight, d.until = max(d.weight, deaths[endpoint].weight), now.Add(Retention)
+	d.until = at.Add(Retention)
+	if known := deaths[endpoint]; at.Before(known.until) {
+		d.weight, d.until = max(d.weight, known.weight), known.until
+	}
 	deaths[endpoint] = d
 }
 
@@ -103,6 +109,28 @@
 	return sum
 }
 
+// burstTime is the time in which deaths are taken to have one cause.
+const burstTime = time.Second
+
+// bursts counts the times, at least burstTime apart, at which endpoints died that are not
+// excluded.
+func (t *Tracker) bursts(fingerprint string, now time.Time, excluded func(endpoint string) bool) int {
+	var times []time.Time
+	for endpoint, death := range t.byRequest[fingerprint] {
+		if now.Before(death.until) && !excluded(endpoint) {
+			times = append(times, death.at())
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	count, first := 0, time.Time{}
+	for _, at := range times {
+		if count == 0 || at.Sub(first) >= burstTime {
+			count, first = count+1, at
+		}
+	}
+	return count
+}
+
 // causesOf returns what the deaths of the endpoints are recorded for, by position.
 func (t *Tracker) causesOf(endpoints map[string]bool) []string {
 	positions := map[string]int{}
--- a/internal/decision/poison/register.go
+++ b/internal/decision/poison/register.go
@@ -74,16 +74,48 @@
 	Parts []string `json:"parts,omitempty"`
 	// Stage is how far the answer had come if an endpoint died.
 	Stage Stage `json:"stage,omitempty"`
+	// AgeMS is how long ago the endpoint died or answered, in milliseconds.
+	AgeMS int64 `json:"age_ms,omitempty"`
 }
 
-// Equal reports whether two hosts have observed the same.
+// Equal reports whether two hosts have observed the same, at whatever time.
 func (e Evidence) Equal(other Evidence) bool {
 	return e.Fingerprint == other.Fingerprint && e.Endpoint == other.Endpoint && e.Stage == other.Stage && slices.Equal(e.Parts, other.Parts)
 }
 
+// minBursts is how many times, at least burstTime apart, endpoints have to die before a part
+// is refused that was answered lately.
+const minBursts = 3
+
 // maxRefusedParts bounds the parts that are refused at a time.
 const maxRefusedParts = 256
 
+// at returns when the endpoint died or answered.
+func (e Evidence) at(now time.Time) time.Time {
+	return now.Add(-time.Duration(e.AgeMS) * time.Millisecond)
+}
+
+// Dated is evidence with the time at which its holder got it.
+type Dated struct {
+	Evidence
+	Got time.Time
+}
+
+// Aged returns the evidence with its present age.
+func (d Dated) Aged(now time.Time) Evidence {
+	d.AgeMS += now.Sub(d.Got).Milliseconds()
+	return d.Evidence
+}
+
+// AllAged returns the evidence with its present age.
+func AllAged(dated []Dated, now time.Time) []Evidence {
+	var aged []Evidence
+	for _, d := range dated {
+		aged = append(aged, d.Aged(now))
+	}
+	return aged
+}
+
 // Register holds the evidence about requests and about the parts of their prompts.
 type Register struct {
 	requests, parts *Tracker
@@ -97,6 +129,16 @@
 	endpoints map[string]bool
 }
 
+// extend keeps the refusal for as long as a death is kept.
+func (r *refusal) extend(at time.Time) {
+	if until := at.Add(Retention); until.After(r.until) {
+		r.until = until
+	}
+}
+
+// age returns how long ago the last death was, in milliseconds.
+func (r *refusal) age(now time.Time) int64 { return (Retention - r.until.Sub(now)).Milliseconds() }
+
 // NewRegister returns a register without evidence.
 func NewRegister() *Register {
 	return &Register{requests: NewTracker(), parts: newTracker(PartDeathLimit), answered: newAnsweredParts(), refused: map[string]*refusal{}}
@@ -106,16 +148,17 @@
 // endpoints gets none.
 func (r *Register) Record(e Evidence, now time.Time) {
 	if e.Endpoint == "" {
-		r.clear(e.Parts, now)
+		r.clear(e.Parts, e.at(now), now)
 		return
 	}
 	if e.Fingerprint != "" {
-		r.requests.record(e.Fingerprint, e.Endpoint, death{weight: e.Stage.requestWeight()}, now)
+		r.requests.record(e.Fingerprint, e.Endpoint, death{weight: e.Stage.requestWeight()}, e.at(now))
 	}
 	for position, part := range e.Parts {
-		r.parts.record(part, e.Endpoint, death{weight: e.Stage.partWeight(), position: position}, now)
-		if r.isRefused(part, now) {
-			r.refused[part].endpoints[e.Endpoint], r.refused[part].until = true, now.Add(Retention)
+		r.parts.record(part, e.Endpoint, death{weight: e.Stage.partWeight(), position: position}, e.at(now))
+		if refusal := r.refused[part]; refusal != nil && r.isRefused(part, now) {
+			refusal.endpoints[e.Endpoint] = true
+			refusal.extend(e.at(now))
 		}
 	}
 	r.judge(e.Parts, now)
@@ -123,10 +166,10 @@
 
 // clear clears parts of suspicion. Deaths that were explained by them may count against
 // the parts before them now.
-func (r *Register) clear(parts []string, now time.Time) {
+func (r *Register) clear(parts []string, at, now time.Time) {
 	unexplained := map[string]bool{}
 	for _, part := range parts {
-		r.answered.add(part, now)
+		r.answered.add(part, at)
 		r.parts.Clear(part)
 		if refusal := r.refused[part]; refusal != nil {
 			maps.Copy(unexplained, refusal.endpoints)
@@ -149,9 +192,14 @@
 }
 
 // isSuspect reports whether a part is to be refused. Several endpoints may die at once of
-// another cause, so a part that was answered lately is not blamed.
+// another cause, so a part that was answered lately is blamed only if they go on dying
+// without an answer.
 func (r *Register) isSuspect(part string, now time.Time) bool {
-	return r.parts.sum(part, now, r.isExplained) >= r.parts.limit && !r.answered.lately(part, now)
+	sum := r.parts.sum(part, now, r.isExplained)
+	if !r.answered.lately(part, now) {
+		return sum >= r.parts.limit
+	}
+	return sum >= 2*r.parts.limit && r.parts.bursts(part, now, r.isExplained) >= minBursts
 }
 
 // isExplained reports whether a refused part explains the death of an endpoint.
@@ -166,10 +214,11 @@
 
 // refuse refuses a part. The deaths that it explains count against nothing else.
 func (r *Register) refuse(part string, now time.Time) {
-	refusal := &refusal{until: now.Add(Retention), endpoints: map[string]bool{}}
-	for endpoint := range r.parts.byRequest[part] {
+	refusal := &refusal{endpoints: map[string]bool{}}
+	for endpoint, death := range r.parts.byRequest[part] {
 		if !r.isExplained(endpoint) {
 			refusal.endpoints[endpoint] = true
+			refusal.extend(death.at())
 		}
 	}
 	r.evictRefused(now)
@@ -241,14 +290,14 @@
 	for fingerprint, deaths := range r.requests.byRequest {
 		for endpoint, death := range deaths {
 			if r.Poisonous(fingerprint, nil, now) {
-				verdicts = append(verdicts, Evidence{Fingerprint: fingerprint, Endpoint: endpoint, Stage: death.requestStage()})
+				verdicts = append(verdicts, Evidence{Fingerprint: fingerprint, Endpoint: endpoint, Stage: death.requestStage(), AgeMS: now.Sub(death.at()).Milliseconds()})
 			}
 		}
 	}
 	for part, refusal := range r.refused {
 		for endpoint := range refusal.endpoints {
 			if r.isRefused(part, now) {
-				verdicts = append(verdicts, Evidence{Endpoint: endpoint, Parts: []string{part}})
+				verdicts = append(verdicts, Evidence{Endpoint: endpoint, Parts: []string{part}, AgeMS: refusal.age(now)})
 			}
 		}
 	}
--- a/internal/decision/poison/register_test.go
+++ b/internal/decision/poison/register_test.go
@@ -125,6 +125,40 @@
 	}
 }
 
+// Guards against a part that turns deadly after it was answered: the answer kept it from
+// blame for a minute, however many endpoints died.
+func TestAnsweredPartIsRefusedIfEndpointsGoOnDying(t *testing.T) {
+	r := NewRegister()
+	r.Record(Evidence{Parts: []string{"p"}}, start)
+	now := start
+	for i := range 2 * PartDeathLimit {
+		now = start.Add(time.Duration(i) * burstTime / 2)
+		r.Record(Evidence{Endpoint: fmt.Sprint("e", i), Parts: []string{"p"}}, now)
+	}
+	if !r.Poisonous("", []string{"p"}, now) {
+		t.Error("the part is not refused")
+	}
+}
+
+// Guards against evidence that becomes new each time hosts exchange it.
+func TestAgeOfEvidenceIsKept(t *testing.T) {
+	const age = 30 * time.Second
+	r, late := NewRegister(), start.Add(age)
+	old := Dated{Evidence: Evidence{Parts: []string{"p"}}, Got: start}
+	r.Record(old.Aged(late), late)
+	if !r.answered.lately("p", start.Add(answeredMemory-1)) || r.answered.lately("p", start.Add(answeredMemory)) {
+		t.Error("an answer counts from the time at which it was passed on")
+	}
+	crash(r, 0, PartDeathLimit, "q")
+	for _, e := range r.Verdicts(late) {
+		passedOn := NewRegister()
+		passedOn.Record(e, late)
+		if until := passedOn.parts.byRequest["q"][e.Endpoint].until; !until.Equal(start.Add(Retention)) {
+			t.Errorf("a death is kept until %v after it, want %v", until.Sub(start), Retention)
+		}
+	}
+}
+
 func TestAnsweredPartsAreBounded(t *testing.T) {
 	a := newAnsweredParts()
 	for i := range 5 * maxAnswered {
--- a/internal/gateway/admission/duty.go
+++ b/internal/gateway/admission/duty.go
@@ -100,7 +100,7 @@
 	waiting            waitingRequests
 	retries            *retryBudgets
 	poisonMarks        *poison.Register
-	unreportedEvidence []poison.Evidence
+	unreportedEvidence []poison.Dated
 	evidenceInReport   int // how many of them are in the report in progress
 	// evidenceListID identifies the list that the last evidence of other hosts is from.
 	evidenceListID string
--- a/internal/gateway/admission/fleet.go
+++ b/internal/gateway/admission/fleet.go
@@ -21,7 +21,7 @@
 func (d *Duty) addEvidence(e poison.Evidence, now time.Time) {
 	d.recordEvidence(e, originHost, now)
 	if len(d.unreportedEvidence) < maxUnreportedEvidence {
-		d.unreportedEvidence = append(d.unreportedEvidence, e)
+		d.unreportedEvidence = append(d.unreportedEvidence, poison.Dated{Evidence: e, Got: now})
 	}
 }
 
@@ -81,11 +81,11 @@
 	fleet.LimitShard
 }
 
-func (m collectUsage) handle(d *Duty, _ time.Time) {
+func (m collectUsage) handle(d *Duty, now time.Time) {
 	usage := fleet.Usage{Uses: d.share.Report(m.Holds)}
 	if m.Shard == 0 {
 		d.evidenceInReport = len(d.unreportedEvidence)
-		usage.Evidence = d.unreportedEvidence[:d.evidenceInReport:d.evidenceInReport]
+		usage.Evidence = poison.AllAged(d.unreportedEvidence, now)
 	}
 	m.Send(usage)
 }
@@ -107,7 +107,9 @@
 	d.unreportedEvidence, d.evidenceInReport = d.unreportedEvidence[d.evidenceInReport:], 0
 	if m.EvidenceListID != d.evidenceListID { // a new list lacks what this host knows
 		d.evidenceListID = m.EvidenceListID
-		d.unreportedEvidence = append(d.unreportedEvidence, d.poisonMarks.Verdicts(now)...)
+		for _, e := range d.poisonMarks.Verdicts(now) {
+			d.unreportedEvidence = append(d.unreportedEvidence, poison.Dated{Evidence: e, Got: now})
+		}
 	}
 }
 
--- a/internal/gateway/deaths/duty.go
+++ b/internal/gateway/deaths/duty.go
@@ -79,7 +79,7 @@
 // watched is an endpoint that lost answers.
 type watched struct {
 	endpoint catalog.Endpoint
-	evidence []poison.Evidence
+	evidence []poison.Dated
 	lostAt   time.Time
 	checks   int
 	port     Port
@@ -111,7 +111,7 @@
 		d.watched[l.Endpoint.Address] = w
 	}
 	if len(w.evidence) < maxLosses {
-		w.evidence = append(w.evidence, l.Evidence)
+		w.evidence = append(w.evidence, poison.Dated{Evidence: l.Evidence, Got: now})
 	}
 	d.schedule()
 }
@@ -181,7 +181,7 @@
 func (d *Duty) report(ctx context.Context, w *watched) error {
 	d.Log.Warn("watched endpoint died", zap.String("endpoint", w.endpoint.Name), zap.Int("answers", len(w.evidence)),
 		zap.String("port", string(w.port)), zap.Duration("after", time.Since(w.lostAt)))
-	for _, evidence := range w.evidence {
+	for _, evidence := range poison.AllAged(w.evidence, time.Now()) {
 		if err := d.Admission.Put(ctx, admission.EndpointDied{Evidence: evidence}); err != nil {
 			return err
 		}
--- a/internal/gateway/fleet/ledger.go
+++ b/internal/gateway/fleet/ledger.go
@@ -59,7 +59,7 @@
 	// listID identifies the list of evidence of this run of the process. evidence holds
 	// the newest entries of the list, droppedEvidence counts the dropped ones.
 	listID          string
-	evidence        []poison.Evidence
+	evidence        []poison.Dated
 	droppedEvidence int
 }
 
@@ -177,7 +177,7 @@
 	}
 	response := ReportResponse{Grants: quotas.Report(m.report.Host, m.report.Elapsed, m.report.Uses, now)}
 	if m.report.Shard == 0 {
-		l.exchangeEvidence(m.report, &response)
+		l.exchangeEvidence(m.report, &response, now)
 		l.forwardOutcomes(m.report.Outcomes)
 		response.Moves = l.heldMoves
 	}
@@ -186,15 +186,15 @@
 
 // exchangeEvidence adds the reported evidence to the list, and the evidence that the
 // host does not know to the response.
-func (l *ledger) exchangeEvidence(report Report, response *ReportResponse) {
-	l.addEvidence(report.Evidence)
+func (l *ledger) exchangeEvidence(report Report, response *ReportResponse, now time.Time) {
+	l.addEvidence(report.Evidence, now)
 	response.EvidenceListID, response.KnownEvidence = l.listID, l.droppedEvidence+len(l.evidence)
 	known := 0
 	if report.EvidenceListID == l.listID {
 		known = max(0, report.KnownEvidence-l.droppedEvidence)
 	}
 	if known < len(l.evidence) {
-		response.Evidence = append(response.Evidence, l.evidence[known:]...)
+		response.Evidence = poison.AllAged(l.evidence[known:], now)
 	}
 }
 
@@ -208,13 +208,14 @@
 
 // addEvidence adds evidence to the list. Several hosts may report the same death after
 // the list has moved here.
-func (l *ledger) addEvidence(reported []poison.Evidence) {
+func (l *ledger) addEvidence(reported []poison.Evidence, now time.Time) {
 	for _, e := range reported {
-		if e.Endpoint == "" || !slices.ContainsFunc(l.evidence, e.Equal) {
-			l.evidence = append(l.evidence, e)
+		isKnown := func(known poison.Dated) bool { return e.Equal(known.Evidence) }
+		if e.Endpoint == "" || !slices.ContainsFunc(l.evidence, isKnown) {
+			l.evidence = append(l.evidence, poison.Dated{Evidence: e, Got: now})
 		}
 	}
 	if excess := len(l.evidence) - maxListedEvidence; excess > 0 {
-		l.evidence, l.droppedEvidence = append([]poison.Evidence(nil), l.evidence[excess:]...), l.droppedEvidence+excess
+		l.evidence, l.droppedEvidence = append([]poison.Dated(nil), l.evidence[excess:]...), l.droppedEvidence+excess
 	}
 }
