When the list of deaths moves to another host, all deaths move with it

One or two deaths before it were lost for all but the host that had seen them, and with reports that time out the list moves often. Ruled out: lost reports; a report that is not answered is sent again. Evidence: TestDeathsRestoreARegister, which also asks for a death before the verdict.

The register keeps the newest 256 deaths as they were reported, so that the same death from several hosts counts once, and passes them on without the parts that were answered since.

--- a/internal/decision/poison/poison.go
+++ b/internal/decision/poison/poison.go
@@ -43,14 +43,6 @@
 // at returns when the endpoint died.
 func (d death) at() time.Time { return d.until.Add(-Retention) }
 
-// requestStage returns a stage that gives a death its weight against requests.
-func (d death) requestStage() Stage {
-	if d.weight == fullWeight {
-		return Begun
-	}
-	return Underway
-}
-
 // Tracker holds the deaths by request fingerprint, or by what else the requests share.
 type Tracker struct {
 	limit     weight
@@ -112,6 +104,11 @@
 // burstTime is the time in which deaths are taken to have one cause.
 const burstTime = time.Second
 
+// holds reports whether the death of the endpoint is recorded.
+func (t *Tracker) holds(fingerprint, endpoint string, now time.Time) bool {
+	return now.Before(t.byRequest[fingerprint][endpoint].until)
+}
+
 // bursts counts the times, at least burstTime apart, at which endpoints died that are not
 // excluded.
 func (t *Tracker) bursts(fingerprint string, now time.Time, excluded func(endpoint string) bool) int {
--- a/internal/decision/poison/register.go
+++ b/internal/decision/poison/register.go
@@ -87,6 +87,9 @@
 // is refused that was answered lately.
 const minBursts = 3
 
+// maxDeaths bounds the deaths that are kept to be passed on.
+const maxDeaths = 256
+
 // maxRefusedParts bounds the parts that are refused at a time.
 const maxRefusedParts = 256
 
@@ -121,6 +124,8 @@
 	requests, parts *Tracker
 	answered        answeredParts
 	refused         map[string]*refusal // by part
+	// deaths holds the newest deaths as they were recorded.
+	deaths []Dated
 }
 
 // refusal is the verdict on a part. The endpoints are those whose deaths it explains.
@@ -136,9 +141,6 @@
 	}
 }
 
-// age returns how long ago the last death was, in milliseconds.
-func (r *refusal) age(now time.Time) int64 { return (Retention - r.until.Sub(now)).Milliseconds() }
-
 // NewRegister returns a register without evidence.
 func NewRegister() *Register {
 	return &Register{requests: NewTracker(), parts: newTracker(PartDeathLimit), answered: newAnsweredParts(), refused: map[string]*refusal{}}
@@ -151,6 +153,7 @@
 		r.clear(e.Parts, e.at(now), now)
 		return
 	}
+	r.keep(e, now)
 	if e.Fingerprint != "" {
 		r.requests.record(e.Fingerprint, e.Endpoint, death{weight: e.Stage.requestWeight()}, e.at(now))
 	}
@@ -164,6 +167,17 @@
 	r.judge(e.Parts, now)
 }
 
+// keep keeps a death to be passed on. Hosts may report the same one.
+func (r *Register) keep(e Evidence, now time.Time) {
+	if slices.ContainsFunc(r.deaths, func(known Dated) bool { return e.Equal(known.Evidence) }) {
+		return
+	}
+	r.deaths = append(r.deaths, Dated{Evidence: e, Got: now})
+	if len(r.deaths) > maxDeaths {
+		r.deaths = slices.Clone(r.deaths[1:])
+	}
+}
+
 // clear clears parts of suspicion. Deaths that were explained by them may count against
 // the parts before them now.
 func (r *Register) clear(parts []string, at, now time.Time) {
@@ -284,22 +298,17 @@
 	return suspects
 }
 
-// Verdicts returns the evidence for the requests and parts that are poisonous.
-func (r *Register) Verdicts(now time.Time) []Evidence {
-	var verdicts []Evidence
-	for fingerprint, deaths := range r.requests.byRequest {
-		for endpoint, death := range deaths {
-			if r.Poisonous(fingerprint, nil, now) {
-				verdicts = append(verdicts, Evidence{Fingerprint: fingerprint, Endpoint: endpoint, Stage: death.requestStage(), AgeMS: now.Sub(death.at()).Milliseconds()})
-			}
+// Deaths returns the recorded deaths, without the parts that have been cleared.
+func (r *Register) Deaths(now time.Time) []Evidence {
+	var deaths []Evidence
+	for _, e := range AllAged(r.deaths, now) {
+		e.Parts = slices.DeleteFunc(slices.Clone(e.Parts), func(part string) bool { return !r.parts.holds(part, e.Endpoint, now) })
+		if !r.requests.holds(e.Fingerprint, e.Endpoint, now) {
+			e.Fingerprint = ""
 		}
-	}
-	for part, refusal := range r.refused {
-		for endpoint := range refusal.endpoints {
-			if r.isRefused(part, now) {
-				verdicts = append(verdicts, Evidence{Endpoint: endpoint, Parts: []string{part}, AgeMS: refusal.age(now)})
-			}
+		if e.Fingerprint != "" || len(e.Parts) > 0 {
+			deaths = append(deaths, e)
 		}
 	}
-	return verdicts
+	return deaths
 }
--- a/internal/decision/poison/register_test.go
+++ b/internal/decision/poison/register_test.go
@@ -150,7 +150,7 @@
 		t.Error("an answer counts from the time at which it was passed on")
 	}
 	crash(r, 0, PartDeathLimit, "q")
-	for _, e := range r.Verdicts(late) {
+	for _, e := range r.Deaths(late) {
 		passedOn := NewRegister()
 		passedOn.Record(e, late)
 		if until := passedOn.parts.byRequest["q"][e.Endpoint].until; !until.Equal(start.Add(Retention)) {
@@ -172,22 +172,32 @@
 	}
 }
 
-// A host that keeps a new list learns from the others what is poisonous.
-func TestVerdictsRestoreARegister(t *testing.T) {
+// A host that keeps a new list learns from the others what has died, before there is a
+// verdict too, and nothing that has been cleared.
+func TestDeathsRestoreARegister(t *testing.T) {
 	r, restored := NewRegister(), NewRegister()
 	crash(r, 0, PartDeathLimit, "p")
 	crash(r, 10, 1, "q")
 	r.Record(Evidence{Fingerprint: "f", Endpoint: "other1"}, start)
 	r.Record(Evidence{Fingerprint: "f", Endpoint: "other2"}, start)
-	for _, e := range r.Verdicts(start) {
+	crash(r, 20, PartDeathLimit-1, "answered")
+	r.Record(Evidence{Parts: []string{"answered"}}, start)
+	for _, e := range r.Deaths(start) {
 		restored.Record(e, start)
 	}
+	crash(restored, 30, 1, "answered")
 	if !restored.Poisonous("", []string{"p"}, start) || !restored.Poisonous("f", nil, start) {
 		t.Error("a verdict is lost")
 	}
 	if restored.Poisonous("", []string{"q"}, start) {
 		t.Error("a suspected part is poisonous")
 	}
+	if restored.Poisonous("", []string{"answered"}, start) {
+		t.Error("deaths before an answer count")
+	}
+	if crash(restored, 40, PartDeathLimit-1, "q"); !restored.Poisonous("", []string{"q"}, start) {
+		t.Error("the death of a suspected part is lost")
+	}
 }
 
 func TestSuspectsAreThePartsWithDeaths(t *testing.T) {
--- a/internal/gateway/admission/fleet.go
+++ b/internal/gateway/admission/fleet.go
@@ -107,7 +107,7 @@
 	d.unreportedEvidence, d.evidenceInReport = d.unreportedEvidence[d.evidenceInReport:], 0
 	if m.EvidenceListID != d.evidenceListID { // a new list lacks what this host knows
 		d.evidenceListID = m.EvidenceListID
-		for _, e := range d.poisonMarks.Verdicts(now) {
+		for _, e := range d.poisonMarks.Deaths(now) {
 			d.unreportedEvidence = append(d.unreportedEvidence, poison.Dated{Evidence: e, Got: now})
 		}
 	}
