What the hosts refuse since it crashes endpoints is kept in the store

Callers saw endpoints crash again after hosts had been started again (BUDGET): deaths and verdicts were held in memory only. A host that started knew nothing, and while two groups of hosts reported to different coordinators, what one knew did not reach the other. Ruled out: deaths that are not noticed.

The coordinator of shard 0 writes the verdicts as one object, each with its end. All hosts follow it as they follow the hosts' list, and are not ready before they have read it. A part that was answered lately is not refused again by what the store says. What the store loses is written again with the next report, as the coordinator compares the two.

--- a/internal/decision/poison/register.go
+++ b/internal/decision/poison/register.go
@@ -124,6 +124,8 @@
 	requests, parts *Tracker
 	answered        answeredParts
 	refused         map[string]*refusal // by part
+	// restored holds the ends of verdicts of earlier runs, by fingerprint.
+	restored map[string]time.Time
 	// deaths holds the newest deaths as they were recorded.
 	deaths []Dated
 }
@@ -143,7 +145,8 @@
 
 // NewRegister returns a register without evidence.
 func NewRegister() *Register {
-	return &Register{requests: NewTracker(), parts: newTracker(PartDeathLimit), answered: newAnsweredParts(), refused: map[string]*refusal{}}
+	return &Register{requests: NewTracker(), parts: newTracker(PartDeathLimit), answered: newAnsweredParts(),
+		refused: map[string]*refusal{}, restored: map[string]time.Time{}}
 }
 
 // Record adds evidence. An answer clears the parts of its prompt: a part that crashes
@@ -257,17 +260,20 @@
 
 // Empty reports whether no deaths are recorded.
 func (r *Register) Empty() bool {
-	return r.requests.Empty() && r.parts.Empty() && len(r.refused) == 0
+	return r.requests.Empty() && r.parts.Empty() && len(r.refused) == 0 && len(r.restored) == 0
 }
 
 // ClearRequest drops the deaths recorded for a request that has since succeeded.
-func (r *Register) ClearRequest(fingerprint string) { r.requests.Clear(fingerprint) }
+func (r *Register) ClearRequest(fingerprint string) {
+	r.requests.Clear(fingerprint)
+	delete(r.restored, fingerprint)
+}
 
 // Poisonous reports whether too many endpoints have died running the request, or
 // requests that share a part of its prompt.
 func (r *Register) Poisonous(fingerprint string, parts []string, now time.Time) bool {
 	r.judge(parts, now)
-	return r.requests.sum(fingerprint, now, r.isExplained) >= r.requests.limit ||
+	return now.Before(r.restored[fingerprint]) || r.requests.sum(fingerprint, now, r.isExplained) >= r.requests.limit ||
 		slices.ContainsFunc(parts, func(part string) bool { return r.isRefused(part, now) })
 }
 
--- a/internal/gateway/admission/duty.go
+++ b/internal/gateway/admission/duty.go
@@ -17,6 +17,7 @@
 	gatewaycatalog "kingcupcourse/internal/gateway/catalog"
 	"kingcupcourse/internal/gateway/fleet"
 	"kingcupcourse/internal/gateway/frontend"
+	"kingcupcourse/internal/gateway/refusals"
 	"kingcupcourse/internal/ring"
 )
 
@@ -86,7 +87,9 @@
 	// the number of retries that all hosts together may make beyond that in a
 	// window.
 	RetryShare, RetryBurst float64
-	Log                    *zap.Logger
+	// RefusalWrites takes the refusals that the store is to hold.
+	RefusalWrites *ring.Latest[refusals.Stored]
+	Log           *zap.Logger
 }
 
 // Duty implements supervisor.Duty.
@@ -100,6 +103,7 @@
 	waiting            waitingRequests
 	retries            *retryBudgets
 	poisonMarks        *poison.Register
+	stored             storedRefusals
 	unreportedEvidence []poison.Dated
 	evidenceInReport   int // how many of them are in the report in progress
 	// evidenceListID identifies the list that the last evidence of other hosts is from.
@@ -146,7 +150,10 @@
 }
 
 // The number of shards is known with the first answered report of usage.
-func (m Ready) handle(d *Duty, _ time.Time) { m.Send(d.snapshot.Ready() && d.coordinators.known()) }
+func (m Ready) handle(d *Duty, _ time.Time) { m.Send(d.hasState() && d.coordinators.known()) }
+
+// hasState reports whether the duty knows what it decides by.
+func (d *Duty) hasState() bool { return d.snapshot.Ready() && d.stored.known }
 
 func (m Admit) handle(d *Duty, now time.Time) {
 	ticket := d.admit(m, now)
@@ -157,7 +164,7 @@
 }
 
 func (d *Duty) admit(m Admit, now time.Time) Ticket {
-	if !d.snapshot.Ready() {
+	if !d.hasState() {
 		return Ticket{Refusal: core.RefuseWithRetry(core.ReasonNotReady, "no configuration yet", notReadyRetryAfter)}
 	}
 	configuration, request := d.snapshot.Configuration, m.Request
--- a/internal/gateway/admission/fleet.go
+++ b/internal/gateway/admission/fleet.go
@@ -104,6 +104,9 @@
 	for _, e := range m.Evidence {
 		d.recordEvidence(e, originPeer, now)
 	}
+	if m.Coordinator == "" { // one host writes for all
+		d.storeRefusals(now)
+	}
 	d.unreportedEvidence, d.evidenceInReport = d.unreportedEvidence[d.evidenceInReport:], 0
 	if m.EvidenceListID != d.evidenceListID { // a new list lacks what this host knows
 		d.evidenceListID = m.EvidenceListID
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -27,6 +27,7 @@
 	"kingcupcourse/internal/gateway/mirror"
 	"kingcupcourse/internal/gateway/moves"
 	"kingcupcourse/internal/gateway/placement"
+	"kingcupcourse/internal/gateway/refusals"
 	"kingcupcourse/internal/platform"
 	"kingcupcourse/internal/process"
 	"kingcupcourse/internal/ring"
@@ -65,9 +66,10 @@
 	store := adapter.Store(s.Store).WithTimeout(milliseconds(s.StoreTimeoutMS))
 	catalogTree := catalog.New(adapter.Decoder, env.Log)
 	tolerance := fleet.Tolerance{Share: s.LimitOverage, Units: s.LimitSlack, Window: milliseconds(s.LimitWindowMS)}
+	refusalWriter := refusals.NewWriter(store, env.Log)
 	admissionDuty := admission.New(admission.Config{
 		Snapshots: catalogTree.Subscribe(), Tolerance: tolerance, RetryShare: s.RepeatShare / 2, RetryBurst: s.RepeatBurst / 2,
-		Log: env.Log,
+		RefusalWrites: refusalWriter.Writes(), Log: env.Log,
 	})
 	movesTree := moves.New(moves.Config{
 		Host: s.Host, Store: store, Decoder: adapter.Decoder, Snapshots: catalogTree.Subscribe(),
@@ -87,6 +89,7 @@
 		mirrorDuties.Follow(adapter.Decoder.EvacuationsPrefix(), milliseconds(s.WatchMS), catalogTree.Deliver)
 	}
 	mirrorDuties.Follow(fleet.HostsPrefix, longWatch, fleetTree.Deliver)
+	mirrorDuties.Follow(refusals.Prefix, longWatch, admissionDuty.DeliverRefusals)
 	fleetTree.OnDiscovery(mirrorDuties.Discovered)
 	placementDuty := placement.New(placement.Config{
 		Host: host, Snapshots: catalogTree.Subscribe(), Hosts: fleetTree.Hosts(), ListedHosts: fleetTree.ListedHosts(), Constraints: movesTree.Subscribe(),
@@ -131,6 +134,7 @@
 			{Name: "peers-budget", Duty: peersBudget},
 			{Name: "catalog", Duty: catalogTree.Supervisor},
 			{Name: "moves", Duty: movesTree.Supervisor},
+			{Name: "refusals", Duty: refusalWriter},
 			{Name: "admission", Duty: admissionDuty},
 			{Name: "placement", Duty: placementDuty},
 			{Name: "reporter", Duty: reporter},
