A part of an answer is not taken for the whole after a reset under an upload

Callers got a part of an answer as a complete one (MIXED): an endpoint answers a long upload at once with a 200 without a length, sends a part and resets the connection while the upload is being written. Cause: the kernel reports the error of a reset once. If the write of the request gets it, the read of the answer finds a plain end of the connection, which completes an answer without a length. Ruled out: an answer with a length or in chunks, whose end is known.

internal/httpclient: the end of a connection on which a write has failed is an error, and so is the end of an answer without a length before the request has been written. All clients use it: requests to endpoints in both programs, probes, resumed streams, reports of endpoints, the store, other hosts, the load tool.

--- a/internal/codec/call.go
+++ b/internal/codec/call.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"kingcupcourse/internal/httpclient"
 )
 
 const (
@@ -51,17 +53,17 @@
 // NewTransport returns the connection pool for calls. A process creates one
 // for its peers and reuses it for its lifetime. headerTimeout bounds the wait
 // for the response header; with zero only the call's context bounds it.
-func NewTransport(headerTimeout time.Duration) *http.Transport {
+func NewTransport(headerTimeout time.Duration) *httpclient.Transport {
 	dialer := &net.Dialer{Timeout: DialTimeout, KeepAlive: IdleConnectionTimeout}
-	return &http.Transport{
-		DialContext:           dialer.DialContext,
+	return &httpclient.Transport{Transport: &http.Transport{
+		DialContext:           httpclient.DialContext(dialer),
 		MaxIdleConnsPerHost:   MaxIdleConnectionsPerAddress,
 		IdleConnTimeout:       IdleConnectionTimeout,
 		ResponseHeaderTimeout: headerTimeout,
 		DisableCompression:    true,
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
+	}}
 }
 
 // Call sends request by POST to path at the process with the address
--- a/internal/control/exchange_test.go
+++ b/internal/control/exchange_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"kingcupcourse/internal/codec"
+	"kingcupcourse/internal/httpclient"
 	"kingcupcourse/internal/message"
 	"kingcupcourse/internal/ring"
 )
@@ -30,7 +31,7 @@
 	defer server.Close()
 	counters := newMetrics(nil)
 	unpooled := newPeerHTTPClient(counters)
-	unpooled.Transport.(*http.Transport).DisableKeepAlives = true
+	unpooled.Transport.(*httpclient.Transport).DisableKeepAlives = true
 	inbox := ring.New[membersMessage]("test", 2)
 	s := &gossipSender{gossipClient: gossipClient{pooled: newPeerHTTPClient(counters), unpooled: unpooled, members: inbox, metrics: counters}}
 	for range 2 {
--- a/internal/control/supervisor.go
+++ b/internal/control/supervisor.go
@@ -10,6 +10,7 @@
 	"kingcupcourse/internal/decision/draining"
 	"kingcupcourse/internal/decision/facts"
 	"kingcupcourse/internal/decision/membership"
+	"kingcupcourse/internal/httpclient"
 	"kingcupcourse/internal/message"
 	"kingcupcourse/internal/ring"
 	"kingcupcourse/internal/supervisor"
@@ -46,7 +47,7 @@
 	counters := newMetrics(options.Metrics)
 	pooled := newPeerHTTPClient(counters)
 	unpooled := newPeerHTTPClient(counters)
-	unpooled.Transport.(*http.Transport).DisableKeepAlives = true
+	unpooled.Transport.(*httpclient.Transport).DisableKeepAlives = true
 	c.configuration = newConfiguration(c, options.Log, counters)
 	c.members = newMembers(c, options.Log, counters, options.Settings.Peers)
 	c.configuration.members = c.members.inbox
@@ -81,7 +82,7 @@
 // newPeerHTTPClient returns a client that counts the bytes of its connections.
 func newPeerHTTPClient(counters *metrics) *http.Client {
 	transport := codec.NewTransport(fetchTimeout)
-	countBytes(transport, counters.peerBytes)
+	countBytes(transport.Transport, counters.peerBytes)
 	return &http.Client{Transport: transport}
 }
 
--- a/internal/ctl/query.go
+++ b/internal/ctl/query.go
@@ -37,7 +37,7 @@
 	inboxes []*ring.Ring[query]
 }
 
-func newQuerierPool(transport *http.Transport) *querierPool {
+func newQuerierPool(transport http.RoundTripper) *querierPool {
 	return &querierPool{client: &http.Client{Transport: transport}}
 }
 
--- a/internal/entry/callers/dispatch.go
+++ b/internal/entry/callers/dispatch.go
@@ -93,7 +93,7 @@
 	return 0
 }
 
-func (c *call) transport() *http.Transport {
+func (c *call) transport() http.RoundTripper {
 	if c.ticket.RunOnce {
 		return c.h.transports.unpooled
 	}
--- a/internal/entry/callers/transports.go
+++ b/internal/entry/callers/transports.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"kingcupcourse/internal/httpclient"
 )
 
 const (
@@ -24,22 +26,22 @@
 // connection: a pooled connection that has gone silent would leave their
 // outcome unknown.
 type transports struct {
-	pooled, unpooled *http.Transport
+	pooled, unpooled *httpclient.Transport
 }
 
 func newTransports() *transports {
 	return &transports{pooled: newTransport(false), unpooled: newTransport(true)}
 }
 
-func newTransport(unpooled bool) *http.Transport {
-	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: endpointDialTimeout}).DialContext,
+func newTransport(unpooled bool) *httpclient.Transport {
+	return &httpclient.Transport{Transport: &http.Transport{
+		DialContext:            httpclient.DialContext(&net.Dialer{Timeout: endpointDialTimeout}),
 		DisableKeepAlives:      unpooled,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
 		IdleConnTimeout:        endpointIdleTimeout,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
-	}
+	}}
 }
 
 // closeIdle closes the idle connections: on stop, and when a connection has
--- a/internal/gateway/connections/pool.go
+++ b/internal/gateway/connections/pool.go
@@ -18,6 +18,7 @@
 	"kingcupcourse/internal/decision/keepalive"
 	gatewaycatalog "kingcupcourse/internal/gateway/catalog"
 	"kingcupcourse/internal/gateway/fleet"
+	"kingcupcourse/internal/httpclient"
 	"kingcupcourse/internal/ring"
 )
 
@@ -58,7 +59,7 @@
 type Pool struct {
 	Config
 	inbox     *ring.Ring[message]
-	transport *http.Transport
+	transport *httpclient.Transport
 	names     atomic.Uint64
 
 	services  map[string]catalog.Service
@@ -76,15 +77,15 @@
 		transport: newTransport(), hosts: 1, endpoints: map[string]*endpoint{}, counts: tally{}}
 }
 
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: DialTimeout}
-	return &http.Transport{
+func newTransport() *httpclient.Transport {
+	dial := httpclient.DialContext(&net.Dialer{Timeout: DialTimeout})
+	return &httpclient.Transport{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
 			address, ok := ctx.Value(addressKey{}).(string)
 			if !ok {
 				return nil, errNoAddress
 			}
-			connection, err := dialer.DialContext(ctx, network, address)
+			connection, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
@@ -94,7 +95,7 @@
 		MaxIdleConnsPerHost:    1,
 		IdleConnTimeout:        lostIdleTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+	}}
 }
 
 // newName returns a name for a connection that is still to be opened.
--- a/internal/gateway/mirror/supervisor.go
+++ b/internal/gateway/mirror/supervisor.go
@@ -10,6 +10,7 @@
 
 	"kingcupcourse/internal/codec"
 	"kingcupcourse/internal/decision/fleet"
+	"kingcupcourse/internal/httpclient"
 	"kingcupcourse/internal/platform"
 	"kingcupcourse/internal/ring"
 	"kingcupcourse/internal/supervisor"
@@ -77,7 +78,7 @@
 // each prefix.
 func (m *Mirror) Supervisor() *supervisor.Supervisor {
 	transport := codec.NewTransport(upstreamHeaderTimeout)
-	transport.DialContext = (&net.Dialer{Timeout: upstreamDialTimeout}).DialContext
+	transport.DialContext = httpclient.DialContext(&net.Dialer{Timeout: upstreamDialTimeout})
 	children := append([]supervisor.Child{
 		{Name: "keeper", Duty: m.keeper},
 		{Name: "upstream", Duty: &upstream{keeper: m.keeper.inbox, client: &http.Client{Transport: transport}}},
--- a/internal/load/supervisor.go
+++ b/internal/load/supervisor.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"kingcupcourse/internal/httpclient"
 	"kingcupcourse/internal/load/caller"
 	"kingcupcourse/internal/load/collector"
 	"kingcupcourse/internal/load/experiment"
@@ -79,11 +80,11 @@
 // resends a GET or a request with an Idempotency-Key if a reused connection
 // fails before the response.
 func newClient(callers int) *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+	return &http.Client{Transport: &httpclient.Transport{Transport: &http.Transport{
+		DialContext:         httpclient.DialContext(&net.Dialer{Timeout: dialTimeout}),
 		MaxIdleConns:        callers,
 		MaxIdleConnsPerHost: callers,
-	}}
+	}}}
 }
 
 // Run runs the experiment to its end and returns the samples. It returns the
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -19,6 +19,7 @@
 	"github.com/rotisserie/eris"
 
 	"kingcupcourse/internal/codec"
+	"kingcupcourse/internal/httpclient"
 )
 
 const (
@@ -69,7 +70,7 @@
 	base      string
 	dialect   Dialect
 	timeout   time.Duration
-	transport *http.Transport
+	transport *httpclient.Transport
 	http      *http.Client
 }
 
