An answer with a status that no answer can have is none

Callers got answers with the status 101 or above 599 as the endpoint's, and lost their connections at 000 to 099 (net/http panics when it is asked to write such a status); on kingcup-entry an answer 000 counted as a good one. Cause: net/http takes any three digits for a status, and 101 for a final one.

--- a/internal/entry/callers/trouble_test.go
+++ b/internal/entry/callers/trouble_test.go
@@ -15,9 +15,11 @@
 // Guards against passing on what an endpoint in trouble sends: a malformed head, or a part
 // of an answer that ends with a reset while the request is being written.
 func TestAnswerOfATroubledEndpointIsNotPassedOn(t *testing.T) {
-	const ok = "HTTP/1.1 200 OK\r\n"
+	const ok, end = "HTTP/1.1 200 OK\r\n", "Content-Length: 2\r\n\r\n{}"
 	upload := strings.Repeat(" ", 8<<20)
 	for name, trouble := range map[string]struct{ answer, body string }{
+		"status 000":             {"HTTP/1.1 000 X\r\n" + end, "{}"},
+		"status 999":             {"HTTP/1.1 999 X\r\n" + end, "{}"},
 		"reset under the upload": {ok + "\r\n{}", upload},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/httpclient/transport_test.go
+++ b/internal/httpclient/transport_test.go
@@ -68,6 +68,23 @@
 	return response.StatusCode, string(text), err
 }
 
+// Guards against malformed answers that net/http accepts.
+func TestMalformedAnswersAreErrors(t *testing.T) {
+	const ok, end = "HTTP/1.1 200 OK\r\n", "Content-Length: 4\r\n\r\nbody"
+	for name, answer := range map[string]string{
+		"status 000":          "HTTP/1.1 000 X\r\n" + end,
+		"status 099":          "HTTP/1.1 099 X\r\n" + end,
+		"status 600":          "HTTP/1.1 600 X\r\n" + end,
+		"status 999":          "HTTP/1.1 999 X\r\n" + end,
+		"switching protocols": "HTTP/1.1 101 X\r\n\r\n",
+	} {
+		url := serve(t, answerWith(answer))
+		if status, body, err := fetch(t, url, ""); err == nil {
+			t.Errorf("%s: got status %d and %q, want an error", name, status, body)
+		}
+	}
+}
+
 func TestSoundAnswersAreNoErrors(t *testing.T) {
 	for name, answer := range map[string]string{
 		"length":        "HTTP/1.1 200 OK\r\nX!#$%&'*+-.^_`|~9: x\r\nContent-Length: 4\r\n\r\nbody",
