An answer in whose head the name of a field is malformed is none

Callers got answers with such a line passed on, or with other bytes as the body (MIXED): in 'Content-Length : 4' with a blank, the line is no length for net/http, and the answer ends with its connection. A 503 that says 'not run' was believed with such a head too. Cause: net/http accepts blanks in the names of fields, as some old servers send them. Control bytes it does not accept.

Every client fails with httpclient.ErrMalformed for names that are no tokens.

--- a/internal/entry/callers/trouble_test.go
+++ b/internal/entry/callers/trouble_test.go
@@ -20,6 +20,8 @@
 	for name, trouble := range map[string]struct{ answer, body string }{
 		"status 000":             {"HTTP/1.1 000 X\r\n" + end, "{}"},
 		"status 999":             {"HTTP/1.1 999 X\r\n" + end, "{}"},
+		"blank in a field name":  {ok + "Bad Name: x\r\n" + end, "{}"},
+		"blank after a name":     {ok + "Content-Length : 1\r\n\r\n{}", "{}"},
 		"reset under the upload": {ok + "\r\n{}", upload},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/httpclient/body.go
+++ b/internal/httpclient/body.go
@@ -69,7 +69,8 @@
 }
 
 // Read implements io.Reader. It fails with ErrReset in place of io.EOF if the end of the
-// connection is that of the answer and the request has not been taken.
+// connection is that of the answer and the request has not been taken, and with
+// ErrMalformed if the trailer is malformed.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
@@ -83,5 +84,8 @@
 	if endsWithConnection && !b.uploads.haveEnded() {
 		return ErrReset
 	}
+	if malformed := checkNames(b.response.Trailer); malformed != nil {
+		return malformed
+	}
 	return err
 }
--- a/internal/httpclient/transport_test.go
+++ b/internal/httpclient/transport_test.go
@@ -72,11 +72,18 @@
 func TestMalformedAnswersAreErrors(t *testing.T) {
 	const ok, end = "HTTP/1.1 200 OK\r\n", "Content-Length: 4\r\n\r\nbody"
 	for name, answer := range map[string]string{
-		"status 000":          "HTTP/1.1 000 X\r\n" + end,
-		"status 099":          "HTTP/1.1 099 X\r\n" + end,
-		"status 600":          "HTTP/1.1 600 X\r\n" + end,
-		"status 999":          "HTTP/1.1 999 X\r\n" + end,
-		"switching protocols": "HTTP/1.1 101 X\r\n\r\n",
+		"status 000":                  "HTTP/1.1 000 X\r\n" + end,
+		"status 099":                  "HTTP/1.1 099 X\r\n" + end,
+		"status 600":                  "HTTP/1.1 600 X\r\n" + end,
+		"status 999":                  "HTTP/1.1 999 X\r\n" + end,
+		"switching protocols":         "HTTP/1.1 101 X\r\n\r\n",
+		"blank in a name":             ok + "Bad Name: x\r\n" + end,
+		"blank after a name":          ok + "Content-Length : 2\r\n\r\nbody",
+		"control byte in a name":      ok + "Bad\x01Name: x\r\n" + end,
+		"no name":                     ok + ": x\r\n" + end,
+		"name of an informational":    "HTTP/1.1 103 X\r\nBad Name: x\r\n\r\n" + ok + end,
+		"name of a trailer's field":   ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nBad Name: x\r\n\r\n",
+		"name of a field of an error": "HTTP/1.1 503 X\r\nBad Name: x\r\n" + end,
 	} {
 		url := serve(t, answerWith(answer))
 		if status, body, err := fetch(t, url, ""); err == nil {
