Hosts follow the store after it came back from a copy of its state

A host whose entry was lost was never listed again. Ruled out: the watch itself; 410 makes the host list, as before. Evidence: TestHostsFollowAStoreThatCameBackFromACopy, by reading first; timed out before.

Revisions inside the system carry the store's era in their upper bits, from the header of its answers, so that they only rise. A write whose condition is of an earlier era is a conflict, and so is a watch from one.

--- a/internal/gateway/fleet/members.go
+++ b/internal/gateway/fleet/members.go
@@ -16,7 +16,6 @@
 	"kingcupcourse/internal/decision/fleet"
 	"kingcupcourse/internal/platform"
 	"kingcupcourse/internal/ring"
-	"kingcupcourse/internal/supervisor"
 )
 
 const (
@@ -29,23 +28,38 @@
 )
 
 // registrar is the duty that writes this host's entry to the store, and discovers
-// some hosts of the fleet.
+// some hosts of the fleet. It writes the entry again if the store has lost it.
 type registrar struct {
 	store *platform.Client
 	name  string
 	entry hostEntry
 	// discovered takes the discovered hosts.
 	discovered func(context.Context, []fleet.Host) error
-	log        *zap.Logger
+	// lost tells that a list of the hosts lacks the entry.
+	lost *ring.Latest[struct{}]
+	log  *zap.Logger
 
 	registered, hasDiscovered bool
 	// restarted reports that the host was registered before.
 	restarted bool
 }
 
-// Serve implements supervisor.Duty. It ends once the entry is written and hosts
-// were discovered.
+// Serve implements supervisor.Duty.
 func (r *registrar) Serve(ctx context.Context) error {
+	for {
+		if err := r.registerAndDiscover(ctx); err != nil {
+			return err
+		}
+		if _, err := r.lost.Take(ctx); err != nil {
+			return err
+		}
+		r.log.Warn("host's entry is missing in the store")
+		r.registered = false
+	}
+}
+
+// registerAndDiscover returns once the entry is written and hosts were discovered.
+func (r *registrar) registerAndDiscover(ctx context.Context) error {
 	for failures := 1; ; failures++ {
 		if err := r.register(ctx); err != nil {
 			r.log.Warn("host registration failed", zap.String("error", err.Error()))
@@ -54,7 +68,7 @@
 			r.log.Warn("discovery of hosts failed", zap.String("error", err.Error()))
 		}
 		if r.registered && r.hasDiscovered {
-			return supervisor.ErrDone
+			return nil
 		}
 		if err := ring.Pause(ctx, backoff.Delay(failures, maxRegisterBackoff, rand.Float64())); err != nil {
 			return err
@@ -129,7 +143,9 @@
 	self        string
 	hosts       map[string]fleet.Host
 	subscribers []Hosts
-	log         *zap.Logger
+	// lost takes the news that a list of the hosts lacks this host's entry.
+	lost *ring.Latest[struct{}]
+	log  *zap.Logger
 }
 
 // Hosts is a ring that holds only the latest hosts.
@@ -137,7 +153,7 @@
 
 // newMembership returns a membership that contains only the host itself.
 func newMembership(self fleet.Host, log *zap.Logger) *membership {
-	return &membership{self: self.Name, hosts: map[string]fleet.Host{self.Name: self}, log: log}
+	return &membership{self: self.Name, hosts: map[string]fleet.Host{self.Name: self}, lost: ring.NewLatest[struct{}](), log: log}
 }
 
 // subscribe returns a ring that holds only the latest hosts, at first this host alone.
@@ -163,6 +179,10 @@
 	}
 	if update.Full {
 		maps.DeleteFunc(m.hosts, func(name string, _ fleet.Host) bool { return name != m.self })
+		isSelf := func(o platform.Object) bool { return o.Key == HostsPrefix+"/"+m.self }
+		if !slices.ContainsFunc(update.Objects, isSelf) {
+			m.lost.Publish(struct{}{})
+		}
 	}
 	for _, object := range update.Objects {
 		m.apply(object)
--- a/internal/gateway/fleet/supervisor.go
+++ b/internal/gateway/fleet/supervisor.go
@@ -51,11 +51,11 @@
 //
 // Children, in start order: the ledger, which processes the reports of other
 // hosts; the usage reporters, one for each shard of the limits, which send those
-// of this host; and the registrar of this host, which ends once it has succeeded.
+// of this host; and the registrar of this host.
 func New(c Config) *Fleet {
 	entry := hostEntry{Address: c.Address, Processor: c.Processor, AvailabilityZone: c.Host.AvailabilityZone}
 	members := newMembership(entry.host(c.Host.Name), c.Log)
-	f := &Fleet{registrar: &registrar{store: c.Store, name: c.Host.Name, entry: entry, log: c.Log}, members: members, ledger: newLedger(c, members.subscribeListed()), client: &http.Client{Transport: codec.NewTransport(0)}}
+	f := &Fleet{registrar: &registrar{store: c.Store, name: c.Host.Name, entry: entry, lost: members.lost, log: c.Log}, members: members, ledger: newLedger(c, members.subscribeListed()), client: &http.Client{Transport: codec.NewTransport(0)}}
 	children := []supervisor.Child{{Name: "ledger", Duty: f.ledger}}
 	for shard := range maxLimitShards {
 		children = append(children, supervisor.Child{Name: "exchange-" + strconv.Itoa(shard),
--- a/internal/platform/dialect.go
+++ b/internal/platform/dialect.go
@@ -48,6 +48,9 @@
 	// Watch waits for changes after the revision.
 	Watch(prefix string, after uint64, wait time.Duration) Call
 
+	// Era returns the era of the store that an answer names, zero for none. It rises when
+	// the store comes back from a copy of its state.
+	Era(header http.Header) uint64
 	DecodeObject(key string, body []byte) (Object, error)
 	DecodeList(prefix string, body []byte) (Page, error)
 	DecodePut(body []byte) (uint64, error)
@@ -97,6 +100,9 @@
 	return Call{Method: http.MethodGet, Path: "/v1/watch?" + query.Encode()}
 }
 
+// Era returns zero: the project's own object API has no eras.
+func (nativeDialect) Era(http.Header) uint64 { return 0 }
+
 func (nativeDialect) DecodeObject(_ string, body []byte) (object Object, err error) {
 	return object, eris.Wrap(json.Unmarshal(body, &object), "decode object")
 }
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -90,12 +90,12 @@
 }
 
 // statusError classifies a response with a status other than 200 or 201.
-func (c *Client) statusError(method string, response *http.Response) error {
+func (c *Client) statusError(method string, response *http.Response, era uint64) error {
 	switch response.StatusCode {
 	case http.StatusNotFound:
 		return ErrNotFound
 	case http.StatusConflict:
-		return c.conflict(response)
+		return c.conflict(response, era)
 	case http.StatusTooManyRequests:
 		return &RateLimitedError{RetryAfter: retryAfter(response)}
 	case http.StatusGone:
@@ -116,7 +116,7 @@
 	return eris.Wrapf(cause, "status %d: %s", response.StatusCode, strings.TrimSpace(string(body)))
 }
 
-func (c *Client) conflict(response *http.Response) error {
+func (c *Client) conflict(response *http.Response, era uint64) error {
 	body, err := codec.ReadLimited(response.Body, maxAnswerBytes)
 	if err != nil {
 		return eris.Wrapf(ErrOutcomeUnknown, "read conflict response: %v", err)
@@ -125,7 +125,7 @@
 	if err != nil {
 		return eris.Wrapf(ErrOutcomeUnknown, "decode conflict response: %v", err)
 	}
-	return &ConflictError{Version: current.Version, Value: current.Value}
+	return &ConflictError{Version: inEra(era, current.Version), Value: current.Value}
 }
 
 func retryAfter(response *http.Response) time.Duration {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -70,6 +70,7 @@
 	base      string
 	dialect   Dialect
 	timeout   time.Duration
+	era       *lastEra
 	transport *httpclient.Transport
 	http      *http.Client
 }
@@ -85,6 +86,7 @@
 		base:      strings.TrimSuffix(base, "/"),
 		dialect:   dialect,
 		timeout:   DefaultCallTimeout,
+		era:       &lastEra{},
 		transport: transport,
 		http:      &http.Client{Transport: transport},
 	}
@@ -102,10 +104,11 @@
 // *RateLimitedError.
 func (c *Client) Get(ctx context.Context, key string) (Object, error) {
 	var object Object
-	body, err := c.callWithTimeout(ctx, c.timeout, c.dialect.Get(key))
+	answer, err := c.callWithTimeout(ctx, c.timeout, c.dialect.Get(key))
 	if err == nil {
-		object, err = c.dialect.DecodeObject(key, body)
+		object, err = c.dialect.DecodeObject(key, answer.body)
 	}
+	object.Version = inEra(answer.era, object.Version)
 	return object, eris.Wrapf(err, "get %s", key)
 }
 
@@ -132,11 +135,12 @@
 }
 
 func (c *Client) firstPage(ctx context.Context, prefix string, call Call) ([]Object, error) {
-	body, err := c.callWithTimeout(ctx, c.timeout, call)
+	answer, err := c.callWithTimeout(ctx, c.timeout, call)
 	if err != nil {
 		return nil, eris.Wrapf(err, "list %s", prefix)
 	}
-	page, err := c.dialect.DecodeList(prefix, body)
+	page, err := c.dialect.DecodeList(prefix, answer.body)
+	addEra(page.Objects, answer.era)
 	return page.Objects, eris.Wrapf(err, "list %s", prefix)
 }
 
@@ -144,20 +148,25 @@
 // errors of Get.
 func (c *Client) List(ctx context.Context, prefix string) (Changes, error) {
 	var list Changes
-	after := ""
+	after, era := "", uint64(0)
 	for {
-		body, err := c.callWithTimeout(ctx, c.timeout, c.dialect.List(prefix, after))
+		answer, err := c.callWithTimeout(ctx, c.timeout, c.dialect.List(prefix, after))
 		if err != nil {
 			return Changes{}, eris.Wrapf(err, "list %s", prefix)
 		}
-		page, err := c.dialect.DecodeList(prefix, body)
+		page, err := c.dialect.DecodeList(prefix, answer.body)
 		if err != nil {
 			return Changes{}, eris.Wrapf(err, "list %s", prefix)
 		}
+		if after != "" && answer.era != era {
+			return Changes{}, eris.Wrapf(ErrUnavailable, "list %s: the store came back from a copy between two pages", prefix)
+		}
+		era = answer.era
+		addEra(page.Objects, era)
 		// A watch from the first page's revision also reports changes made
 		// between two pages.
 		if after == "" {
-			list.Revision = page.Revision
+			list.Revision = inEra(era, page.Revision)
 		}
 		list.Objects = append(list.Objects, page.Objects...)
 		if !page.More || len(page.Objects) == 0 {
@@ -190,19 +199,32 @@
 	if len(encoded) > MaxValueBytes {
 		return 0, eris.Wrapf(ErrTooLarge, "put %s: %d bytes", key, len(encoded))
 	}
-	call, err := encode(key, ifVersion, encoded)
+	if c.era.isOver(ifVersion) {
+		return 0, eris.Wrapf(c.conflictWithNewEra(ctx, key), "put %s", key)
+	}
+	call, err := encode(key, storeRevision(ifVersion), encoded)
 	if err != nil {
 		return 0, eris.Wrapf(err, "put %s", key)
 	}
-	body, err := c.callWithTimeout(ctx, c.timeout, call)
+	answer, err := c.callWithTimeout(ctx, c.timeout, call)
 	if err != nil {
 		return 0, eris.Wrapf(err, "put %s", key)
 	}
-	version, err := c.dialect.DecodePut(body)
+	version, err := c.dialect.DecodePut(answer.body)
 	if err != nil {
 		return 0, eris.Wrapf(ErrOutcomeUnknown, "put %s: %v", key, err)
 	}
-	return version, nil
+	return inEra(answer.era, version), nil
+}
+
+// conflictWithNewEra returns the conflict of a write whose condition is a version of an
+// earlier era. The store may have given out that revision again.
+func (c *Client) conflictWithNewEra(ctx context.Context, key string) error {
+	current, err := c.Get(ctx, key)
+	if err != nil && !errors.Is(err, ErrNotFound) {
+		return err
+	}
+	return &ConflictError{Version: current.Version, Value: current.Value}
 }
 
 // Watch waits until an object under the prefix has a version above after, or
@@ -210,51 +232,60 @@
 // at once. If the connection stalls, Watch fails with ErrUnavailable after the
 // wait plus the smaller of WatchMargin and the client's timeout, and the next
 // call uses a new connection. It fails with ErrHistoryGone if the store no
-// longer has the changes after the revision, and with ErrTooLarge if they take more
-// than maxWatchBytes; a list of the objects is smaller then.
+// longer has the changes after the revision or has come back from a copy since, and with
+// ErrTooLarge if they take more than maxWatchBytes; a list of the objects is smaller then.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error) {
+	if c.era.isOver(after) {
+		return Changes{}, eris.Wrapf(ErrHistoryGone, "watch %s", prefix)
+	}
 	var changes Changes
 	wait = min(wait, MaxWatchWait)
-	call := c.dialect.Watch(prefix, after, wait)
+	call := c.dialect.Watch(prefix, storeRevision(after), wait)
 	call.maxAnswerBytes = maxWatchBytes
-	body, err := c.callWithTimeout(ctx, wait+min(WatchMargin, c.timeout), call)
-	if err == nil {
-		changes, err = c.dialect.DecodeChanges(prefix, body)
+	answer, err := c.callWithTimeout(ctx, wait+min(WatchMargin, c.timeout), call)
+	switch {
+	case err == nil && after != 0 && answer.era != eraOf(after):
+		err = ErrHistoryGone
+	case err == nil:
+		changes, err = c.dialect.DecodeChanges(prefix, answer.body)
+		changes.Revision = inEra(answer.era, changes.Revision)
+		addEra(changes.Objects, answer.era)
 	}
 	return changes, eris.Wrapf(err, "watch %s", prefix)
 }
 
-func (c *Client) callWithTimeout(ctx context.Context, timeout time.Duration, call Call) ([]byte, error) {
+func (c *Client) callWithTimeout(ctx context.Context, timeout time.Duration, call Call) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return c.call(ctx, call)
 }
 
-// call sends one request and returns the body of a 200 or 201 response.
-func (c *Client) call(ctx context.Context, call Call) ([]byte, error) {
+// call sends one request and returns a 200 or 201 response.
+func (c *Client) call(ctx context.Context, call Call) (answer, error) {
 	var reader io.Reader
 	if call.Body != nil {
 		reader = strings.NewReader(string(call.Body))
 	}
 	request, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, reader)
 	if err != nil {
-		return nil, eris.Wrap(err, "build request")
+		return answer{}, eris.Wrap(err, "build request")
 	}
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, c.transportError(call.Method, err)
+		return answer{}, c.transportError(call.Method, err)
 	}
 	defer response.Body.Close()
+	era := c.era.observe(c.dialect, response.Header)
 	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusCreated {
-		return nil, c.statusError(call.Method, response)
+		return answer{}, c.statusError(call.Method, response, era)
 	}
 	body, err := codec.ReadLimited(response.Body, cmp.Or(call.maxAnswerBytes, maxAnswerBytes))
 	switch {
 	case errors.Is(err, codec.ErrTooLarge) && call.maxAnswerBytes > 0:
-		return nil, eris.Wrapf(ErrTooLarge, "more than %d bytes", call.maxAnswerBytes)
+		return answer{}, eris.Wrapf(ErrTooLarge, "more than %d bytes", call.maxAnswerBytes)
 	case err != nil:
-		return nil, c.transportError(call.Method, err)
+		return answer{}, c.transportError(call.Method, err)
 	}
-	return limitDepth(body), nil
+	return answer{limitDepth(body), era}, nil
 }
