An answered order to move a service stays answered when the store comes back from a copy

Callers' requests would have gone to a version that the operator has stopped: with the copy an answered order is active again, and hosts that do not hold the move give the new version no traffic until they hear of its holder.

A final state is kept for the order, and the coordinator writes it to the store again. A move that is under way when its record is lost begins anew; that was not played.

--- a/internal/gateway/moves/duty.go
+++ b/internal/gateway/moves/duty.go
@@ -145,13 +145,15 @@
 func (d *Duty) tick(ctx context.Context, now time.Time) error {
 	d.nextTick = time.Time{}
 	for _, m := range d.moves {
-		if m.order.State.Finished() {
+		if m.order.State.Finished() && !m.statusLost {
 			continue
 		}
 		d.nextTick = now.Add(tickPeriod)
 		switch {
 		case !d.isCoordinator:
 			m.held = false
+		case m.statusLost:
+			d.writeStatus(ctx, m, m.order.State, now)
 		case !m.held:
 			d.tryAcquire(ctx, m, now)
 		default:
--- a/internal/gateway/moves/hold.go
+++ b/internal/gateway/moves/hold.go
@@ -152,9 +152,12 @@
 	case m.status.Stage == message.StageDone && m.drained(now):
 		state = catalog.OrderSucceeded
 	}
-	if state == m.order.State {
-		return
+	if state != m.order.State {
+		d.writeStatus(ctx, m, state, now)
 	}
+}
+
+func (d *Duty) writeStatus(ctx context.Context, m *move, state catalog.OrderState, now time.Time) {
 	revision, err := d.Store.PutStatus(ctx, d.Decoder.OrderKey(m.order.Service), m.order.Revision,
 		d.Decoder.OrderStatus(m.order, state))
 	if err != nil {
@@ -162,7 +165,7 @@
 		d.Log.Warn("writing the order's status failed", zap.String("service", m.order.Service), zap.String("error", err.Error()))
 		return
 	}
-	m.order.State, m.order.Revision = state, revision
+	m.order.State, m.order.Revision, m.statusLost = state, revision, false
 	d.Log.Info("order answered", zap.String("service", m.order.Service), zap.Int("state", int(state)),
 		zap.String("reason", m.status.Reason), zap.Duration("after", now.Sub(m.orderedAt)), zap.Uint64("revision", revision))
 }
--- a/internal/gateway/moves/move.go
+++ b/internal/gateway/moves/move.go
@@ -46,6 +46,9 @@
 type move struct {
 	order    catalog.Order
 	exposure Exposure
+	// statusLost reports that the store does not hold the final state of the order any
+	// more, as it came back from a copy.
+	statusLost bool
 	// orderedAt is the earliest known time of the order.
 	orderedAt   time.Time
 	plan        decision.Plan
@@ -98,7 +101,11 @@
 // updateOrder applies the order's newest revision and the listed endpoints.
 func (m *move) updateOrder(order catalog.Order, endpoints []catalog.Endpoint) {
 	if order.Revision > m.order.Revision { // a watch may lag behind this host's own write
-		m.order = order
+		state := m.order.State
+		m.order, m.statusLost = order, false
+		if state.Finished() && order.State != state {
+			m.order.State, m.statusLost = state, true
+		}
 	}
 	count := map[core.Version]int{}
 	m.targetReady = false
