A request is checked for refused parts when it is placed, also if none were known before

Callers saw one more endpoint crash: whether a request is checked was decided when it was admitted, by whether any death was known. A request whose body came slowly was passed on although its part had been refused while the host read it.

The admission duty shows all the time whether there is anything to check for.

--- a/internal/gateway/admission/duty.go
+++ b/internal/gateway/admission/duty.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -58,9 +59,6 @@
 	// Units is the request's cost against its account's limit, zero if the account
 	// has none.
 	Units float64
-	// CheckPoison reports that endpoints have died while they ran some request,
-	// so that this request's fingerprint must be checked.
-	CheckPoison bool
 	// AllowedRegions are the only regions in which the request may be processed;
 	// empty for all.
 	AllowedRegions []core.Region
@@ -95,15 +93,17 @@
 // Duty implements supervisor.Duty.
 type Duty struct {
 	Config
-	inbox              *ring.Ring[Message]
-	snapshot           *catalog.Snapshot
-	limits             map[string]quota.Limit
-	share              *quota.Allocation
-	coordinators       coordinators
-	waiting            waitingRequests
-	retries            *retryBudgets
-	poisonMarks        *poison.Register
-	stored             storedRefusals
+	inbox        *ring.Ring[Message]
+	snapshot     *catalog.Snapshot
+	limits       map[string]quota.Limit
+	share        *quota.Allocation
+	coordinators coordinators
+	waiting      waitingRequests
+	retries      *retryBudgets
+	poisonMarks  *poison.Register
+	stored       storedRefusals
+	// hasSuspects reports that endpoints have died while they ran requests.
+	hasSuspects        atomic.Bool
 	unreportedEvidence []poison.Dated
 	evidenceInReport   int // how many of them are in the report in progress
 	// evidenceListID identifies the list that the last evidence of other hosts is from.
@@ -119,6 +119,10 @@
 	}
 }
 
+// HasSuspects reports whether endpoints have died while they ran requests, so that each
+// request must be checked. It may be called by any duty.
+func (d *Duty) HasSuspects() bool { return d.hasSuspects.Load() }
+
 // Inbox returns the ring of messages to the duty.
 func (d *Duty) Inbox() *ring.Ring[Message] { return d.inbox }
 
@@ -128,6 +132,7 @@
 	return ring.LoopUntil(ctx, d.inbox, func(m Message) error {
 		d.takeSnapshot()
 		m.handle(d, time.Now())
+		d.hasSuspects.Store(!d.poisonMarks.Empty())
 		return nil
 	}, d.waiting.next, func() error {
 		d.takeSnapshot()
@@ -196,7 +201,6 @@
 		ticket.Refusal = core.RefuseWithRetry(core.ReasonNoEndpoint, "the route has no service", time.Second)
 		return ticket
 	}
-	ticket.CheckPoison = !d.poisonMarks.Empty()
 	d.charge(&ticket, account, request, now)
 	if ticket.Refusal == nil {
 		d.retries.earn(ticket.Service)
--- a/internal/gateway/callers/admit.go
+++ b/internal/gateway/callers/admit.go
@@ -69,6 +69,9 @@
 	// attempt in progress.
 	answerBytes int64
 	eventCount  sse.Counter
+	// lostEndpoint reports that an attempt has lost its answer, so that the request is
+	// checked before the next one.
+	lostEndpoint bool
 	// responseStarted reports that a part of a response has been relayed to the
 	// caller.
 	responseStarted bool
--- a/internal/gateway/callers/handler.go
+++ b/internal/gateway/callers/handler.go
@@ -25,6 +25,8 @@
 type Config struct {
 	Protocol  frontend.Protocol
 	Admission *ring.Ring[admission.Message]
+	// HasSuspects reports whether requests must be checked for what crashes endpoints.
+	HasSuspects func() bool
 	// Host is the name of this host.
 	Host string
 	// Place chooses an endpoint for an attempt.
--- a/internal/gateway/callers/poison.go
+++ b/internal/gateway/callers/poison.go
@@ -34,7 +34,7 @@
 // checkPoison refuses a request whose fingerprint, or a part of whose prompt, is linked
 // to endpoint deaths.
 func (c *call) checkPoison(ctx context.Context) *core.Refusal {
-	if !c.ticket.CheckPoison {
+	if !c.lostEndpoint && !c.h.HasSuspects() {
 		return nil
 	}
 	query := admission.CheckPoison{Reply: ring.NewReply[bool](), Fingerprint: c.fingerprint(), Parts: c.request.SharedPromptParts}
@@ -55,7 +55,7 @@
 		Fingerprint: c.fingerprint(), Endpoint: incarnation(endpoint), Parts: c.request.SharedPromptParts,
 		Stage: poison.StageAfter(c.answerBegun, c.eventCount.Events),
 	}
-	c.ticket.CheckPoison = true // before the next attempt
+	c.lostEndpoint = true
 	port := deaths.CheckPort(endpoint.Address)
 	lostAttemptsTotal.WithLabelValues(string(port)).Inc()
 	fields := []zap.Field{zap.String("endpoint", endpoint.Name), zap.String("request", c.request.ID),
--- a/internal/gateway/callers/run.go
+++ b/internal/gateway/callers/run.go
@@ -120,7 +120,7 @@
 		if !c.answerUnderway() && outcome.status < http.StatusMultipleChoices {
 			c.reportAnswered()
 		}
-		if c.ticket.CheckPoison {
+		if c.h.HasSuspects() {
 			c.sendToAdmission(admission.Succeeded{Fingerprint: c.fingerprint()})
 		}
 	}
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -102,7 +102,7 @@
 	pool := connections.New(connections.Config{Snapshots: catalogTree.Subscribe(), Hosts: fleetTree.Hosts(), Log: env.Log})
 	deathsDuty := deaths.New(deaths.Config{Snapshots: catalogTree.Subscribe(), Admission: admissionDuty.Inbox(), Log: env.Log})
 	handler := callers.NewHandler(callers.Config{
-		Host: s.Host, Protocol: adapter.Protocol, Admission: admissionDuty.Inbox(), Place: placementClient.Place, Reports: reporter.Inbox(),
+		Host: s.Host, Protocol: adapter.Protocol, Admission: admissionDuty.Inbox(), HasSuspects: admissionDuty.HasSuspects, Place: placementClient.Place, Reports: reporter.Inbox(),
 		EndpointSaid: placementClient.EndpointSaid, Connections: pool, Losses: deathsDuty.Inbox(),
 		AcquireQuota: fleetTree.Acquire, Log: env.Log,
 		Stop: callers.Stop{DrainingSince: env.DrainingSince, DrainDelay: milliseconds(s.DrainDelayMS), CutAfter: milliseconds(s.GraceMS) - stopMargin},
