An answer clears a part of the deaths before it only

Callers could see endpoints crash again: a host that exchanges a list of evidence anew got old answers, and each cleared what had died since, until the deaths came again with the list. Evidence: TestAnswerClearsEarlierDeathsOnly, which fails without the change.

--- a/internal/decision/poison/poison.go
+++ b/internal/decision/poison/poison.go
@@ -85,6 +85,15 @@
 // Clear drops the deaths recorded for a request that has since succeeded.
 func (t *Tracker) Clear(fingerprint string) { delete(t.byRequest, fingerprint) }
 
+// clearUntil drops the deaths that are not after the given time.
+func (t *Tracker) clearUntil(fingerprint string, at time.Time) {
+	deaths := t.byRequest[fingerprint]
+	maps.DeleteFunc(deaths, func(_ string, d death) bool { return !d.at().After(at) })
+	if len(deaths) == 0 {
+		delete(t.byRequest, fingerprint)
+	}
+}
+
 // Poisonous reports whether too many endpoints have died running the request.
 func (t *Tracker) Poisonous(fingerprint string, now time.Time) bool {
 	return t.sum(fingerprint, now, func(string) bool { return false }) >= t.limit
--- a/internal/decision/poison/register_test.go
+++ b/internal/decision/poison/register_test.go
@@ -159,6 +159,21 @@
 	}
 }
 
+// Guards against an old answer, which a host learns from a list that it exchanges again,
+// that clears a part of later deaths.
+func TestAnswerClearsEarlierDeathsOnly(t *testing.T) {
+	r, late := NewRegister(), start.Add(2*answeredMemory)
+	crash(r, 0, PartDeathLimit, "p")
+	before := Dated{Evidence: Evidence{Parts: []string{"p"}}, Got: start.Add(-time.Second)}
+	if r.Record(before.Aged(late), late); !r.Poisonous("", []string{"p"}, late) {
+		t.Error("an answer before the deaths clears the part")
+	}
+	after := Dated{Evidence: Evidence{Parts: []string{"p"}}, Got: start.Add(time.Second)}
+	if r.Record(after.Aged(late), late); r.Poisonous("", []string{"p"}, late) {
+		t.Error("an answer after the deaths does not clear the part")
+	}
+}
+
 func TestAnsweredPartsAreBounded(t *testing.T) {
 	a := newAnsweredParts()
 	for i := range 5 * maxAnswered {
