--- a/internal/decision/poison/evidence.go
+++ b/internal/decision/poison/evidence.go
@@ -76,9 +76,11 @@
 	return e.Fingerprint == other.Fingerprint && e.Endpoint == other.Endpoint && e.Stage == other.Stage && slices.Equal(e.Parts, other.Parts)
 }
 
-// at returns when the endpoint died or answered.
+// at returns when the endpoint died or answered. An age that cannot be right is taken for
+// the nearest that can.
 func (e Evidence) at(now time.Time) time.Time {
-	return now.Add(-time.Duration(e.AgeMS) * time.Millisecond)
+	age := min(max(e.AgeMS, 0), Retention.Milliseconds())
+	return now.Add(-time.Duration(age) * time.Millisecond)
 }
 
 // Dated is evidence with the time at which its holder got it.
--- a/internal/decision/poison/register_test.go
+++ b/internal/decision/poison/register_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -159,6 +160,16 @@
 	}
 }
 
+// Guards against a refusal without an end, by a message of another host.
+func TestAgeOutOfRangeIsLimited(t *testing.T) {
+	for _, age := range []int64{-1, math.MinInt64, math.MaxInt64, Retention.Milliseconds() + 1} {
+		e := Evidence{Endpoint: "e", AgeMS: age}
+		if at := e.at(start); at.After(start) || at.Before(start.Add(-Retention)) {
+			t.Errorf("age %d: %v", age, at.Sub(start))
+		}
+	}
+}
+
 // Guards against an old answer, which a host learns from a list that it exchanges again,
 // that clears a part of later deaths.
 func TestAnswerClearsEarlierDeathsOnly(t *testing.T) {
