One check tells whether an answer ends with its connection

The new client and the relay of answers had the same condition; the relay calls the client's now. Behaviour is as before: the tests of both packages' answers pass, with the race detector for internal/httpclient.

--- a/internal/gateway/callers/response.go
+++ b/internal/gateway/callers/response.go
@@ -14,6 +14,7 @@
 	"kingcupcourse/internal/core"
 	"kingcupcourse/internal/gateway/frontend"
 	"kingcupcourse/internal/gateway/placement"
+	"kingcupcourse/internal/httpclient"
 	"kingcupcourse/internal/sse"
 )
 
@@ -63,7 +64,7 @@
 		return outcome
 	case c.eventCount.InEvent():
 		return c.incompleteResponse(ctx, errInsideEvent)
-	case endsWithConnection(response) && c.eventCount.Events == 0:
+	case httpclient.EndsWithConnection(response) && c.eventCount.Events == 0:
 		return c.incompleteResponse(ctx, errNoEvent)
 	}
 	c.writeHeader(response)
@@ -75,12 +76,6 @@
 	errNoEvent     = eris.New("the stream ended with its connection before its first event")
 )
 
-// endsWithConnection reports whether only the end of its connection shows that a
-// response is complete.
-func endsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
-
 // relayRaw relays a response without parsing it.
 func (c *call) relayRaw(ctx context.Context, response *http.Response) attemptOutcome {
 	buffer := make([]byte, relayBufferBytes)
--- a/internal/httpclient/body.go
+++ b/internal/httpclient/body.go
@@ -61,6 +61,12 @@
 	return newest == nil || newest.ended.Load()
 }
 
+// EndsWithConnection reports whether only the end of its connection shows that an answer
+// is complete.
+func EndsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // body is the body of an answer.
 type body struct {
 	io.ReadCloser
@@ -80,8 +86,7 @@
 }
 
 func (b *body) end(err error) error {
-	endsWithConnection := b.response.ContentLength < 0 && len(b.response.TransferEncoding) == 0
-	if endsWithConnection && !b.uploads.haveEnded() {
+	if EndsWithConnection(b.response) && !b.uploads.haveEnded() {
 		return ErrReset
 	}
 	if malformed := checkNames(b.response.Trailer); malformed != nil {
