--- a/review/_stage/leak.go
+++ b/review/_stage/leak.go
@@ -13,12 +13,12 @@
 
 const (
 	// leakTime bounds the load. The whole case takes a few seconds more.
-	leakTime = 105 * time.Second
+	leakTime = 112 * time.Second
 	// leakMemoryMB is the memory of the smallest machine on the users' sheets.
 	leakMemoryMB = 112
 	// leakClients is the number of clients of each host. Each keeps one
 	// connection open and sends one request after the other.
-	leakClients = 600
+	leakClients = 750
 	// leakPause is the pause of a client between an answer and its next request.
 	leakPause = 60 * time.Millisecond
 	// leakMachines and leakEnds are the rule's bounds: processes of two machines at least
