Review: scripts count less and leave less to chance

Cause: read once more as the code's author would, case 8 changed more machines than the share of hup, counted ends within a second of a planned stop, and case 6 counted every end; ports could be taken by outgoing connections.

--- a/review/_stage/bounds.go
+++ b/review/_stage/bounds.go
@@ -15,10 +15,17 @@
 	templateFile = "deploy/host.json.template"
 	// boundsMachines and boundsEnds are the rule's bounds.
 	boundsMachines, boundsEnds = 2, 3
-	boundsTime                 = 20 * time.Second
+	// boundsHosts is the size of the fleet, and boundsChanged the machines whose settings
+	// change: the share .3 of hup.
+	boundsHosts, boundsChanged = 7, 2
+	// stopGap is the pause between two machines that are stopped.
+	stopGap = 4 * time.Second
+	// endsTime is how long ends are counted, and afterStop how long after a planned stop an
+	// end does not count.
+	endsTime, afterStop = 12 * time.Second, time.Second
 )
 
-// bounds changes one figure of the settings, GraceS, and restarts the hosts in turn. With
+// bounds changes one figure of the settings, GraceS, and restarts two of seven hosts in turn. With
 // trouble the new figure is a fraction, without it a whole number. It judges the rule on
 // programs that do not start and processes that end by themselves.
 func bounds(r *record, trouble bool) int {
@@ -27,7 +34,7 @@
 		r.printf("cannot run: %v", err)
 		return failedToRun
 	}
-	w, err := newWorld(3, 284)
+	w, err := newWorld(boundsHosts, 284)
 	if err != nil {
 		r.printf("cannot run: %v", err)
 		return failedToRun
@@ -54,33 +61,35 @@
 		r.printf("cannot run: the hosts are not ready")
 		return failedToRun
 	}
-	before := w.ask(r, "before", 30)
-	r.printf("GraceS 8: %d of 30 requests answered", before)
+	changed := w.hosts[:boundsChanged]
+	before := w.ask(r, changed, "before", 20)
+	r.printf("GraceS 8: %d of 20 requests to the machines answered", before)
 	var grace any = 9
 	if trouble {
 		grace = 7.5
 	}
-	for _, h := range w.hosts {
+	for _, h := range changed {
 		settings(h, grace)
-		r.printf("%s: the settings have changed, GraceS is %v", h.name, grace)
+		h.signal(syscall.SIGHUP)
+		r.printf("%s: the settings have changed, GraceS is %v, SIGHUP", h.name, grace)
 	}
 	time.Sleep(time.Second)
-	for _, h := range w.hosts {
+	for _, h := range changed {
 		h.expectEnd()
 		h.signal(syscall.SIGTERM)
 		r.printf("%s: SIGTERM", h.name)
-		time.Sleep(4 * time.Second)
+		time.Sleep(stopGap)
 	}
-	time.Sleep(boundsTime - 3*4*time.Second)
-	after, machines := w.ask(r, "after", 30), 0
-	for _, h := range w.hosts {
-		ends, _ := h.endings()
-		if len(ends) >= boundsEnds {
+	time.Sleep(endsTime)
+	after, machines := w.ask(r, changed, "after", 20), 0
+	for _, h := range changed {
+		ends, counted := h.endsAfterStop()
+		if counted >= boundsEnds {
 			machines++
 		}
-		r.printf("%s: ended by itself %d times since %q", h.name, len(ends), ends)
+		r.printf("%s: ended by itself %d times, %d of them more than %v after its planned stop; the last: %s", h.name, len(ends), counted, afterStop, lastReason(ends))
 	}
-	r.printf("GraceS %v: %d of 30 requests answered, processes of %d machines ended by themselves %d times or more",
+	r.printf("GraceS %v: %d of 20 requests to the machines answered, processes of %d machines ended by themselves %d times or more",
 		grace, after, machines, boundsEnds)
 	switch {
 	case before == 0:
@@ -91,10 +100,30 @@
 	return held
 }
 
-// ask sends requests to all hosts in turn.
-func (w *world) ask(r *record, name string, count int) (answered int) {
+// endsAfterStop returns the ends of the host's processes, and how many of them count.
+func (h *host) endsAfterStop() (ends []end, counted int) {
+	ends, _ = h.endings()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, ended := range ends {
+		if !h.stoppedAt.IsZero() && ended.at.Sub(h.stoppedAt) > afterStop {
+			counted++
+		}
+	}
+	return ends, counted
+}
+
+func lastReason(ends []end) string {
+	if len(ends) == 0 {
+		return "none"
+	}
+	return ends[len(ends)-1].reason
+}
+
+// ask sends requests to hosts in turn.
+func (w *world) ask(r *record, hosts []*host, name string, count int) (answered int) {
 	for n := range count {
-		h, id := w.hosts[n%len(w.hosts)], name+strconv.Itoa(n)
+		h, id := hosts[n%len(hosts)], name+strconv.Itoa(n)
 		status, body := newClient().get(context.Background(), h, "/lookup/x", id, time.Second)
 		r.printf("request %s, sent to %s: answered %d %q", id, h.name, status, body)
 		if status == http.StatusOK {
--- a/review/_stage/host.go
+++ b/review/_stage/host.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,24 +31,38 @@
 	command *exec.Cmd
 	stopped bool
 	peakKB  int
-	ends    []string // why processes ended by themselves
+	ends    []end // of processes that ended by themselves
 	// endExpected is set once the process has been told to end.
 	endExpected bool
+	stoppedAt   time.Time // when it then ended
 	done        chan struct{}
 }
 
+// end is the end of a process that nobody asked for.
+type end struct {
+	at         time.Time
+	reason     string
+	overMemory bool
+}
+
 // restartDelay is the short delay after which the platform starts a process again.
 const restartDelay = 300 * time.Millisecond
 
+// freeAddress returns a loopback address whose port is free and below those that outgoing
+// connections take, so that a host that starts again finds it free.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
+		if err != nil {
+			continue
+		}
+		defer listener.Close()
+		return listener.Addr().String()
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
+const firstPort, lastPort = 12000, 32000
+
 // newHost writes the settings file of a host, as the template of the deploy file gives it.
 func newHost(folder, name, zone, storeAddress string, memoryMB int) *host {
 	h := &host{name: name, zone: zone, memoryMB: memoryMB, front: freeAddress(), readiness: freeAddress(), peers: freeAddress(),
@@ -83,6 +99,8 @@
 // run keeps the process running until stop.
 func (h *host) run() {
 	defer close(h.done)
+	// The kernel ends the process with the thread that started it, if the case itself dies.
+	runtime.LockOSThread()
 	for {
 		h.mu.Lock()
 		if h.stopped {
@@ -95,6 +113,7 @@
 		}
 		h.command = exec.Command("target/kingcup-host", "--settings="+h.settings)
 		h.command.Stdout, h.command.Stderr = out, out
+		h.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 		if err := h.command.Start(); err != nil {
 			panic(err)
 		}
@@ -110,15 +129,15 @@
 		switch {
 		case h.stopped:
 		case h.endExpected:
-			h.endExpected = false
+			h.endExpected, h.stoppedAt = false, time.Now()
 		default:
-			reason := fmt.Sprint(err)
+			ended := end{at: time.Now(), reason: fmt.Sprint(err)}
 			select {
 			case <-overMemory:
-				reason = fmt.Sprintf("over %d MB of memory", h.memoryMB)
+				ended.reason, ended.overMemory = fmt.Sprintf("over %d MB of memory", h.memoryMB), true
 			default:
 			}
-			h.ends = append(h.ends, reason)
+			h.ends = append(h.ends, ended)
 		}
 		h.mu.Unlock()
 		time.Sleep(restartDelay)
@@ -190,8 +209,8 @@
 	<-h.done
 }
 
-func (h *host) endings() (ends []string, peakKB int) {
+func (h *host) endings() (ends []end, peakKB int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return append([]string(nil), h.ends...), h.peakKB
+	return append([]end(nil), h.ends...), h.peakKB
 }
--- a/review/_stage/leak.go
+++ b/review/_stage/leak.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// leakTime bounds the load. The whole case takes a few seconds more.
-	leakTime = 112 * time.Second
+	// leakTime bounds the case from its start to the end of the load.
+	leakTime = 114 * time.Second
 	// leakMemoryMB is the memory of the smallest machine on the users' sheets.
 	leakMemoryMB = 112
 	// leakClients is the number of clients of each host. Each keeps one
@@ -49,7 +49,7 @@
 		r.printf("cannot run: the hosts are not ready")
 		return failedToRun
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), leakTime)
+	ctx, cancel := context.WithDeadline(context.Background(), r.start.Add(leakTime))
 	defer cancel()
 	var sent, answered, refused atomic.Int64
 	var clients sync.WaitGroup
@@ -76,10 +76,16 @@
 		line := fmt.Sprintf("sent %d, answered %d, failed or refused %d, run %d", sent.Load(), answered.Load(), refused.Load(), w.runs())
 		for _, h := range w.hosts {
 			ends, residentKB := h.endings()
-			if len(ends) >= leakEnds {
+			overMemory := 0
+			for _, ended := range ends {
+				if ended.overMemory {
+					overMemory++
+				}
+			}
+			if overMemory >= leakEnds {
 				machines++
 			}
-			line += fmt.Sprintf("; %s holds %d KB, ended by itself %d times %q", h.name, residentKB, len(ends), ends)
+			line += fmt.Sprintf("; %s held %d KB at most, ended %d times, %d of them over %d MB", h.name, residentKB, len(ends), overMemory, leakMemoryMB)
 		}
 		r.printf("%s", line)
 	}
