Settings: figures are any JSON numbers, and times are in seconds where the platform gives seconds

Cause: two narrow readings of a figure, either of which is enough. The settings template multiplied by a thousand as text ({{Bounds.GraceS}}000 makes 7.5000 of 7.5, which is 7.5 in place of 7500), and the fields behind it were whole numbers, so that 7.5000 and also 8.0 or 8e3 were findings.

Related paths with the same cause: limit_window_ms by the template; memory_mb, max_files and expose_free by their types; drain_ms, drain_delay_ms, watch_ms, store_timeout_ms, journal_flush_ms, lease_ms and max_requests of all programs. limit_overage, limit_slack, repeat_share, repeat_burst, expose_share, cold_overage, cold_slack, processor_share and processor_speed were fractions before.

Change: all figures are read as numbers, with a type for each unit, and rounded down only where a number of things is used. grace_s and limit_window_s take the platform's seconds; grace_ms and limit_window_ms stay. A figure that would overflow when it is converted is a finding.

Ruled out: a fault of the reload. With the old code the host went on with its previous settings after SIGHUP and answered until it was stopped; only the start failed.

--- a/cmd/kingcup-host/main.go
+++ b/cmd/kingcup-host/main.go
@@ -4,8 +4,6 @@
 package main
 
 import (
-	"time"
-
 	"kingcupcourse/internal/budget"
 	"kingcupcourse/internal/gateway"
 	"kingcupcourse/internal/process"
@@ -14,18 +12,20 @@
 	"kingcupcourse/platform"
 )
 
-func main() {
-	process.MainProgram(process.Program[settings.Gateway]{
+func main() { process.MainProgram(program()) }
+
+func program() process.Program[settings.Gateway] {
+	return process.Program[settings.Gateway]{
 		Name:        "kingcup-host",
 		Description: "Takes the requests of callers on a host of the platform.",
 		Load:        settings.Load[settings.Gateway],
 		Log:         func(s *settings.Gateway) process.LogConfig { return process.LogConfig{Host: s.Host, Log: s.Log} },
 		Shutdown: func(s *settings.Gateway) process.ShutdownConfig {
-			return process.ShutdownConfig{DrainDelay: time.Duration(s.DrainDelayMS) * time.Millisecond}
+			return process.ShutdownConfig{DrainDelay: s.DrainDelayMS.Duration()}
 		},
 		Build: func(env process.ProgramEnvironment, s *settings.Gateway) ([]supervisor.Child, error) {
-			budget.LimitHeap(s.MemoryMB << 20)
+			budget.LimitHeap(s.MemoryMB.Bytes())
 			return gateway.Build(platform.Adapter(), env, s)
 		},
-	})
+	}
 }
--- a/integration/capacity_test.go
+++ b/integration/capacity_test.go
@@ -154,7 +154,7 @@
 	for _, flush := range []int64{10, 25, 50, 100} {
 		t.Run(fmt.Sprint(flush), func(t *testing.T) {
 			c := startCluster(t, options{hosts: 3, ledgers: 8, tuneScheduler: func(s *settings.Scheduler) {
-				s.JournalFlushMS = flush
+				s.JournalFlushMS = settings.Milliseconds(flush)
 			}})
 			c.reuseConnections()
 			time.Sleep(startupSettleTime)
--- a/internal/entry/supervisor.go
+++ b/internal/entry/supervisor.go
@@ -56,13 +56,13 @@
 	peers := peer.NewClient()
 	reporting := reports.New(reports.Config{Host: s.Host, Views: c.Subscribe()}, peers, log)
 	fallbackDuty := fallback.New(fallback.Config{Host: s.Host, Fraction: s.FallbackFraction, Views: c.Subscribe()})
-	admissionDuty := admission.New(admission.Config{Region: s.Region, MaxRequests: s.MaxRequests, Views: c.Subscribe()})
+	admissionDuty := admission.New(admission.Config{Region: s.Region, MaxRequests: s.MaxRequests.Int(), Views: c.Subscribe()})
 	handler := callers.NewHandler(callers.Config{
 		Host: s.Host, Admission: admissionDuty.Inbox(), Reports: reporting.Inbox, Fallback: fallbackDuty.Inbox(),
 		Schedulers: peers, PublishFact: publishFact(c, log), Log: log,
 	})
-	drain := time.Duration(s.DrainMS) * time.Millisecond
-	callersBudget := budget.New("callers", decision.LimitsFor(s.MemoryMB<<20, s.MaxFiles), log)
+	drain := s.DrainMS.Duration()
+	callersBudget := budget.New("callers", decision.LimitsFor(s.MemoryMB.Bytes(), s.MaxFiles.Int()), log)
 	listener, err := supervisor.Listen(s.Callers, budget.Handler(handler), drain)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for callers")
@@ -80,7 +80,7 @@
 
 // StopTimeout returns how long the whole supervisor may take to stop.
 func StopTimeout(s settings.Entry) time.Duration {
-	return time.Duration(s.DrainMS)*time.Millisecond + stopMargin + reportsStopTimeout + 2*supervisor.DefaultStopTimeout
+	return s.DrainMS.Duration() + stopMargin + reportsStopTimeout + 2*supervisor.DefaultStopTimeout
 }
 
 // publishFact returns a function that shares a fact and logs a warning if the
--- a/internal/gateway/supervisor.go
+++ b/internal/gateway/supervisor.go
@@ -63,9 +63,9 @@
 // the requests in progress, which still need the other duties. A child that
 // fails is restarted alone; too many restarts end the process.
 func Build(adapter Adapter, env process.ProgramEnvironment, s *settings.Gateway) ([]supervisor.Child, error) {
-	store := adapter.Store(s.Store).WithTimeout(milliseconds(s.StoreTimeoutMS))
+	store := adapter.Store(s.Store).WithTimeout(s.StoreTimeoutMS.Duration())
 	catalogTree := catalog.New(adapter.Decoder, env.Log)
-	tolerance := fleet.Tolerance{Share: s.LimitOverage, Units: s.LimitSlack, Window: milliseconds(s.LimitWindowMS)}
+	tolerance := fleet.Tolerance{Share: s.LimitOverage, Units: s.LimitSlack, Window: s.LimitWindow()}
 	refusalWriter := refusals.NewWriter(store, env.Log)
 	admissionDuty := admission.New(admission.Config{
 		Snapshots: catalogTree.Subscribe(), Tolerance: tolerance, RetryShare: s.RepeatShare / 2, RetryBurst: s.RepeatBurst / 2,
@@ -73,7 +73,7 @@
 	})
 	movesTree := moves.New(moves.Config{
 		Host: s.Host, Store: store, Decoder: adapter.Decoder, Snapshots: catalogTree.Subscribe(),
-		Exposure: moves.Exposure{MaxShare: s.ExposeShare, FreeRequests: s.ExposeFree}, Log: env.Log,
+		Exposure: moves.Exposure{MaxShare: s.ExposeShare, FreeRequests: s.ExposeFree.Int()}, Log: env.Log,
 	})
 	host := core.Host{Name: s.Host, AvailabilityZone: s.AvailabilityZone}
 	fleetTree := fleet.New(fleet.Config{
@@ -81,12 +81,12 @@
 		Snapshots: catalogTree.Subscribe(), Admission: admissionDuty, Tolerance: tolerance, Moves: movesTree, Log: env.Log,
 	})
 	mirrorDuties := mirror.New(mirror.Config{Host: s.Host, Store: store, Hosts: fleetTree.Hosts(), HostsPrefix: fleet.HostsPrefix, Log: env.Log})
-	mirrorDuties.Follow(adapter.Decoder.ConfigurationPrefix(), milliseconds(s.WatchMS), catalogTree.Deliver)
-	mirrorDuties.Follow(adapter.Decoder.EndpointsPrefix(), milliseconds(s.WatchMS), catalogTree.Deliver)
+	mirrorDuties.Follow(adapter.Decoder.ConfigurationPrefix(), s.WatchMS.Duration(), catalogTree.Deliver)
+	mirrorDuties.Follow(adapter.Decoder.EndpointsPrefix(), s.WatchMS.Duration(), catalogTree.Deliver)
 	mirrorDuties.Follow(adapter.Decoder.OrdersPrefix(), longWatch, catalogTree.Deliver)
 	if s.Evacuations {
 		catalogTree.ExpectEvacuations()
-		mirrorDuties.Follow(adapter.Decoder.EvacuationsPrefix(), milliseconds(s.WatchMS), catalogTree.Deliver)
+		mirrorDuties.Follow(adapter.Decoder.EvacuationsPrefix(), s.WatchMS.Duration(), catalogTree.Deliver)
 	}
 	mirrorDuties.Follow(fleet.HostsPrefix, longWatch, fleetTree.Deliver)
 	mirrorDuties.Follow(refusals.Prefix, longWatch, admissionDuty.DeliverRefusals)
@@ -105,17 +105,17 @@
 		Host: s.Host, Protocol: adapter.Protocol, Admission: admissionDuty.Inbox(), HasSuspects: admissionDuty.HasSuspects, Place: placementClient.Place, Reports: reporter.Inbox(),
 		EndpointSaid: placementClient.EndpointSaid, Connections: pool, Losses: deathsDuty.Inbox(),
 		AcquireQuota: fleetTree.Acquire, Log: env.Log,
-		Stop: callers.Stop{DrainingSince: env.DrainingSince, DrainDelay: milliseconds(s.DrainDelayMS), CutAfter: milliseconds(s.GraceMS) - stopMargin},
+		Stop: callers.Stop{DrainingSince: env.DrainingSince, DrainDelay: s.DrainDelayMS.Duration(), CutAfter: s.Grace() - stopMargin},
 	})
-	memory := s.MemoryMB << 20
-	callersBudget := budget.New("callers", decisionbudget.LimitsFor(memory, s.MaxFiles), env.Log)
-	peersBudget := budget.New("peers", decisionbudget.PeerLimitsFor(memory, s.MaxFiles), env.Log)
+	memory, files := s.MemoryMB.Bytes(), s.MaxFiles.Int()
+	callersBudget := budget.New("callers", decisionbudget.LimitsFor(memory, files), env.Log)
+	peersBudget := budget.New("peers", decisionbudget.PeerLimitsFor(memory, files), env.Log)
 	peerListener, err := supervisor.Listen(s.Peers, budget.MessageHandler(newPeerMux(fleetTree, placementClient, mirrorDuties)), listenerStopGrace)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for peers")
 	}
 	peerListener.WrapConnections(peersBudget.Accept)
-	drain := milliseconds(s.GraceMS-s.DrainDelayMS) - stopMargin
+	drain := s.Grace() - s.DrainDelayMS.Duration() - stopMargin
 	callerListener, err := supervisor.Listen(s.Callers, budget.Handler(handler), drain)
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for callers")
@@ -177,5 +177,3 @@
 	}
 	return zones
 }
-
-func milliseconds(value int64) time.Duration { return time.Duration(value) * time.Millisecond }
--- a/internal/process/drain.go
+++ b/internal/process/drain.go
@@ -32,7 +32,7 @@
 		tree:             t,
 		announceDraining: env.Control.AnnounceDraining,
 		log:              env.Log,
-		delay:            time.Duration(env.Settings.DrainDelayMS) * time.Millisecond,
+		delay:            env.Settings.DrainDelayMS.Duration(),
 		neverFilled:      ring.New[struct{}]("process_drain", 1),
 	}
 }
--- a/internal/process/supervisor.go
+++ b/internal/process/supervisor.go
@@ -43,7 +43,7 @@
 func serve[T any](ctx context.Context, role Role[T], loaded *T, log *zap.Logger) int {
 	treeCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	budget.LimitHeap(role.Common(loaded).MemoryMB << 20)
+	budget.LimitHeap(role.Common(loaded).MemoryMB.Bytes())
 	t := &processTree{stop: stop}
 	if err := buildTree(ctx, t, role, loaded, log); err != nil {
 		log.Error("start failed", zap.String("error", eris.ToString(err, false)))
@@ -76,7 +76,7 @@
 	if err != nil {
 		return eris.Wrap(err, "build duties")
 	}
-	peersBudget := budget.New("peers", decision.PeerLimitsFor(common.MemoryMB<<20, common.MaxFiles), log)
+	peersBudget := budget.New("peers", decision.PeerLimitsFor(common.MemoryMB.Bytes(), common.MaxFiles.Int()), log)
 	adminListener, err := supervisor.Listen(common.Admin, budget.MessageHandler(t.adminHandler(env)), listenerGrace)
 	if err != nil {
 		return eris.Wrap(err, "listen on the admin address")
@@ -87,7 +87,7 @@
 		return eris.Wrap(err, "listen on the control address")
 	}
 	controlListener.WrapConnections(peersBudget.Accept)
-	stopTimeout := time.Duration(common.DrainMS)*time.Millisecond + stopMargin
+	stopTimeout := common.DrainMS.Duration() + stopMargin
 	t.root = supervisor.New(supervisor.Spec{Name: role.Program, Children: slices.Concat(
 		[]supervisor.Child{
 			{Name: "peers-budget", Duty: peersBudget},
--- a/internal/reference/fields.go
+++ b/internal/reference/fields.go
@@ -117,8 +117,12 @@
 	case "float64":
 		return "number", nil
 	}
-	if w.types[name] != nil {
-		return fmt.Sprintf("[%s](#%s)", name, strings.ToLower(name)), nil
+	spec := w.types[name]
+	if spec == nil {
+		return "", fmt.Errorf("unsupported type %s", name)
+	}
+	if _, isStruct := spec.Type.(*ast.StructType); !isStruct {
+		return w.jsonType(spec.Type)
 	}
-	return "", fmt.Errorf("unsupported type %s", name)
+	return fmt.Sprintf("[%s](#%s)", name, strings.ToLower(name)), nil
 }
--- a/internal/rollout/supervisor.go
+++ b/internal/rollout/supervisor.go
@@ -25,7 +25,7 @@
 func Build(env *process.Environment, s *settings.Rollout) (process.Duties, error) {
 	config := mover.Config{
 		Host:          s.Host,
-		LeaseDuration: time.Duration(s.LeaseMS) * time.Millisecond,
+		LeaseDuration: s.LeaseMS.Duration(),
 		Platform:      env.Platform,
 		Client:        &http.Client{Transport: codec.NewTransport(callTimeout)},
 		PublishFact:   env.Control.Report,
--- a/internal/scheduler/supervisor.go
+++ b/internal/scheduler/supervisor.go
@@ -78,7 +78,7 @@
 }
 
 func shardConfig(c config) shard.Config {
-	flush := time.Duration(c.Settings.JournalFlushMS) * time.Millisecond
+	flush := c.Settings.JournalFlushMS.Duration()
 	if flush <= 0 {
 		flush = defaultJournalFlushInterval
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -73,12 +73,12 @@
 	if g.ProcessorShare < 0 || g.ProcessorSpeed < 0 {
 		report.Add("processor_share", "must not be negative, and neither may processor_speed")
 	}
-	checkNotNegative(report, "memory_mb", g.MemoryMB)
-	checkNotNegative(report, "max_files", int64(g.MaxFiles))
-	checkNotNegative(report, "watch_ms", g.WatchMS)
-	checkNotNegative(report, "store_timeout_ms", g.StoreTimeoutMS)
-	checkNotNegative(report, "drain_delay_ms", g.DrainDelayMS)
-	checkNotNegative(report, "limit_window_ms", g.LimitWindowMS)
+	checkFigure(report, "memory_mb", g.MemoryMB)
+	checkFigure(report, "max_files", g.MaxFiles)
+	checkFigure(report, "watch_ms", g.WatchMS)
+	checkFigure(report, "store_timeout_ms", g.StoreTimeoutMS)
+	checkFigure(report, "drain_delay_ms", g.DrainDelayMS)
+	checkTime(report, "limit_window", g.LimitWindowS, g.LimitWindowMS)
 	if g.LimitOverage < 0 || g.LimitSlack < 0 {
 		report.Add("limit_overage", "must not be negative, and neither may limit_slack")
 	}
@@ -93,14 +93,13 @@
 	if g.ExposeShare < 0 || g.ExposeShare > 1 {
 		report.Add("expose_share", "must be from 0 to 1")
 	}
-	if g.ExposeFree < 0 {
-		report.Add("expose_free", "must not be negative")
-	}
+	checkFigure(report, "expose_free", g.ExposeFree)
 	if g.ColdOverage < 0 || g.ColdSlack < 0 {
 		report.Add("cold_overage", "must not be negative, and neither may cold_slack")
 	}
-	if g.GraceMS <= g.DrainDelayMS {
-		report.Add("grace_ms", "must be above drain_delay_ms, %d", g.DrainDelayMS)
+	checkTime(report, "grace", g.GraceS, g.GraceMS)
+	if g.Grace() <= g.DrainDelayMS.Duration() {
+		report.Add("grace_s", "must be above drain_delay_ms, %v", g.DrainDelayMS.Duration())
 	}
 	checkLog(report, g.Log)
 }
@@ -142,10 +141,10 @@
 	}
 	checkBaseURL(report, "platform", c.Platform)
 	checkLog(report, c.Log)
-	checkNotNegative(report, "memory_mb", c.MemoryMB)
-	checkNotNegative(report, "max_files", int64(c.MaxFiles))
-	checkNotNegative(report, "drain_ms", c.DrainMS)
-	checkNotNegative(report, "drain_delay_ms", c.DrainDelayMS)
+	checkFigure(report, "memory_mb", c.MemoryMB)
+	checkFigure(report, "max_files", c.MaxFiles)
+	checkFigure(report, "drain_ms", c.DrainMS)
+	checkFigure(report, "drain_delay_ms", c.DrainDelayMS)
 	checkDistinct(report, "admin", c.Admin, "control", c.Control)
 }
 
@@ -154,7 +153,7 @@
 	checkAddress(report, "callers", e.Callers)
 	checkDistinct(report, "callers", e.Callers, "control", e.Control)
 	checkDistinct(report, "callers", e.Callers, "admin", e.Admin)
-	checkNotNegative(report, "max_requests", int64(e.MaxRequests))
+	checkFigure(report, "max_requests", e.MaxRequests)
 	if e.FallbackFraction < 0 || e.FallbackFraction > 1 {
 		report.Add("fallback_fraction", "must be from 0 to 1")
 	}
@@ -162,11 +161,12 @@
 
 func (s *Scheduler) check(report *strictjson.Document) {
 	s.Common.check(report)
-	checkNotNegative(report, "journal_flush_ms", s.JournalFlushMS)
+	checkFigure(report, "journal_flush_ms", s.JournalFlushMS)
 }
 
 func (r *Rollout) check(report *strictjson.Document) {
 	r.Common.check(report)
+	checkFigure(report, "lease_ms", r.LeaseMS)
 	if r.LeaseMS < minLeaseMS {
 		report.Add("lease_ms", "must be at least %d", minLeaseMS)
 	}
@@ -178,9 +178,18 @@
 	}
 }
 
-func checkNotNegative(report *strictjson.Document, path string, value int64) {
-	if value < 0 {
-		report.Add(path, "must not be negative")
+func checkFigure[F ~float64](report *strictjson.Document, path string, value F) {
+	if value < 0 || value > maxFigure {
+		report.Add(path, "must be from 0 to %v", maxFigure)
+	}
+}
+
+// checkTime checks a time that is given in seconds or in milliseconds, as two fields.
+func checkTime(report *strictjson.Document, name string, seconds Seconds, milliseconds Milliseconds) {
+	checkFigure(report, name+"_s", seconds)
+	checkFigure(report, name+"_ms", milliseconds)
+	if seconds != 0 && milliseconds != 0 {
+		report.Add(name+"_ms", "must not be given beside %s_s", name)
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,7 +2,12 @@
 // location, and the addresses of the platform and its peers.
 package settings
 
-import "kingcupcourse/internal/core"
+import (
+	"cmp"
+	"time"
+
+	"kingcupcourse/internal/core"
+)
 
 // Common holds the settings that all roles have in common.
 type Common struct {
@@ -26,17 +31,17 @@
 	Log Log `json:"log,omitzero"`
 	// DrainMS is the time that requests in progress have to finish after
 	// SIGTERM, in milliseconds. Default 120,000.
-	DrainMS int64 `json:"drain_ms,omitempty"`
+	DrainMS Milliseconds `json:"drain_ms,omitempty"`
 	// DrainDelayMS is the time after SIGTERM during which the process still
 	// accepts work while the load balancer sees it as unready and its peers
 	// learn that it drains, in milliseconds. Default 2,000.
-	DrainDelayMS int64 `json:"drain_delay_ms,omitempty"`
+	DrainDelayMS Milliseconds `json:"drain_delay_ms,omitempty"`
 	// MemoryMB is the memory that the process must not exceed, in MB. What all
 	// callers and peers together may hold follows from it. Default 1,024.
-	MemoryMB int64 `json:"memory_mb,omitempty"`
+	MemoryMB Megabytes `json:"memory_mb,omitempty"`
 	// MaxFiles is the number of descriptors that the process may have open. How many
 	// connections it accepts follows from it. Default 4,096.
-	MaxFiles int `json:"max_files,omitempty"`
+	MaxFiles Count `json:"max_files,omitempty"`
 	// FaultInjection enables POST /debug/kill?child=PATH on the admin
 	// listener. Never enable it in production. Default false.
 	FaultInjection bool `json:"fault_injection,omitempty"`
@@ -62,7 +67,7 @@
 	FallbackFraction float64 `json:"fallback_fraction,omitempty"`
 	// MaxRequests is the maximum number of requests in progress at this host.
 	// Default 4,096.
-	MaxRequests int `json:"max_requests,omitempty"`
+	MaxRequests Count `json:"max_requests,omitempty"`
 }
 
 // Scheduler holds the settings of kingcup-scheduler.
@@ -70,7 +75,7 @@
 	Common
 	// JournalFlushMS is the minimum interval between two writes of a pool's
 	// journal, in milliseconds. Default 10.
-	JournalFlushMS int64 `json:"journal_flush_ms,omitempty"`
+	JournalFlushMS Milliseconds `json:"journal_flush_ms,omitempty"`
 	// Policy is the placement policy: kingcup, or for comparisons round_robin,
 	// least_outstanding or prefix_affinity. Default kingcup.
 	Policy string `json:"policy,omitempty"`
@@ -81,7 +86,7 @@
 	Common
 	// LeaseMS is the duration of a move's lease, in milliseconds. Default
 	// 5,000.
-	LeaseMS int64 `json:"lease_ms,omitempty"`
+	LeaseMS Milliseconds `json:"lease_ms,omitempty"`
 }
 
 // Zone is an availability zone and its region.
@@ -123,26 +128,27 @@
 	ProcessorSpeed float64 `json:"processor_speed,omitempty"`
 	// MemoryMB is the memory that the process must not exceed, in MB. What all
 	// callers together may hold follows from it. Default 1,024.
-	MemoryMB int64 `json:"memory_mb,omitempty"`
+	MemoryMB Megabytes `json:"memory_mb,omitempty"`
 	// MaxFiles is the number of descriptors that the process may have open. How many
 	// connections it accepts follows from it. Default 4,096.
-	MaxFiles int `json:"max_files,omitempty"`
+	MaxFiles Count `json:"max_files,omitempty"`
 	// Store is the base URL of the platform's store.
 	Store string `json:"store"`
 	// WatchMS is how long a watch call to the store waits for a change, in
 	// milliseconds. A watch whose connection went silent is detected within
 	// this time plus StoreTimeoutMS. Default 1,500.
-	WatchMS int64 `json:"watch_ms,omitempty"`
+	WatchMS Milliseconds `json:"watch_ms,omitempty"`
 	// StoreTimeoutMS is the timeout of a call to the store, in milliseconds.
 	// Default 1,000.
-	StoreTimeoutMS int64 `json:"store_timeout_ms,omitempty"`
+	StoreTimeoutMS Milliseconds `json:"store_timeout_ms,omitempty"`
 	// LimitOverage is the fraction of a client account's limit, and LimitSlack
 	// the additional units, by which the account may exceed the limit in a
-	// window of LimitWindowMS milliseconds before the operator counts it as
-	// exceeded.
-	LimitOverage  float64 `json:"limit_overage"`
-	LimitSlack    float64 `json:"limit_slack"`
-	LimitWindowMS int64   `json:"limit_window_ms"`
+	// window of LimitWindowS seconds before the operator counts it as exceeded.
+	LimitOverage float64 `json:"limit_overage"`
+	LimitSlack   float64 `json:"limit_slack"`
+	LimitWindowS Seconds `json:"limit_window_s,omitempty"`
+	// LimitWindowMS is LimitWindowS in milliseconds. Only one of them may be given.
+	LimitWindowMS Milliseconds `json:"limit_window_ms,omitempty"`
 	// RepeatShare is the retry budget of all hosts together, as retries per
 	// request of a service, and RepeatBurst the number of additional retries in
 	// the operator's window. A host uses half of both, so that a change in the
@@ -161,7 +167,7 @@
 	// candidate version may receive, from 0 to 1, and ExposeFree the number of
 	// requests that it may receive in addition.
 	ExposeShare float64 `json:"expose_share"`
-	ExposeFree  int     `json:"expose_free"`
+	ExposeFree  Count   `json:"expose_free"`
 	// ZoneAwarePlacement keeps requests in the availability zone of their host
 	// while its endpoints have room, and sends them to other zones by the room
 	// there. Without it zones are not considered. All hosts need the same value.
@@ -172,13 +178,26 @@
 	// endpoints are not limited.
 	ColdOverage float64 `json:"cold_overage,omitempty"`
 	ColdSlack   float64 `json:"cold_slack,omitempty"`
-	// GraceMS is the time between SIGTERM and SIGKILL, in milliseconds.
-	GraceMS int64 `json:"grace_ms"`
+	// GraceS is the time between SIGTERM and SIGKILL, in seconds.
+	GraceS Seconds `json:"grace_s,omitempty"`
+	// GraceMS is GraceS in milliseconds. One of them must be given.
+	GraceMS Milliseconds `json:"grace_ms,omitempty"`
 	// DrainDelayMS is the time after SIGTERM during which the process still
 	// accepts connections while the load balancer sees it as unready, in
 	// milliseconds. Default 2,500, as the load balancer stops sending
 	// connections after two failed checks, one per second.
-	DrainDelayMS int64 `json:"drain_delay_ms,omitempty"`
+	DrainDelayMS Milliseconds `json:"drain_delay_ms,omitempty"`
 	// Log configures the log output.
 	Log Log `json:"log,omitzero"`
 }
+
+// Grace returns the time between SIGTERM and SIGKILL.
+func (g *Gateway) Grace() time.Duration {
+	return cmp.Or(g.GraceS.Duration(), g.GraceMS.Duration())
+}
+
+// LimitWindow returns the window in which the operator counts what an account uses,
+// zero if it is not known.
+func (g *Gateway) LimitWindow() time.Duration {
+	return cmp.Or(g.LimitWindowS.Duration(), g.LimitWindowMS.Duration())
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,10 +1,12 @@
 package settings
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 )
 
 const validSettings = `{
@@ -97,3 +99,45 @@
 		}
 	})
 }
+
+const gatewaySettings = `{"host": "h", "region": "r", "availability_zone": "a", "callers": "127.0.0.1:1", "readiness": "127.0.0.1:2",
+  "peers": "127.0.0.1:3", "store": "http://127.0.0.1:4", "limit_overage": 0.1, "limit_slack": 0,
+  "repeat_share": 0.2, "repeat_burst": 54, "expose_share": 0.1, "expose_free": 50.5,
+  %s}`
+
+// Guards against times that are refused or cut short since they are no whole number of
+// milliseconds, in either unit.
+func TestTimesInSecondsAndMilliseconds(t *testing.T) {
+	for field, want := range map[string]time.Duration{
+		`"grace_s": 7.5`:                         7500 * time.Millisecond,
+		`"grace_ms": 7500.25`:                    7500250 * time.Microsecond,
+		`"grace_s": 7.5, "limit_window_ms": 8e3`: 7500 * time.Millisecond,
+	} {
+		s, err := Load[Gateway](writeFile(t, fmt.Sprintf(gatewaySettings, field)))
+		if err != nil {
+			t.Errorf("%s: %v", field, err)
+			continue
+		}
+		if s.Grace() != want || s.ExposeFree.Int() != 50 {
+			t.Errorf("%s: got %v and %d free requests", field, s.Grace(), s.ExposeFree.Int())
+		}
+	}
+}
+
+// Guards against figures that overflow when they are converted, and against a time that is
+// given twice.
+func TestImpossibleFiguresAreReported(t *testing.T) {
+	_, err := Load[Gateway](writeFile(t, fmt.Sprintf(gatewaySettings,
+		`"grace_s": 1e300, "limit_window_s": -1, "limit_window_ms": 8000, "memory_mb": 1e12, "max_files": 1e400`)))
+	if err == nil {
+		t.Fatal("impossible figures were accepted")
+	}
+	for _, want := range []string{
+		"grace_s: must be from 0 to 9e+09", "limit_window_s: must be from 0 to 9e+09", "memory_mb: must be from 0 to 9e+09",
+		"max_files: must be a number", "limit_window_ms: must not be given beside limit_window_s",
+	} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("no finding %q in\n%v", want, err)
+		}
+	}
+}
