review: case 11, orders are carried out a second time after a drill

Cause, as far as known: an order is known by the revision at which its object was created. After the store has come back from a copy, the same order has another one, and its move begins anew, also if it was answered and the old endpoints are gone. With no version to compare with, it is taken back, and the only version that there is gets no traffic any more.

Nothing is fixed.

--- a/review/_stand3/hosts.go
+++ b/review/_stand3/hosts.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
@@ -67,11 +69,17 @@
 	return h
 }
 
+// freePort returns an address on which nothing listens. The ports lie below those that outgoing
+// connections take.
 func freePort(ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
-	check(err)
-	defer l.Close()
-	return l.Addr().String()
+	for range 200 {
+		if l, err := net.Listen("tcp", fmt.Sprint(ip, ":", 12_000+rand.Intn(18_000))); err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
+	}
+	check(errors.New("no free port"))
+	return ""
 }
 
 // writeSettings fills deploy/host.json.template in.
--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -78,6 +78,8 @@
 	switch args[0] {
 	case "late":
 		held = late(trouble, out)
+	case "drill":
+		held = drill(trouble, out)
 	case "spread":
 		held = spread(out, int(num("HOSTS", 20)), time.Duration(num("SECONDS", 60))*time.Second, time.Duration(num("APPLY_MS", 3000))*time.Millisecond,
 			time.Duration(num("STABLE_MS", 4000))*time.Millisecond, strings.Split(os.Getenv("TROUBLES"), ","))
--- a/review/_stand3/store.go
+++ b/review/_stand3/store.go
@@ -255,3 +255,24 @@
 		}
 	}
 }
+
+// copyState returns a copy of the store's state.
+func (s *store) copyState() *store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &store{revision: s.revision, objects: map[string]*object{}, events: append([]event(nil), s.events...)}
+	for key, o := range s.objects {
+		c.objects[key] = o
+	}
+	return c
+}
+
+// restore makes the store come back from a copy.
+func (s *store) restore(from *store) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.objects, s.events = from.revision, from.objects, from.events
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
