--- a/review/_stand3/drill.go
+++ b/review/_stand3/drill.go
@@ -13,7 +13,7 @@
 
 // The figures of the drill.
 const (
-	drillOrder = 10 * time.Second  // DurationS
+	drillOrder = 10 * time.Second // DurationS
 	recovery   = 12 * time.Second // RecoveryS
 )
 
