review: case 12's script has 40 clients

With 20 clients, about 100 requests a second, the script of case 12 broke EXPOSURE four of five times on a calm machine: when the hosts find the version bad before the move is done, it is taken back, and at that rate what it has got until then can stay within the slack of 50 requests. The rule, its figures and the order are as before.

--- a/review/_stand3/late.go
+++ b/review/_stand3/late.go
@@ -73,7 +73,7 @@
 	rec := &record{broken: map[string]int{}}
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
-	const clients = 20
+	const clients = 40
 	for i := 0; i < clients; i++ {
 		callers.Add(1)
 		go func() {
