--- a/review/_stand3/drill.go
+++ b/review/_stand3/drill.go
@@ -116,6 +116,7 @@
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
+	fault := time.Now()
 	kill, restore := trouble && os.Getenv("KILL") != "0", trouble && os.Getenv("RESTORE") != "0"
 	if kill {
 		for _, h := range hosts {
@@ -172,7 +173,7 @@
 		fmt.Fprintf(out, "%7.3f %s %s to %s: %d, complete %v, %s\n", r.sent.Sub(began).Seconds(), r.id, r.kind.name, r.host.name, r.status, r.answered, at)
 		served := r.status == 200 && r.answered
 		switch {
-		case r.sent.Before(ordered):
+		case r.sent.Before(fault):
 			before++
 			if served {
 				servedBefore++
@@ -184,6 +185,6 @@
 			}
 		}
 	}
-	fmt.Fprintf(out, "served before the orders: %d of %d; sent later than %v after the machines were back: %d of %d\n", servedBefore, before, recovery, servedAfter, after)
+	fmt.Fprintf(out, "served before the fault: %d of %d; sent later than %v after the machines were back: %d of %d\n", servedBefore, before, recovery, servedAfter, after)
 	return 4*servedAfter >= after || 4*servedBefore < before
 }
--- a/review/_stand3/late.go
+++ b/review/_stand3/late.go
@@ -177,6 +177,9 @@
 		if r.status != 200 {
 			failed++
 		}
+		if len(log.by[r.id]) == 0 {
+			fmt.Fprintf(out, "%.3f %s %s sent to %s, answered %d, not run\n", r.sent.Sub(ordered).Seconds(), r.id, r.kind.name, r.host.name, r.status)
+		}
 	}
 	allowed := exposeRate*float64(total) + exposeFree
 	fmt.Fprintf(out, "\nversion v2 began %.3f s after the order", began.Sub(ordered).Seconds())
